--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,47 @@
+import tseslint from 'typescript-eslint';
+import {houseStyle} from './admin/eslintPlugin.js';
+
+export default tseslint.config(
+  {ignores: ['**/dist/', '**/gen/', '**/node_modules/', 'out/', '.tap/']},
+  ...tseslint.configs.recommended,
+  {
+    plugins: {house: houseStyle},
+    rules: {
+      'prefer-const': 'error',
+      'no-var': 'error',
+      eqeqeq: ['error', 'always'],
+      'one-var': ['error', 'never'],
+      'default-case': 'off',
+      'no-throw-literal': 'error',
+      'max-lines': ['error', {max: 400, skipComments: true}],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'TSEnumDeclaration',
+          message: 'Use a constant object in place of an enum.',
+        },
+        {
+          selector: "CallExpression[callee.property.name='forEach']",
+          message: 'Use a for-of loop with early exits.',
+        },
+      ],
+    },
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    ignores: ['**/__tests__/**'],
+    rules: {'house/verb-first': 'error'},
+  },
+  {
+    files: [
+      'packages/ryeworks-{scheduler,types,utils,config,protocol}/src/**/*.ts',
+      'packages/ryeworksd/src/**/*.ts',
+    ],
+    ignores: ['packages/ryeworksd/src/core/clock.ts'],
+    rules: {'house/no-ambient-input': 'error'},
+  },
+);
--- /dev/null
+++ b/packages/ryeworks-config/src/index.ts
@@ -0,0 +1,2 @@
+export * from './lists.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/ryeworks-config/src/settings.ts
@@ -0,0 +1,168 @@
+import {InvalidConfigError, ServiceDefinition} from '@ryeworks/types';
+import {createValidator, parseJsonc} from './parseJsonc.js';
+
+/** An address to listen on. */
+export interface ListenAddress {
+  /** IP number. */
+  readonly host: string;
+  /** TCP port, 0 to 65535. */
+  readonly port: number;
+}
+
+/** Settings of one `ryeworksd` process. */
+export interface Settings {
+  /** Name of this VM. */
+  readonly vm: string;
+  /** Availability zone of this VM. */
+  readonly availabilityZone: string;
+  /** Every availability zone of the deployment. */
+  readonly availabilityZones: readonly string[];
+  /** Where callers and the balancer reach this VM. */
+  readonly callerListen: ListenAddress;
+  /** Where the other VMs reach this VM. */
+  readonly peerListen: ListenAddress;
+  /** Secret that the VMs of the deployment share. */
+  readonly peerKey: string;
+  /** Secret that the operators' status page asks for. */
+  readonly operatorKey: string;
+  readonly platform: {
+    /** Base address of the object API. */
+    readonly url: string;
+    /** Bearer token of the object API. */
+    readonly token: string;
+  };
+  /** StatsD address; nothing is sent without one. */
+  readonly statsd?: ListenAddress;
+  /** Least level that is logged. Default `info`. */
+  readonly logLevel: 'info' | 'warn' | 'error';
+  /** Largest request body, in bytes. Default 1 MiB. */
+  readonly maxBodyBytes: number;
+  /** Bytes of answers kept for callers that ask again. Default 32 MiB. */
+  readonly answerCacheBytes: number;
+  /** Longest time for a graceful stop, in ms. Default 60 s. */
+  readonly stopTimeoutMs: number;
+  /** Options of the scheduler that differ from their defaults. */
+  readonly scheduler: Readonly<Record<string, number | string>>;
+  readonly services: readonly ServiceDefinition[];
+}
+
+const name = {type: 'string', pattern: '^[A-Za-z0-9._:-]{1,100}$'};
+const positive = {type: 'number', exclusiveMinimum: 0};
+
+const listenAddressSchema = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['host', 'port'],
+  properties: {
+    host: {type: 'string', minLength: 1},
+    port: {type: 'integer', minimum: 0, maximum: 65535},
+  },
+};
+
+const serviceSchema = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['service', 'kind', 'routes'],
+  properties: {
+    service: name,
+    kind: {enum: ['model', 'plain']},
+    routes: {
+      type: 'array',
+      minItems: 1,
+      items: {
+        type: 'object',
+        additionalProperties: false,
+        required: ['method', 'path', 'class'],
+        properties: {
+          method: {enum: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']},
+          path: {type: 'string', pattern: '^/'},
+          class: {enum: ['idempotent', 'dispatchOnce', 'nonIdempotent']},
+        },
+      },
+    },
+    defaultTier: {enum: [1, 2, 3], default: 2},
+    defaultDeadlineMs: {...positive, default: 30_000},
+    firstTokenTargetMs: {...positive, default: 490},
+    interTokenTargetMs: {type: 'number', minimum: 0, default: 36},
+    initialConcurrency: {type: 'integer', minimum: 1, default: 8},
+  },
+};
+
+const schedulerSchema = {
+  type: 'object',
+  additionalProperties: false,
+  default: {},
+  properties: {
+    routing: {enum: ['grants', 'leastLoadedOfTwo']},
+    probePeriodMs: positive,
+    probeTimeoutMs: positive,
+    suspicionMs: positive,
+    askTimeoutMs: positive,
+    cellMaxEndpoints: {type: 'integer', minimum: 1},
+    cellMaxQueued: {type: 'integer', minimum: 1},
+    claimWindowMs: positive,
+    claimTimeoutMs: positive,
+    retryBudgetRatio: {type: 'number', minimum: 0, maximum: 1},
+    progressTimeoutMs: positive,
+    observeMs: positive,
+  },
+};
+
+const validateSettings = createValidator<Settings>({
+  type: 'object',
+  additionalProperties: false,
+  required: [
+    'vm',
+    'availabilityZone',
+    'availabilityZones',
+    'callerListen',
+    'peerListen',
+    'peerKey',
+    'operatorKey',
+    'platform',
+    'services',
+  ],
+  properties: {
+    vm: name,
+    availabilityZone: name,
+    availabilityZones: {
+      type: 'array',
+      items: name,
+      minItems: 1,
+      uniqueItems: true,
+    },
+    callerListen: listenAddressSchema,
+    peerListen: listenAddressSchema,
+    peerKey: {type: 'string', minLength: 8},
+    operatorKey: {type: 'string', minLength: 8},
+    platform: {
+      type: 'object',
+      additionalProperties: false,
+      required: ['url', 'token'],
+      properties: {
+        url: {type: 'string', pattern: '^https?://'},
+        token: {type: 'string'},
+      },
+    },
+    statsd: listenAddressSchema,
+    logLevel: {enum: ['info', 'warn', 'error'], default: 'info'},
+    maxBodyBytes: {type: 'integer', minimum: 1, default: 1_048_576},
+    answerCacheBytes: {type: 'integer', minimum: 0, default: 33_554_432},
+    stopTimeoutMs: {...positive, default: 60_000},
+    scheduler: schedulerSchema,
+    services: {type: 'array', minItems: 1, items: serviceSchema},
+  },
+});
+
+/** Parses the settings of `ryeworksd`, with defaults filled in. */
+export function parseSettings(text: string, file: string): Settings {
+  const settings = parseJsonc(text, file, validateSettings);
+  const {availabilityZone, availabilityZones} = settings;
+  if (!availabilityZones.includes(availabilityZone)) {
+    throw new InvalidConfigError(
+      `${file}: "availabilityZone" is "${availabilityZone}", which ` +
+        `"availabilityZones" does not list: ${availabilityZones.join(', ')}`,
+    );
+  }
+  return settings;
+}
--- /dev/null
+++ b/packages/ryeworks-lab/src/bin/demo.ts
@@ -0,0 +1,73 @@
+#!/usr/bin/env node
+import {Deployment} from '../deployment/deployment.js';
+import {
+  aerolithPlan,
+  DeploymentPlan,
+  desatorosPlan,
+} from '../deployment/deploymentPlan.js';
+import {runLoad} from '../load/runLoad.js';
+import {findBrokenPromises} from '../report/findBrokenPromises.js';
+import {createTable, TableCell} from '../report/createTable.js';
+import {countErrors, createCallTable} from '../report/summarizeCalls.js';
+
+/** Mean rate and length of the demonstration's load. */
+const callsPerSecond = 60;
+const durationMs = 8000;
+const seed = 20;
+
+/** Sums a counter over all VMs, by its name with tags. */
+async function sumCounters(
+  deployment: Deployment,
+): Promise<Map<string, number>> {
+  const sums = new Map<string, number>();
+  for (const vm of deployment.vms) {
+    const {counters} = await deployment.readStatus(vm);
+    for (const [name, value] of Object.entries(counters)) {
+      sums.set(name, (sums.get(name) ?? 0) + value);
+    }
+  }
+  return sums;
+}
+
+/** Prints the counters that matter in a demonstration. */
+function printCounters(counters: ReadonlyMap<string, number>): void {
+  const rows: TableCell[][] = [];
+  const shown = /^(request|admission|claim|prefill|grant|ask)\./;
+  for (const [name, value] of [...counters].sort()) {
+    if (shown.test(name)) rows.push([name, value]);
+  }
+  console.log(createTable(['counter', 'sum over VMs'], rows));
+}
+
+/** Runs one deployment; returns the promises that it broke. */
+async function runDeployment(plan: DeploymentPlan): Promise<string[]> {
+  console.log(
+    `\n${plan.name}: ${plan.availabilityZones.length} availability zones, ` +
+      `${callsPerSecond} calls/s for ${durationMs / 1000} s, seed ${seed}`,
+  );
+  const deployment = await Deployment.start(plan);
+  try {
+    const urls = deployment.vms.map(vm => vm.callerUrl);
+    const results = await runLoad({
+      plan,
+      urls: () => urls,
+      callsPerSecond,
+      durationMs,
+      seed,
+    });
+    console.log(createCallTable(results));
+    console.log('refused or failed:', countErrors(results));
+    printCounters(await sumCounters(deployment));
+    return findBrokenPromises(results, await deployment.readRuns());
+  } finally {
+    await deployment.stop();
+  }
+}
+
+const broken: string[] = [];
+for (const plan of [aerolithPlan, desatorosPlan]) {
+  broken.push(...(await runDeployment(plan)));
+}
+for (const promise of broken) console.error(`broken promise: ${promise}`);
+console.log(`\n${broken.length} promises broken`);
+process.exitCode = broken.length === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/ryeworks-lab/src/deployment/deployment.ts
@@ -0,0 +1,318 @@
+import {Settings} from '@ryeworks/config';
+import {createHttpPlatform, PlatformPort} from '@ryeworks/platform';
+import {Endpoint, VmRecord} from '@ryeworks/types';
+import {mkdir, mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createRequire} from 'node:module';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {request} from 'undici';
+import {
+  createAllowancesList,
+  createPlansList,
+  DeploymentPlan,
+} from './deploymentPlan.js';
+import {findFreePorts} from './findFreePorts.js';
+import {ProcessGroup, waitUntilReady} from './processGroup.js';
+
+const host = '127.0.0.1';
+const resolveModule = createRequire(import.meta.url).resolve;
+
+/** Program of the entry process. */
+const ryeworksdProgram = join(
+  dirname(resolveModule('ryeworksd')),
+  'bin/ryeworksd.js',
+);
+/** Program of the stand-ins. */
+const standinProgram = join(
+  dirname(resolveModule('@ryeworks/standins')),
+  'bin/standin.js',
+);
+
+/** One entry VM that was started. */
+export interface StartedVm {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly callerUrl: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+}
+
+/** Choices for a start that a test or measurement may change. */
+export interface DeploymentOptions {
+  /** Scheduler options that differ from their defaults. */
+  readonly scheduler?: Settings['scheduler'];
+  /** Puts a fault proxy before the platform. */
+  readonly hasPlatformProxy?: boolean;
+  /** Puts a fault proxy before each model engine. */
+  readonly hasEngineProxies?: boolean;
+}
+
+/** Key of the operators' status pages. */
+export const operatorKey = 'operator-key-of-the-lab';
+
+/** A deployment of real processes on loopback. */
+export class Deployment {
+  readonly vms: StartedVm[] = [];
+  readonly endpoints: Endpoint[] = [];
+  /** Address at which stand-ins are controlled, past their proxies. */
+  readonly directUrls = new Map<string, string>();
+  /** Control addresses of the fault proxies by what they stand before. */
+  readonly proxyUrls = new Map<string, string>();
+  platformUrl = '';
+  platform!: PlatformPort;
+
+  private constructor(
+    readonly plan: DeploymentPlan,
+    readonly options: DeploymentOptions,
+    readonly processes: ProcessGroup,
+    private readonly directory: string,
+  ) {}
+
+  /** Starts everything and waits until it serves. */
+  static async start(
+    plan: DeploymentPlan,
+    options: DeploymentOptions = {},
+  ): Promise<Deployment> {
+    const directory = await mkdtemp(join(tmpdir(), `ryeworks-${plan.name}-`));
+    await mkdir(join(directory, 'logs'));
+    const processes = new ProcessGroup(join(directory, 'logs'));
+    const deployment = new Deployment(plan, options, processes, directory);
+    try {
+      await deployment.startPlatform();
+      await deployment.startEndpoints('v1', plan.enginesPerZone);
+      await deployment.writeLists();
+      await deployment.startVms();
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+    return deployment;
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    await this.processes.killAll();
+    await this.platform?.close();
+    if (process.env['RYEWORKS_KEEP_LOGS'] === undefined) {
+      await rm(this.directory, {recursive: true, force: true});
+    }
+  }
+
+  /** Starts model engines of a version in every zone and lists them. */
+  async startEndpoints(
+    version: string,
+    enginesPerZone: readonly number[],
+  ): Promise<void> {
+    const {plan} = this;
+    const started: Promise<void>[] = [];
+    for (const availabilityZone of plan.availabilityZones) {
+      for (const [index, generation] of enginesPerZone.entries()) {
+        const name = `engine-${version}-${availabilityZone}-${index}`;
+        started.push(
+          this.startEngine(name, version, availabilityZone, generation),
+        );
+      }
+      if (version !== 'v1') continue;
+      for (let index = 0; index < plan.servicesPerZone; index++) {
+        const name = `service-${availabilityZone}-${index}`;
+        started.push(this.startService(name, availabilityZone));
+      }
+    }
+    await Promise.all(started);
+  }
+
+  /** Starts an entry VM. */
+  async startVm(name: string, availabilityZone: string): Promise<StartedVm> {
+    const [callerPort, peerPort] = await findFreePorts(2);
+    const vm: StartedVm = {
+      name,
+      availabilityZone,
+      callerPort,
+      peerPort,
+      callerUrl: `http://${host}:${callerPort}`,
+    };
+    const file = join(this.directory, `${name}.jsonc`);
+    await writeFile(file, JSON.stringify(this.createSettings(vm), null, 2));
+    const record: VmRecord = {
+      vm: name,
+      availabilityZone,
+      peerAddress: `${host}:${peerPort}`,
+    };
+    await this.platform.putObject('vm', name, record, 0);
+    this.processes.start(name, ryeworksdProgram, ['--config', file]);
+    await waitUntilReady(`${vm.callerUrl}/readyz`);
+    this.vms.push(vm);
+    return vm;
+  }
+
+  /** Switches faults of a stand-in or a proxy. */
+  async control(url: string, faults: object): Promise<void> {
+    const answer = await request(`${url}/control`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(faults),
+    });
+    await answer.body.dump();
+  }
+
+  /** Reads how often each key ran, summed over all endpoints. */
+  async readRuns(): Promise<Map<string, number>> {
+    const sums = new Map<string, number>();
+    for (const url of this.directUrls.values()) {
+      const answer = await request(`${url}/runs`);
+      const runs = (await answer.body.json()) as Record<string, number>;
+      for (const [key, count] of Object.entries(runs)) {
+        sums.set(key, (sums.get(key) ?? 0) + count);
+      }
+    }
+    return sums;
+  }
+
+  /** Reads the status page of a VM. */
+  async readStatus(vm: StartedVm): Promise<VmStatus> {
+    const answer = await request(`${vm.callerUrl}/status`, {
+      headers: {authorization: `Bearer ${operatorKey}`},
+    });
+    return (await answer.body.json()) as VmStatus;
+  }
+
+  private createSettings(vm: StartedVm): object {
+    const {plan} = this;
+    return {
+      vm: vm.name,
+      availabilityZone: vm.availabilityZone,
+      availabilityZones: plan.availabilityZones,
+      callerListen: {host, port: vm.callerPort},
+      peerListen: {host, port: vm.peerPort},
+      peerKey: 'peer-key-of-the-lab',
+      operatorKey,
+      platform: {url: this.platformUrl, token: 'platform-token-of-the-lab'},
+      scheduler: this.options.scheduler ?? {},
+      services: [plan.modelService, plan.plainService],
+    };
+  }
+
+  private async startPlatform(): Promise<void> {
+    const [port] = await findFreePorts(1);
+    const args = ['platform', '--port', `${port}`];
+    this.processes.start('platform', standinProgram, args);
+    const directUrl = `http://${host}:${port}`;
+    await waitUntilReady(`${directUrl}/control/calls`);
+    this.platformUrl = directUrl;
+    this.proxyUrls.set('platform-control', directUrl);
+    if (this.options.hasPlatformProxy === true) {
+      const proxyPort = await this.startProxy('platform', port);
+      this.platformUrl = `http://${host}:${proxyPort}`;
+    }
+    this.platform = createHttpPlatform({url: directUrl, token: ''});
+  }
+
+  /** Starts a fault proxy before a port; returns the proxy's port. */
+  private async startProxy(name: string, targetPort: number): Promise<number> {
+    const [port, controlPort] = await findFreePorts(2);
+    const args = ['proxy', '--port', `${port}`, '--control-port'];
+    args.push(`${controlPort}`, '--target-port', `${targetPort}`);
+    this.processes.start(`proxy-${name}`, standinProgram, args);
+    const controlUrl = `http://${host}:${controlPort}`;
+    this.proxyUrls.set(name, controlUrl);
+    await waitUntilReady(`http://${host}:${port}/version`);
+    return port;
+  }
+
+  private async startEngine(
+    name: string,
+    version: string,
+    availabilityZone: string,
+    generation: number,
+  ): Promise<void> {
+    const [port] = await findFreePorts(1);
+    const args = ['engine', '--port', `${port}`, '--engine-version', version];
+    args.push('--generation', `${generation}`);
+    this.processes.start(name, standinProgram, args);
+    const directUrl = `http://${host}:${port}`;
+    await waitUntilReady(`${directUrl}/version`);
+    this.directUrls.set(name, directUrl);
+    let address = directUrl;
+    if (this.options.hasEngineProxies === true) {
+      address = `http://${host}:${await this.startProxy(name, port)}`;
+    }
+    await this.listEndpoint({
+      endpoint: name,
+      service: this.plan.modelService.service,
+      kind: 'model',
+      version,
+      availabilityZone,
+      address,
+      engine: `generation-${generation}`,
+      generation,
+      state: 'live',
+      checksFencing: true,
+      canResume: true,
+    });
+  }
+
+  private async startService(
+    name: string,
+    availabilityZone: string,
+  ): Promise<void> {
+    const [port] = await findFreePorts(1);
+    const args = ['service', '--port', `${port}`];
+    this.processes.start(name, standinProgram, args);
+    const address = `http://${host}:${port}`;
+    await waitUntilReady(`${address}/runs`);
+    this.directUrls.set(name, address);
+    await this.listEndpoint({
+      endpoint: name,
+      service: this.plan.plainService.service,
+      kind: 'plain',
+      version: 'v1',
+      availabilityZone,
+      address,
+      engine: 'plain',
+      generation: 1,
+      state: 'live',
+      checksFencing: false,
+      canResume: false,
+    });
+  }
+
+  private async listEndpoint(endpoint: Endpoint): Promise<void> {
+    this.endpoints.push(endpoint);
+    await this.platform.putObject('endpoint', endpoint.endpoint, endpoint, 0);
+  }
+
+  private async writeLists(): Promise<void> {
+    const {plan, platform} = this;
+    await platform.putObject('config', 'plans', createPlansList(plan), 0);
+    const allowances = createAllowancesList(plan);
+    await platform.putObject('config', 'allowances', allowances, 0);
+    await platform.putObject('config', 'moves', {moves: []}, 0);
+  }
+
+  private async startVms(): Promise<void> {
+    const {plan} = this;
+    const starts: Promise<StartedVm>[] = [];
+    for (const availabilityZone of plan.availabilityZones) {
+      for (let index = 0; index < plan.vmsPerZone; index++) {
+        const name = `vm-${availabilityZone}-${index}`;
+        starts.push(this.startVm(name, availabilityZone));
+      }
+    }
+    await Promise.all(starts);
+    this.vms.sort((a, b) => (a.name < b.name ? -1 : 1));
+  }
+}
+
+/** What a VM's status page says, as far as the lab reads it. */
+export interface VmStatus {
+  readonly documents: Readonly<Record<string, number>>;
+  readonly activeRequests: number;
+  readonly claimsComplete: boolean;
+  readonly withdrawn: Readonly<Record<string, unknown>>;
+  readonly members: readonly {
+    readonly vm: string;
+    readonly availabilityZone: string;
+    readonly status: string;
+  }[];
+  readonly counters: Readonly<Record<string, number>>;
+}
--- /dev/null
+++ b/packages/ryeworks-lab/src/deployment/processGroup.ts
@@ -0,0 +1,88 @@
+import {ChildProcess, spawn} from 'node:child_process';
+import {createWriteStream} from 'node:fs';
+import {request} from 'undici';
+
+/** Time for a process to answer its first request, in ms. */
+const startTimeoutMs = 20_000;
+/** Time between two looks whether a process is ready, in ms. */
+const pollMs = 50;
+
+/** A process that this program started. */
+export interface ManagedProcess {
+  readonly name: string;
+  readonly child: ChildProcess;
+}
+
+/** Starts processes and ends exactly those, by process id. */
+export class ProcessGroup {
+  private readonly processes = new Map<string, ManagedProcess>();
+
+  constructor(private readonly logDirectory: string) {}
+
+  /** Starts a Node program; its output goes to a log file. */
+  start(
+    name: string,
+    program: string,
+    args: readonly string[],
+    nodeArgs: readonly string[] = [],
+  ): ManagedProcess {
+    const child = spawn(process.execPath, [...nodeArgs, program, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const log = createWriteStream(`${this.logDirectory}/${name}.log`, {
+      flags: 'a',
+    });
+    child.stdout.pipe(log, {end: false});
+    child.stderr.pipe(log, {end: false});
+    const managed = {name, child};
+    this.processes.set(name, managed);
+    return managed;
+  }
+
+  /** Sends a signal to a process. */
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.processes.get(name)?.child.kill(signal);
+  }
+
+  /** Returns the id of a process. */
+  getPid(name: string): number {
+    return this.processes.get(name)?.child.pid ?? 0;
+  }
+
+  /** Waits for the end of a process; returns its exit code. */
+  async waitForExit(name: string): Promise<number | null> {
+    const child = this.processes.get(name)?.child;
+    if (child === undefined) return null;
+    if (child.exitCode !== null) return child.exitCode;
+    return new Promise(resolve => child.once('exit', code => resolve(code)));
+  }
+
+  /** Kills every process that still runs. */
+  async killAll(): Promise<void> {
+    const ends: Promise<unknown>[] = [];
+    for (const {child} of this.processes.values()) {
+      if (child.exitCode !== null || child.signalCode !== null) continue;
+      ends.push(new Promise(resolve => child.once('exit', resolve)));
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    }
+    await Promise.all(ends);
+    this.processes.clear();
+  }
+}
+
+/** Waits until a URL answers with a status below 400. */
+export async function waitUntilReady(url: string): Promise<void> {
+  const attempts = startTimeoutMs / pollMs;
+  for (let attempt = 0; attempt < attempts; attempt++) {
+    try {
+      const answer = await request(url, {signal: AbortSignal.timeout(1000)});
+      await answer.body.dump();
+      if (answer.statusCode < 400) return;
+    } catch {
+      // Not listening yet.
+    }
+    await new Promise(resolve => setTimeout(resolve, pollMs));
+  }
+  throw new Error(`${url} was not ready within ${startTimeoutMs} ms`);
+}
--- /dev/null
+++ b/packages/ryeworks-lab/src/index.ts
@@ -0,0 +1,2 @@
+export * from './deployment/deployment.js';
+export * from './deployment/deploymentPlan.js';
--- /dev/null
+++ b/packages/ryeworks-logger/src/index.ts
@@ -0,0 +1,2 @@
+export * from './createLogger.js';
+export * from './createMetrics.js';
--- /dev/null
+++ b/packages/ryeworks-platform/src/createHttpPlatform.ts
@@ -0,0 +1,135 @@
+import {
+  PlatformAnswerLostError,
+  PlatformError,
+  VersionConflictError,
+} from '@ryeworks/types';
+import {Agent, Dispatcher, request} from 'undici';
+import {ObjectKind, PlatformObjectList, PlatformPort} from './platformPort.js';
+
+/** Time for an ordinary call, in ms. */
+const callTimeoutMs = 1500;
+/** Time beyond a watch's own after which its connection is given up, in ms. */
+const watchGraceMs = 500;
+
+/** Options of {@link createHttpPlatform}. */
+export interface HttpPlatformOptions {
+  /** Base address, such as `http://127.0.0.1:9000`. */
+  readonly url: string;
+  readonly token: string;
+}
+
+/** One call to the object API. */
+interface PlatformCall {
+  readonly method: 'GET' | 'PUT';
+  readonly path: string;
+  readonly body?: string;
+  readonly timeoutMs: number;
+}
+
+/** Answer of the object API. */
+interface PlatformAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const unsentCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Statuses that prove that a write did not take effect. */
+const refusedStatuses: ReadonlySet<number> = new Set([
+  400, 401, 403, 404, 413, 429, 503,
+]);
+
+/** Tells whether a call failed before anything was sent. */
+function isUnsent(error: unknown): boolean {
+  const code = (error as {code?: string}).code ?? '';
+  return unsentCodes.has(code);
+}
+
+/** Creates the platform port over the HTTP object API. */
+export function createHttpPlatform(options: HttpPlatformOptions): PlatformPort {
+  // A connection per call: one that went silent is never used again.
+  const agent: Dispatcher = new Agent({pipelining: 0, connectTimeout: 1000});
+
+  /** Makes a call; throws `PlatformAnswerLostError` when it may have run. */
+  async function makeCall(one: PlatformCall): Promise<PlatformAnswer> {
+    try {
+      const answer = await request(options.url + one.path, {
+        dispatcher: agent,
+        method: one.method,
+        body: one.body,
+        headers: {
+          authorization: `Bearer ${options.token}`,
+          'content-type': 'application/json',
+        },
+        signal: AbortSignal.timeout(one.timeoutMs),
+      });
+      const text = await answer.body.text();
+      return {status: answer.statusCode, body: JSON.parse(text || 'null')};
+    } catch (error) {
+      const ErrorClass = isUnsent(error)
+        ? PlatformError
+        : PlatformAnswerLostError;
+      throw new ErrorClass(`platform ${one.method} ${one.path} failed`, {
+        cause: error,
+      });
+    }
+  }
+
+  /** Reads; every failure of a read is plain. */
+  async function read(
+    path: string,
+    timeoutMs: number,
+  ): Promise<PlatformAnswer> {
+    const answer = await makeCall({method: 'GET', path, timeoutMs});
+    const isKnown = [200, 204, 404].includes(answer.status);
+    if (isKnown) return answer;
+    throw new PlatformError(`platform GET ${path} answered ${answer.status}`);
+  }
+
+  return {
+    getObject: async (kind, name) => {
+      const path = `/objects/${kind}/${encodeURIComponent(name)}`;
+      const answer = await read(path, callTimeoutMs);
+      if (answer.status === 404) return undefined;
+      return answer.body as {name: string; version: number; value: unknown};
+    },
+    listObjects: async kind => {
+      const answer = await read(`/objects/${kind}`, callTimeoutMs);
+      return answer.body as PlatformObjectList;
+    },
+    putObject: async (kind, name, value, expectedVersion) => {
+      const encoded = encodeURIComponent(name);
+      const path = `/objects/${kind}/${encoded}?expected=${expectedVersion}`;
+      const answer = await makeCall({
+        method: 'PUT',
+        path,
+        body: JSON.stringify(value),
+        timeoutMs: callTimeoutMs,
+      });
+      const body = answer.body as {version: number};
+      if (answer.status === 200) return body.version;
+      if (answer.status === 409) {
+        throw new VersionConflictError(
+          `${kind}/${name} is at version ${body.version}, ` +
+            `not at ${expectedVersion}`,
+        );
+      }
+      const ErrorClass = refusedStatuses.has(answer.status)
+        ? PlatformError
+        : PlatformAnswerLostError;
+      throw new ErrorClass(`platform PUT ${path} answered ${answer.status}`);
+    },
+    watchObjects: async (kind: ObjectKind, sinceVersion, timeoutMs) => {
+      const path = `/watch/${kind}?since=${sinceVersion}&timeoutMs=${timeoutMs}`;
+      const answer = await read(path, timeoutMs + watchGraceMs);
+      if (answer.status !== 200) return undefined;
+      return answer.body as PlatformObjectList;
+    },
+    close: () => agent.close(),
+  };
+}
--- /dev/null
+++ b/packages/ryeworks-platform/src/index.ts
@@ -0,0 +1,2 @@
+export * from './createHttpPlatform.js';
+export * from './platformPort.js';
--- /dev/null
+++ b/packages/ryeworks-protocol/src/peerMessageCodec.ts
@@ -0,0 +1,51 @@
+import {create, MessageInitShape} from '@bufbuild/protobuf';
+import {PeerMessage as CorePeerMessage} from '@ryeworks/scheduler';
+import {
+  Envelope,
+  EnvelopeSchema,
+  PeerMessage,
+  PeerMessageSchema,
+} from './gen/peer_pb.js';
+
+/** Fields of a generated message that the typed messages do not have. */
+type GeneratedCase = NonNullable<
+  MessageInitShape<typeof PeerMessageSchema>['message']
+>;
+
+/** Converts a message of the decision core to its generated form. */
+export function encodePeerMessage(message: CorePeerMessage): PeerMessage {
+  const {kind, ...value} = message;
+  const generated = {case: kind, value} as unknown as GeneratedCase;
+  return create(PeerMessageSchema, {message: generated});
+}
+
+/** Converts a generated message; undefined when its kind is not known. */
+export function decodePeerMessage(
+  message: PeerMessage,
+): CorePeerMessage | undefined {
+  const {case: kind, value} = message.message;
+  if (kind === undefined) return undefined;
+  const fields = {kind, ...value} as unknown;
+  return fields as CorePeerMessage;
+}
+
+/** Creates an envelope with messages for one peer. */
+export function createEnvelope(
+  from: string,
+  messages: readonly CorePeerMessage[],
+): Envelope {
+  return create(EnvelopeSchema, {
+    from,
+    messages: messages.map(encodePeerMessage),
+  });
+}
+
+/** Reads the messages of an envelope; leaves out those of unknown kinds. */
+export function readEnvelope(envelope: Envelope): CorePeerMessage[] {
+  const messages: CorePeerMessage[] = [];
+  for (const generated of envelope.messages) {
+    const message = decodePeerMessage(generated);
+    if (message !== undefined) messages.push(message);
+  }
+  return messages;
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -0,0 +1,182 @@
+import {highestTier, Tier} from '@ryeworks/types';
+import {createCount, Effect} from '../effect.js';
+import {createSendPeer} from '../membership/sendPeer.js';
+import {NodeState} from '../nodeState.js';
+import {Cell, QueuedAsk} from './admissionState.js';
+import {
+  createEndpointAccount,
+  EndpointAccount,
+  estimateFirstTokenMs,
+  recordGrant,
+} from './endpointAccount.js';
+import {estimateRetryAfterMs, estimateServiceMs} from './estimateWait.js';
+
+/** Part of an endpoint's concurrency that lower tiers may use. */
+const lowerTierFraction = 0.9;
+/** Part of the reading time that a cached prefix saves. */
+const prefixSaving = 0.5;
+/** Time between two looks at a cell with waiting asks, in ms. */
+const busySweepMs = 50;
+/** Time without a report after which a grant is taken as ended, in ms. */
+export const grantLeaseMs = 3500;
+
+/** Returns how many calls of a tier an endpoint may run at once. */
+function getSlots(account: EndpointAccount, tier: Tier): number {
+  if (tier === highestTier) return Math.floor(account.concurrencyLimit);
+  const fraction = account.concurrencyLimit * lowerTierFraction;
+  return Math.max(1, Math.floor(fraction));
+}
+
+/** Returns the accounts of the endpoints that are in the cell now. */
+export function getAccounts(state: NodeState, cell: Cell): EndpointAccount[] {
+  const members = state.admission.cellMembers.get(cell.cellKey) ?? [];
+  const service = state.options.services.find(
+    one => one.service === cell.service,
+  );
+  const accounts: EndpointAccount[] = [];
+  for (const {endpoint} of members) {
+    let account = cell.accounts.get(endpoint);
+    if (account === undefined) {
+      const initial = service?.initialConcurrency ?? 1;
+      account = createEndpointAccount(endpoint, initial);
+      cell.accounts.set(endpoint, account);
+    }
+    accounts.push(account);
+  }
+  return accounts;
+}
+
+/** Decides whether an endpoint can take an ask now. */
+function canTake(
+  state: NodeState,
+  account: EndpointAccount,
+  ask: QueuedAsk,
+  nowMs: number,
+): boolean {
+  if (account.inFlight >= getSlots(account, ask.tier)) return false;
+  if (account.restingUntilMs > nowMs) return false;
+  if (ask.avoid.includes(account.endpoint)) return false;
+  if (ask.engines.length === 0) return true;
+  const endpoint = state.admission.endpoints.get(account.endpoint);
+  return endpoint !== undefined && ask.engines.includes(endpoint.engine);
+}
+
+/** Picks the endpoint with the earliest first token for an ask. */
+function pickAccount(
+  state: NodeState,
+  accounts: readonly EndpointAccount[],
+  ask: QueuedAsk,
+  nowMs: number,
+): EndpointAccount | undefined {
+  let best: EndpointAccount | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  for (const account of accounts) {
+    if (!canTake(state, account, ask, nowMs)) continue;
+    const isCached = account.prefixes.has(ask.prefixHash);
+    const promptTokens = ask.promptTokens * (isCached ? 1 - prefixSaving : 1);
+    const firstTokenMs = estimateFirstTokenMs(account, promptTokens, nowMs);
+    const loadMs = account.inFlight * account.interTokenMs;
+    const score = firstTokenMs + loadMs;
+    if (score >= bestScore) continue;
+    best = account;
+    bestScore = score;
+  }
+  return best;
+}
+
+/** Removes asks that can no longer be answered in time and refuses them. */
+function refuseLateAsks(state: NodeState, cell: Cell, nowMs: number): Effect[] {
+  const effects: Effect[] = [];
+  const kept: QueuedAsk[] = [];
+  for (const ask of cell.queue) {
+    const latestStartMs = ask.deadlineMs - estimateServiceMs(cell, ask);
+    if (latestStartMs >= nowMs) {
+      kept.push(ask);
+      continue;
+    }
+    effects.push(
+      createSendPeer(state, ask.holder, {
+        kind: 'grantRefusal',
+        askId: ask.askId,
+        reason: 'overloaded',
+        retryAfterMs: estimateRetryAfterMs(state, cell),
+      }),
+      createCount('admission.refused', {
+        reason: 'too_late',
+        tier: `${ask.tier}`,
+      }),
+    );
+  }
+  cell.queue.splice(0, cell.queue.length, ...kept);
+  return effects;
+}
+
+/** Grants one ask. */
+function grantAsk(
+  state: NodeState,
+  cell: Cell,
+  ask: QueuedAsk,
+  account: EndpointAccount,
+  nowMs: number,
+): Effect {
+  recordGrant(account, ask.promptTokens, ask.prefixHash, nowMs);
+  cell.grants.set(ask.askId, {
+    askId: ask.askId,
+    holder: ask.holder,
+    endpoint: account.endpoint,
+    tier: ask.tier,
+    promptTokens: ask.promptTokens,
+    grantedAtMs: nowMs,
+    renewedAtMs: nowMs,
+  });
+  return createSendPeer(state, ask.holder, {
+    kind: 'grantOffer',
+    askId: ask.askId,
+    endpoint: account.endpoint,
+  });
+}
+
+/** Tells whether any endpoint has room for the highest tier. */
+function hasRoom(accounts: readonly EndpointAccount[], nowMs: number): boolean {
+  for (const account of accounts) {
+    if (account.restingUntilMs > nowMs) continue;
+    if (account.inFlight < getSlots(account, highestTier)) return true;
+  }
+  return false;
+}
+
+/** Grants waiting asks in order of tier and deadline while there is room. */
+export function decideGrants(
+  state: NodeState,
+  cell: Cell,
+  nowMs: number,
+): Effect[] {
+  const effects = refuseLateAsks(state, cell, nowMs);
+  const accounts = getAccounts(state, cell);
+  const kept: QueuedAsk[] = [];
+  for (const [index, ask] of cell.queue.entries()) {
+    if (!hasRoom(accounts, nowMs)) {
+      kept.push(...cell.queue.slice(index));
+      break;
+    }
+    const account = pickAccount(state, accounts, ask, nowMs);
+    if (account === undefined) {
+      kept.push(ask);
+      continue;
+    }
+    effects.push(grantAsk(state, cell, ask, account, nowMs));
+  }
+  cell.queue.splice(0, cell.queue.length, ...kept);
+  scheduleSweep(state, cell, nowMs);
+  return effects;
+}
+
+/** Sets the next look at a cell. */
+export function scheduleSweep(
+  state: NodeState,
+  cell: Cell,
+  nowMs: number,
+): void {
+  const delayMs = cell.queue.length > 0 ? busySweepMs : grantLeaseMs;
+  state.timers.set('cellSweep', cell.cellKey, nowMs + delayMs);
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/admission/handleEndpointsChanged.ts
@@ -0,0 +1,33 @@
+import {endpointState} from '@ryeworks/types';
+import {Effect} from '../effect.js';
+import {NodeState} from '../nodeState.js';
+import {assignCells} from './cellKeys.js';
+import {decideGrants} from './decideGrants.js';
+
+/** Rebuilds the cells from the endpoints in force. */
+export function handleEndpointsChanged(
+  state: NodeState,
+  nowMs: number,
+): Effect[] {
+  const {admission, documents, options} = state;
+  const {endpoints} = documents.contents.endpoints;
+  admission.endpoints.clear();
+  admission.cellOfEndpoint.clear();
+  admission.cellMembers.clear();
+  for (const endpoint of endpoints) {
+    admission.endpoints.set(endpoint.endpoint, endpoint);
+  }
+  const live = endpoints.filter(one => one.state === endpointState.live);
+  const cells = assignCells(live, options.cellMaxEndpoints);
+  for (const [cellKey, members] of cells) {
+    admission.cellMembers.set(cellKey, members);
+    for (const endpoint of members) {
+      admission.cellOfEndpoint.set(endpoint.endpoint, cellKey);
+    }
+  }
+  const effects: Effect[] = [];
+  for (const cell of admission.cells.values()) {
+    effects.push(...decideGrants(state, cell, nowMs));
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/limits/limitsState.ts
@@ -0,0 +1,33 @@
+/** What one customer uses at this VM. */
+export interface LocalUsage {
+  /** Requests and tokens that may be taken now. */
+  requestAllowance: number;
+  tokenAllowance: number;
+  refilledAtMs: number;
+  concurrency: number;
+  /** Demand since the last report, refused requests included. */
+  demandedRequests: number;
+  demandedTokens: number;
+  /** Fraction of the limits that this VM may use. */
+  share: number;
+  /** When the share lapses, in ms. */
+  shareUntilMs: number;
+}
+
+/** Demand that another VM reported for a customer. */
+export interface RemoteDemand {
+  readonly weight: number;
+  readonly reportedAtMs: number;
+}
+
+/** Shares of the customers' limits, and demand at the customers' homes. */
+export interface LimitsState {
+  readonly usage: Map<string, LocalUsage>;
+  /** Demand by customer and VM, at the home of the customer. */
+  readonly demands: Map<string, Map<string, RemoteDemand>>;
+}
+
+/** Creates an empty limits state. */
+export function createLimitsState(): LimitsState {
+  return {usage: new Map(), demands: new Map()};
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/limits/takeLimit.ts
@@ -0,0 +1,116 @@
+import {PlanLimits} from '@ryeworks/types';
+import {findLimits} from '../documents/findPlan.js';
+import {getOwningVms} from '../membership/membershipState.js';
+import {NodeState} from '../nodeState.js';
+import {LocalUsage} from './limitsState.js';
+
+/** Time over which an unused allowance builds up, in ms. */
+const burstMs = 1000;
+
+/** Answer to a request for a part of a customer's limit. */
+export type LimitDecision =
+  | {readonly isTaken: true}
+  | {
+      readonly isTaken: false;
+      readonly limit: 'requests' | 'tokens' | 'concurrency';
+      readonly retryAfterMs: number;
+    };
+
+/** Returns the share of a VM that no home has given one. */
+export function getFallbackShare(state: NodeState): number {
+  return 1 / Math.max(1, getOwningVms(state.membership).length);
+}
+
+/** Returns the usage of a customer, created on first use. */
+function getUsage(
+  state: NodeState,
+  customer: string,
+  limits: PlanLimits,
+  nowMs: number,
+): LocalUsage {
+  const known = state.limits.usage.get(customer);
+  if (known !== undefined) return known;
+  const share = getFallbackShare(state);
+  const usage: LocalUsage = {
+    requestAllowance: Math.max(1, limits.requestsPerSecond * share),
+    tokenAllowance: limits.tokensPerSecond * share,
+    refilledAtMs: nowMs,
+    concurrency: 0,
+    demandedRequests: 0,
+    demandedTokens: 0,
+    share,
+    shareUntilMs: nowMs,
+  };
+  state.limits.usage.set(customer, usage);
+  return usage;
+}
+
+/** Adds the allowance that time has brought. */
+function refillAllowance(
+  usage: LocalUsage,
+  limits: PlanLimits,
+  nowMs: number,
+): void {
+  const elapsedMs = Math.min(burstMs, nowMs - usage.refilledAtMs);
+  usage.refilledAtMs = nowMs;
+  const requestRate = limits.requestsPerSecond * usage.share;
+  const tokenRate = limits.tokensPerSecond * usage.share;
+  usage.requestAllowance = Math.min(
+    Math.max(1, (requestRate * burstMs) / 1000),
+    usage.requestAllowance + (requestRate * elapsedMs) / 1000,
+  );
+  usage.tokenAllowance = Math.min(
+    (tokenRate * burstMs) / 1000,
+    usage.tokenAllowance + (tokenRate * elapsedMs) / 1000,
+  );
+}
+
+/** Returns the time until a rate has brought an amount, in ms. */
+function getRefillMs(amount: number, ratePerSecond: number): number {
+  return Math.ceil((amount / Math.max(ratePerSecond, 0.01)) * 1000);
+}
+
+/** Takes one request and its tokens from a customer's limits. */
+export function takeLimit(
+  state: NodeState,
+  customer: string,
+  tokens: number,
+  nowMs: number,
+): LimitDecision {
+  const limits = findLimits(state.documents, customer);
+  if (limits === undefined) return {isTaken: true};
+  const usage = getUsage(state, customer, limits, nowMs);
+  if (nowMs > usage.shareUntilMs) usage.share = getFallbackShare(state);
+  refillAllowance(usage, limits, nowMs);
+  usage.demandedRequests += 1;
+  usage.demandedTokens += tokens;
+  const maxConcurrency = Math.max(
+    1,
+    Math.round(limits.concurrency * usage.share),
+  );
+  if (usage.concurrency >= maxConcurrency) {
+    return {isTaken: false, limit: 'concurrency', retryAfterMs: 1000};
+  }
+  if (usage.requestAllowance < 1) {
+    const rate = limits.requestsPerSecond * usage.share;
+    const retryAfterMs = getRefillMs(1 - usage.requestAllowance, rate);
+    return {isTaken: false, limit: 'requests', retryAfterMs};
+  }
+  if (usage.tokenAllowance <= 0) {
+    const rate = limits.tokensPerSecond * usage.share;
+    const missing = tokens - usage.tokenAllowance;
+    const retryAfterMs = getRefillMs(missing, rate);
+    return {isTaken: false, limit: 'tokens', retryAfterMs};
+  }
+  usage.requestAllowance -= 1;
+  usage.tokenAllowance -= tokens;
+  usage.concurrency += 1;
+  return {isTaken: true};
+}
+
+/** Ends one request of a customer. */
+export function releaseLimit(state: NodeState, customer: string): void {
+  const usage = state.limits.usage.get(customer);
+  if (usage === undefined) return;
+  usage.concurrency = Math.max(0, usage.concurrency - 1);
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/membership/applyMemberUpdate.ts
@@ -0,0 +1,99 @@
+import {handleMemberLost, handleMemberJoined} from '../claims/handleMembers.js';
+import {createCount, createLog, Effect} from '../effect.js';
+import {handleOwnerLost} from '../requests/handleOwnerLost.js';
+import {NodeState} from '../nodeState.js';
+import {MemberStatus, memberStatus, MemberUpdate} from '../peerMessage.js';
+import {createMemberUpdate, Member} from './membershipState.js';
+
+/** Messages that carry one update: about log2 of 1000 VMs, times three. */
+const rumorTransmissions = 30;
+
+const statusPrecedence: Record<MemberStatus, number> = {
+  alive: 0,
+  suspect: 1,
+  unreachable: 2,
+  leaving: 3,
+  left: 4,
+};
+
+/** Decides whether an update says something newer than is known. */
+export function isNewerUpdate(known: Member, update: MemberUpdate): boolean {
+  if (update.incarnation !== known.incarnation) {
+    return update.incarnation > known.incarnation;
+  }
+  return statusPrecedence[update.status] > statusPrecedence[known.status];
+}
+
+/** Queues an update for the next messages. */
+export function spreadUpdate(state: NodeState, update: MemberUpdate): void {
+  state.membership.updates.set(update.vm, {
+    content: update,
+    remaining: rumorTransmissions,
+  });
+}
+
+/** Announces a new incarnation of this VM with a status. */
+export function announceSelf(state: NodeState, status: MemberStatus): void {
+  const {membership, options} = state;
+  membership.incarnation += 1;
+  const self = membership.members.get(options.vm)!;
+  self.incarnation = membership.incarnation;
+  self.status = status;
+  spreadUpdate(state, createMemberUpdate(self));
+}
+
+/** Refutes what others say about this VM. */
+function refuteUpdate(state: NodeState, update: MemberUpdate): void {
+  const self = state.membership.members.get(state.options.vm)!;
+  const isWrong =
+    update.status !== self.status && update.incarnation >= self.incarnation;
+  if (!isWrong) return;
+  state.membership.incarnation = update.incarnation;
+  announceSelf(state, self.status);
+}
+
+const livingStatuses: ReadonlySet<MemberStatus> = new Set([
+  memberStatus.alive,
+  memberStatus.suspect,
+]);
+
+/** Takes in what a peer says of a member. */
+export function applyMemberUpdate(
+  state: NodeState,
+  update: MemberUpdate,
+  nowMs: number,
+): Effect[] {
+  if (update.vm === state.options.vm) {
+    refuteUpdate(state, update);
+    return [];
+  }
+  const known = state.membership.members.get(update.vm);
+  if (known !== undefined && !isNewerUpdate(known, update)) return [];
+  const wasLiving = known !== undefined && livingStatuses.has(known.status);
+  const isLiving = livingStatuses.has(update.status);
+  state.membership.members.set(update.vm, {...update, changedAtMs: nowMs});
+  spreadUpdate(state, update);
+  if (update.status === memberStatus.suspect) {
+    const dueMs = nowMs + state.options.suspicionMs;
+    state.timers.set('suspicion', update.vm, dueMs);
+  }
+  const effects: Effect[] = [
+    createLog('member_status', {
+      member: update.vm,
+      memberZone: update.availabilityZone,
+      status: update.status,
+      incarnation: update.incarnation,
+    }),
+    createCount('member.status', {status: update.status}),
+  ];
+  if (wasLiving && !isLiving) {
+    effects.push(
+      ...handleMemberLost(state, update, nowMs),
+      ...handleOwnerLost(state, update.vm, nowMs),
+    );
+  }
+  if (!wasLiving && isLiving) {
+    effects.push(...handleMemberJoined(state, update, nowMs));
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/membership/gossip.ts
@@ -0,0 +1,68 @@
+import {DocumentName, documentNames} from '@ryeworks/types';
+import {createDocumentFetch} from '../documents/handleDocuments.js';
+import {Effect} from '../effect.js';
+import {applyVerdict} from '../moves/applyVerdict.js';
+import {NodeState} from '../nodeState.js';
+import {Gossip, MemberUpdate} from '../peerMessage.js';
+import {applyMemberUpdate} from './applyMemberUpdate.js';
+import {Rumor} from './membershipState.js';
+
+/** Most updates in one message. */
+const maxUpdatesPerMessage = 8;
+
+/** Takes the rumors that the next message carries. */
+function takeRumors<T>(rumors: Map<string, Rumor<T>>, limit: number): T[] {
+  const taken: T[] = [];
+  const ordered = [...rumors].sort((a, b) => b[1].remaining - a[1].remaining);
+  for (const [key, rumor] of ordered) {
+    if (taken.length === limit) break;
+    taken.push(rumor.content);
+    rumor.remaining -= 1;
+    if (rumor.remaining <= 0) rumors.delete(key);
+  }
+  return taken;
+}
+
+/** Creates what every membership message carries. */
+export function createGossip(
+  state: NodeState,
+  extraUpdates: readonly MemberUpdate[] = [],
+): Gossip {
+  const {membership} = state;
+  const documents = documentNames.map(name => ({
+    name,
+    version: state.documents.versions[name],
+  }));
+  return {
+    incarnation: membership.incarnation,
+    updates: [
+      ...takeRumors(membership.updates, maxUpdatesPerMessage),
+      ...extraUpdates,
+    ],
+    documents,
+    verdicts: takeRumors(membership.verdicts, maxUpdatesPerMessage),
+  };
+}
+
+/** Takes in what a membership message carries. */
+export function applyGossip(
+  state: NodeState,
+  from: string,
+  gossip: Gossip,
+  nowMs: number,
+): Effect[] {
+  const effects: Effect[] = [];
+  for (const update of gossip.updates) {
+    effects.push(...applyMemberUpdate(state, update, nowMs));
+  }
+  for (const verdict of gossip.verdicts) {
+    effects.push(...applyVerdict(state, verdict, nowMs));
+  }
+  for (const {name, version} of gossip.documents) {
+    if (!documentNames.includes(name as DocumentName)) continue;
+    effects.push(
+      ...createDocumentFetch(state, from, name as DocumentName, version),
+    );
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/moves/applyVerdict.ts
@@ -0,0 +1,29 @@
+import {WithdrawalEvidence} from '@ryeworks/types';
+import {createCount, createLog, Effect} from '../effect.js';
+import {NodeState} from '../nodeState.js';
+import {Verdict} from '../peerMessage.js';
+
+/** Messages that carry one verdict. */
+const verdictTransmissions = 60;
+
+/** Takes in that a move's new version is bad. It is never taken back. */
+export function applyVerdict(
+  state: NodeState,
+  verdict: Verdict,
+  _nowMs: number,
+): Effect[] {
+  const {membership, moves} = state;
+  if (moves.withdrawn.has(verdict.move)) return [];
+  const {move, route, observed, bad, availabilityZone} = verdict;
+  const symptom = verdict.symptom as WithdrawalEvidence['symptom'];
+  const evidence = {symptom, route, observed, bad, availabilityZone};
+  moves.withdrawn.set(move, evidence);
+  membership.verdicts.set(move, {
+    content: verdict,
+    remaining: verdictTransmissions,
+  });
+  return [
+    createLog('move_withdrawn', {move, ...evidence}),
+    createCount('move.withdrawn', {symptom}),
+  ];
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/moves/handleEvidence.ts
@@ -0,0 +1,189 @@
+import {VersionMove} from '@ryeworks/types';
+import {Effect} from '../effect.js';
+import {createGossip} from '../membership/gossip.js';
+import {
+  createMemberUpdate,
+  getOwningVms,
+  rankOwners,
+} from '../membership/membershipState.js';
+import {createSendPeer} from '../membership/sendPeer.js';
+import {NodeState} from '../nodeState.js';
+import {
+  EvidenceReport,
+  EvidenceSummary,
+  Ping,
+  Verdict,
+} from '../peerMessage.js';
+import {applyVerdict} from './applyVerdict.js';
+import {RouteTest} from './movesState.js';
+import {parseCountsKey} from './recordObservation.js';
+import {
+  addObservations,
+  estimateFailureRates,
+  estimateSlowRates,
+} from './sequentialTest.js';
+
+/** Time between two reports of evidence, in ms. */
+const reportPeriodMs = 200;
+
+/** Finds a move by name. */
+function findMove(state: NodeState, name: string): VersionMove | undefined {
+  const {moves} = state.documents.contents.moves;
+  return moves.find(move => move.move === name);
+}
+
+/** Returns the member that leads the moves. */
+export function getMovesLeader(state: NodeState): string {
+  return rankOwners(state.membership, 'moves')[0];
+}
+
+/** Reports what was observed to the owner of each move in the zone. */
+export function reportEvidence(
+  state: NodeState,
+  _subject: string,
+  nowMs: number,
+): Effect[] {
+  const {membership, moves, options, timers} = state;
+  timers.set('reportEvidence', '', nowMs + reportPeriodMs);
+  const effects: Effect[] = [];
+  for (const [key, counts] of moves.counts) {
+    const {move, onNewVersion, route} = parseCountsKey(key);
+    const owners = rankOwners(
+      membership,
+      `move/${move}`,
+      options.availabilityZone,
+    );
+    effects.push(
+      createSendPeer(state, owners[0], {
+        kind: 'evidenceReport',
+        move,
+        route,
+        onNewVersion,
+        ...counts,
+      }),
+    );
+  }
+  moves.counts.clear();
+  return effects;
+}
+
+/** Returns the tests of a route. */
+function getRouteTest(state: NodeState, key: string): RouteTest {
+  const known = state.moves.tests.get(key);
+  if (known !== undefined) return known;
+  const test: RouteTest = {
+    old: {observed: 0, failed: 0, slow: 0},
+    new: {observed: 0, failed: 0, slow: 0},
+    failures: {sum: 0},
+    slowness: {sum: 0},
+  };
+  state.moves.tests.set(key, test);
+  return test;
+}
+
+/** Runs the tests of a route; returns the symptom that they found. */
+function findSymptom(
+  test: RouteTest,
+  report: EvidenceReport,
+): 'failures' | 'slowness' | undefined {
+  const {observed, failed, slow} = report;
+  const failureRates = estimateFailureRates(test.old.observed, test.old.failed);
+  const slowRates = estimateSlowRates(test.old.observed, test.old.slow);
+  if (addObservations(test.failures, observed, failed, failureRates)) {
+    return 'failures';
+  }
+  if (addObservations(test.slowness, observed, slow, slowRates)) {
+    return 'slowness';
+  }
+  return undefined;
+}
+
+/** Tells every VM of a verdict at once; gossip reaches those that miss it. */
+function spreadVerdict(state: NodeState, verdict: Verdict): Effect[] {
+  const {membership, options} = state;
+  const self = membership.members.get(options.vm)!;
+  const effects: Effect[] = [];
+  for (const vm of getOwningVms(membership)) {
+    if (vm === options.vm) continue;
+    const ping: Ping = {
+      kind: 'ping',
+      sequence: ++membership.sequence,
+      full: false,
+      sender: createMemberUpdate(self),
+      ...createGossip(state),
+      verdicts: [verdict],
+    };
+    effects.push(createSendPeer(state, vm, ping));
+  }
+  return effects;
+}
+
+/** Adds a report to the zone's tests and withdraws a version found bad. */
+export function handleEvidenceReport(
+  state: NodeState,
+  _from: string,
+  message: EvidenceReport,
+  nowMs: number,
+): Effect[] {
+  const {moves, options} = state;
+  const {move, route, onNewVersion} = message;
+  if (moves.withdrawn.has(move)) return [];
+  const test = getRouteTest(state, `${move}|${route}`);
+  const counts = onNewVersion ? test.new : test.old;
+  counts.observed += message.observed;
+  counts.failed += message.failed;
+  counts.slow += message.slow;
+  if (!onNewVersion) return [];
+  const effects = summarizeEvidence(state, move);
+  const symptom = findSymptom(test, message);
+  if (symptom === undefined) return effects;
+  const bad = symptom === 'failures' ? test.new.failed : test.new.slow;
+  const verdict: Verdict = {
+    move,
+    symptom,
+    route,
+    observed: test.new.observed,
+    bad,
+    availabilityZone: options.availabilityZone,
+  };
+  return [
+    ...effects,
+    ...applyVerdict(state, verdict, nowMs),
+    ...spreadVerdict(state, verdict),
+  ];
+}
+
+/** Tells the leader how much of the new version the zone has observed. */
+function summarizeEvidence(state: NodeState, move: string): Effect[] {
+  const known = findMove(state, move);
+  if (known === undefined) return [];
+  let observedNew = 0;
+  for (const [key, test] of state.moves.tests) {
+    if (key.startsWith(`${move}|`)) observedNew += test.new.observed;
+  }
+  const summary: EvidenceSummary = {
+    kind: 'evidenceSummary',
+    move,
+    availabilityZone: state.options.availabilityZone,
+    step: known.step,
+    observedNew,
+  };
+  return [createSendPeer(state, getMovesLeader(state), summary)];
+}
+
+/** Notes a zone's sums at the leader. */
+export function handleEvidenceSummary(
+  state: NodeState,
+  _from: string,
+  message: EvidenceSummary,
+): Effect[] {
+  const {progress} = state.moves;
+  const known = progress.get(message.move) ?? {
+    observedByZone: new Map<string, number>(),
+    observedAtStep: 0,
+    step: 0,
+  };
+  known.observedByZone.set(message.availabilityZone, message.observedNew);
+  progress.set(message.move, known);
+  return [];
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/nodeState.ts
@@ -0,0 +1,64 @@
+import {createRandomSource, RandomSource} from '@ryeworks/utils';
+import {
+  AdmissionState,
+  createAdmissionState,
+} from './admission/admissionState.js';
+import {ClaimsState, createClaimsState} from './claims/claimsState.js';
+import {
+  createDocumentsState,
+  DocumentsState,
+} from './documents/documentsState.js';
+import {createLimitsState, LimitsState} from './limits/limitsState.js';
+import {
+  createMembershipState,
+  MembershipState,
+} from './membership/membershipState.js';
+import {createMovesState, MovesState} from './moves/movesState.js';
+import {createRequestsState, RequestsState} from './requests/requestsState.js';
+import {SchedulerOptions} from './schedulerOptions.js';
+import {TimerQueue} from './timerQueue.js';
+
+/** Everything that one VM knows; nothing of it outlives the process. */
+export interface NodeState {
+  readonly options: SchedulerOptions;
+  readonly random: RandomSource;
+  readonly timers: TimerQueue;
+  readonly membership: MembershipState;
+  readonly documents: DocumentsState;
+  readonly admission: AdmissionState;
+  readonly requests: RequestsState;
+  readonly claims: ClaimsState;
+  readonly limits: LimitsState;
+  readonly moves: MovesState;
+  /** Wall-clock time minus the monotonic time of the inputs, in ms. */
+  readonly wallClockOffsetMs: number;
+  /** True once a graceful stop was asked for. */
+  draining: boolean;
+}
+
+/** Creates the state of a VM that starts now. */
+export function createNodeState(
+  options: SchedulerOptions,
+  nowMs: number,
+  wallClockOffsetMs = 0,
+): NodeState {
+  return {
+    options,
+    random: createRandomSource(options.seed),
+    timers: new TimerQueue(),
+    membership: createMembershipState(options),
+    documents: createDocumentsState(),
+    admission: createAdmissionState(),
+    requests: createRequestsState(),
+    claims: createClaimsState(nowMs),
+    limits: createLimitsState(),
+    moves: createMovesState(),
+    wallClockOffsetMs,
+    draining: false,
+  };
+}
+
+/** Returns the wall-clock time that belongs to a monotonic time, in ms. */
+export function getWallClockMs(state: NodeState, nowMs: number): number {
+  return nowMs + state.wallClockOffsetMs;
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/requests/askForGrant.ts
@@ -0,0 +1,113 @@
+import {rankByKey} from '@ryeworks/utils';
+import {parseCellKey} from '../admission/cellKeys.js';
+import {findAllowance} from '../documents/findPlan.js';
+import {createCount, Effect} from '../effect.js';
+import {getReachableZones, rankOwners} from '../membership/membershipState.js';
+import {createSendPeer} from '../membership/sendPeer.js';
+import {NodeState} from '../nodeState.js';
+import {GrantAsk} from '../peerMessage.js';
+import {EndOutcome, endRequest} from './endRequest.js';
+import {ActiveRequest} from './requestsState.js';
+
+/** Owners of a cell that are asked in turn when one stays silent. */
+const maxAskRank = 2;
+
+/**
+ * Lists the cells that can serve a request: those of the own zone first, and
+ * in each zone the one that the prompt's prefix prefers.
+ */
+function rankCells(state: NodeState, request: ActiveRequest): string[] {
+  const {admission, membership, options} = state;
+  const zones = getReachableZones(membership);
+  const own: string[] = [];
+  const other: string[] = [];
+  for (const cellKey of admission.cellMembers.keys()) {
+    const cell = parseCellKey(cellKey);
+    if (cell.service !== request.service.service) continue;
+    if (cell.version !== request.version) continue;
+    if (!zones.has(cell.availabilityZone)) continue;
+    const isOwn = cell.availabilityZone === options.availabilityZone;
+    (isOwn ? own : other).push(cellKey);
+  }
+  const prefix = `${request.prefixHash}`;
+  return [...rankByKey(prefix, own), ...rankByKey(prefix, other)];
+}
+
+/** Asks the next untried cell for a grant; undefined when none is left. */
+export function askNextCell(
+  state: NodeState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] | undefined {
+  for (const cellKey of rankCells(state, request)) {
+    if (request.triedCells.includes(cellKey)) continue;
+    request.triedCells.push(cellKey);
+    request.cellKey = cellKey;
+    request.askRank = 0;
+    const ask = `${request.attempts}.${request.triedCells.length}`;
+    request.askId = `${request.requestId}/${ask}`;
+    return sendAsk(state, request, nowMs);
+  }
+  return undefined;
+}
+
+/** Asks the cells in turn; refuses when none can be asked. */
+export function askForGrant(
+  state: NodeState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  const asked = askNextCell(state, request, nowMs);
+  if (asked !== undefined) return asked;
+  const outcome: EndOutcome = {error: 'noEndpoint', reason: 'no_cell'};
+  return endRequest(state, request, outcome, nowMs);
+}
+
+/** Sends the present ask to the owner of its rank. */
+export function sendAsk(
+  state: NodeState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  const {documents, membership, options, timers} = state;
+  const {cellKey, requestId, tier} = request;
+  const {availabilityZone} = parseCellKey(cellKey);
+  const owners = rankOwners(membership, cellKey, availabilityZone);
+  const owner = owners[request.askRank % Math.max(1, owners.length)];
+  timers.set('askTimeout', requestId, nowMs + options.askTimeoutMs);
+  request.isQueued = false;
+  if (owner === undefined) return [];
+  request.askedOwner = owner;
+  const {service} = request.service;
+  const allowance = findAllowance(documents, request.customer, service, tier);
+  const engines = allowance?.engines ?? [];
+  const ask: GrantAsk = {
+    kind: 'grantAsk',
+    askId: request.askId,
+    cellKey,
+    tier,
+    promptTokens: request.promptTokens,
+    maxTokens: request.maxTokens,
+    prefixHash: request.prefixHash,
+    deadlineInMs: Math.max(0, Math.round(request.deadlineMs - nowMs)),
+    engines: engines.includes('*') ? [] : engines,
+    avoid: request.avoid,
+  };
+  return [createSendPeer(state, owner, ask)];
+}
+
+/** Asks the next owner of a cell whose owner stayed silent. */
+export function expireAsk(
+  state: NodeState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = state.requests.active.get(requestId);
+  if (request === undefined || request.phase !== 'asking') return [];
+  if (!request.isQueued) request.askRank += 1;
+  const silent = createCount('ask.silent');
+  if (request.askRank <= maxAskRank) {
+    return [silent, ...sendAsk(state, request, nowMs)];
+  }
+  return [silent, ...askForGrant(state, request, nowMs)];
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
@@ -0,0 +1,62 @@
+import {Endpoint} from '@ryeworks/types';
+import {createCount, Effect} from '../effect.js';
+import {NodeState} from '../nodeState.js';
+import {updateClaims} from './releaseClaims.js';
+import {ActiveRequest} from './requestsState.js';
+
+/** Marks a request as sent to an endpoint. */
+function markDispatched(
+  state: NodeState,
+  request: ActiveRequest,
+  endpoint: Endpoint,
+  nowMs: number,
+): void {
+  request.phase = 'dispatched';
+  request.endpoint = endpoint.endpoint;
+  request.dispatchedAtMs = nowMs;
+  request.firstTokenAtMs = 0;
+  request.lastProgressMs = nowMs;
+  const {timers, options} = state;
+  timers.clear('askTimeout', request.requestId);
+  const dueMs = nowMs + options.progressTimeoutMs;
+  timers.set('progress', request.requestId, dueMs);
+}
+
+/** Sends a request to an endpoint. */
+export function dispatchRequest(
+  state: NodeState,
+  request: ActiveRequest,
+  endpoint: Endpoint,
+  nowMs: number,
+): Effect[] {
+  markDispatched(state, request, endpoint, nowMs);
+  return [
+    {
+      kind: 'dispatch',
+      requestId: request.requestId,
+      endpoint,
+      deadlineInMs: Math.round(request.deadlineMs - nowMs),
+    },
+    createCount('request.dispatched', {
+      service: request.service.service,
+      version: endpoint.version,
+    }),
+    ...updateClaims(state, request, 'dispatched'),
+  ];
+}
+
+/** Picks up the stream of an earlier request on its own endpoint. */
+export function dispatchResume(
+  state: NodeState,
+  request: ActiveRequest,
+  endpoint: Endpoint,
+  streamId: string,
+  nowMs: number,
+): Effect[] {
+  markDispatched(state, request, endpoint, nowMs);
+  const {requestId} = request;
+  return [
+    {kind: 'resume', requestId, endpoint, streamId},
+    createCount('request.resumed', {reason: 'holder_unreachable'}),
+  ];
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/requests/findRoute.ts
@@ -0,0 +1,21 @@
+import {ServiceDefinition, ServiceRoute} from '@ryeworks/types';
+
+/** Tells whether a route's path pattern matches a path. */
+function matchesPath(pattern: string, path: string): boolean {
+  if (!pattern.endsWith('*')) return pattern === path;
+  return path.startsWith(pattern.slice(0, -1));
+}
+
+/** Finds the first route of a service that matches `METHOD path`. */
+export function findRoute(
+  service: ServiceDefinition,
+  call: string,
+): ServiceRoute | undefined {
+  const space = call.indexOf(' ');
+  const method = call.slice(0, space);
+  const path = call.slice(space + 1);
+  for (const route of service.routes) {
+    if (route.method === method && matchesPath(route.path, path)) return route;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/requests/handleCallerGone.ts
@@ -0,0 +1,22 @@
+import {Effect} from '../effect.js';
+import {CallerGone} from '../input.js';
+import {NodeState} from '../nodeState.js';
+import {endRequest} from './endRequest.js';
+
+/**
+ * Ends a request whose caller left. A request with an idempotency key goes on
+ * once dispatched, so that the caller's retry finds its answer.
+ */
+export function handleCallerGone(
+  state: NodeState,
+  input: CallerGone,
+  nowMs: number,
+): Effect[] {
+  const request = state.requests.active.get(input.requestId);
+  if (request === undefined) return [];
+  const isDispatched = request.phase === 'dispatched';
+  if (isDispatched && request.claimKey !== '') return [];
+  const ran = isDispatched ? ('unknown' as const) : ('not-run' as const);
+  const outcome = {error: 'callerGone' as const, reason: 'caller_gone', ran};
+  return endRequest(state, request, outcome, nowMs);
+}
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -0,0 +1,147 @@
+import {
+  Allowance,
+  errorAnswers,
+  ErrorKind,
+  routeClass,
+  ServiceDefinition,
+  ServiceRoute,
+  Tier,
+} from '@ryeworks/types';
+import {isConfigured} from '../documents/documentsState.js';
+import {findAllowance} from '../documents/findPlan.js';
+import {createCount, Effect} from '../effect.js';
+import {RequestReceived} from '../input.js';
+import {takeLimit} from '../limits/takeLimit.js';
+import {NodeState} from '../nodeState.js';
+import {endRequest} from './endRequest.js';
+import {findRoute} from './findRoute.js';
+import {ActiveRequest, maxRetryBudget} from './requestsState.js';
+import {startAttempt} from './startAttempt.js';
+import {startClaim} from './startClaim.js';
+
+/** Time to come back to a VM that takes no requests, in ms. */
+const notReadyRetryMs = 1000;
+
+/** Refuses a request that was not taken in. */
+function refuseRequest(
+  input: RequestReceived,
+  error: ErrorKind,
+  retryAfterMs = 0,
+  reason: string = error,
+): Effect[] {
+  const {requestId} = input;
+  const {ran} = errorAnswers[error];
+  return [
+    {kind: 'answerError', requestId, error, ran, retryAfterMs},
+    createCount('request.refused', {reason}),
+  ];
+}
+
+/** Creates the request that this VM will see to its end. */
+function createRequest(
+  state: NodeState,
+  input: RequestReceived,
+  service: ServiceDefinition,
+  tier: Tier,
+  route: ServiceRoute,
+  nowMs: number,
+): ActiveRequest {
+  const longestMs = state.options.claimWindowMs / 2;
+  const wantedMs = input.deadlineInMs ?? service.defaultDeadlineMs;
+  const needsClaim =
+    input.idempotencyKey !== undefined && route.class !== routeClass.idempotent;
+  return {
+    requestId: input.requestId,
+    customer: input.customer,
+    service,
+    route: `${route.method} ${route.path}`,
+    routeClass: route.class,
+    tier,
+    promptTokens: input.promptTokens,
+    maxTokens: input.maxTokens,
+    prefixHash: input.prefixHash,
+    fingerprint: input.fingerprint,
+    claimKey: needsClaim ? `${input.customer}/${input.idempotencyKey}` : '',
+    isFirstAttempt: input.attempt === 1,
+    keyAgeMs: input.keyAgeMs ?? -1,
+    receivedAtMs: nowMs,
+    deadlineMs: nowMs + Math.min(longestMs, wantedMs),
+    phase: 'claiming',
+    pendingClaims: new Set(),
+    claimRank: 0,
+    attempts: 0,
+    askId: '',
+    cellKey: '',
+    askRank: 0,
+    askedOwner: '',
+    isQueued: false,
+    triedCells: [],
+    avoid: [],
+    version: '',
+    endpoint: '',
+    dispatchedAtMs: 0,
+    firstTokenAtMs: 0,
+    lastProgressMs: 0,
+    resumes: 0,
+  };
+}
+
+/** Checks a request against the plans and takes it in. */
+export function handleRequestReceived(
+  state: NodeState,
+  input: RequestReceived,
+  nowMs: number,
+): Effect[] {
+  const {documents, options, requests, timers} = state;
+  if (state.draining || !isConfigured(documents)) {
+    return refuseRequest(input, 'notReady', notReadyRetryMs);
+  }
+  const service = options.services.find(one => one.service === input.service);
+  const route = service && findRoute(service, input.route);
+  if (service === undefined || route === undefined) {
+    return refuseRequest(input, 'unknownService');
+  }
+  const tier = input.tier ?? service.defaultTier;
+  const allowance: Allowance | undefined = findAllowance(
+    documents,
+    input.customer,
+    service.service,
+    tier,
+  );
+  if (allowance === undefined) return refuseRequest(input, 'notAllowed');
+  const tokens = input.promptTokens + input.maxTokens;
+  const decision = takeLimit(state, input.customer, tokens, nowMs);
+  if (!decision.isTaken) {
+    const reason = `limit_${decision.limit}`;
+    const {retryAfterMs} = decision;
+    return refuseRequest(input, 'limitExceeded', retryAfterMs, reason);
+  }
+  const request = createRequest(state, input, service, tier, route, nowMs);
+  requests.active.set(request.requestId, request);
+  requests.retryBudget = Math.min(
+    maxRetryBudget,
+    requests.retryBudget + options.retryBudgetRatio,
+  );
+  timers.set('requestDeadline', request.requestId, request.deadlineMs);
+  const received = createCount('request.received', {
+    service: service.service,
+    tier: `${tier}`,
+  });
+  if (request.claimKey !== '') {
+    return [received, ...startClaim(state, request, nowMs)];
+  }
+  return [received, ...startAttempt(state, request.requestId, nowMs)];
+}
+
+/** Gives up a request whose deadline has come. */
+export function expireRequest(
+  state: NodeState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = state.requests.active.get(requestId);
+  if (request === undefined) return [];
+  const isDispatched = request.phase === 'dispatched';
+  const error = isDispatched ? 'outcomeUnknown' : 'deadlineExceeded';
+  return endRequest(state, request, {error, reason: 'deadline'}, nowMs);
+}
--- /dev/null
+++ b/packages/ryeworks-standins/src/index.ts
@@ -0,0 +1,5 @@
+export * from './engine/engineModel.js';
+export * from './engine/startEngine.js';
+export * from './platform/startPlatform.js';
+export * from './proxy/startFaultProxy.js';
+export * from './service/startService.js';
--- /dev/null
+++ b/packages/ryeworks-types/src/documents.ts
@@ -0,0 +1,31 @@
+import {AllowancesList} from './allowances.js';
+import {EndpointsList} from './endpoint.js';
+import {MovesList} from './move.js';
+import {PlansList} from './plans.js';
+
+/** Content of each replicated document by name. */
+export interface DocumentContents {
+  plans: PlansList;
+  allowances: AllowancesList;
+  endpoints: EndpointsList;
+  moves: MovesList;
+}
+
+/** Name of a replicated document. */
+export type DocumentName = keyof DocumentContents;
+
+/** Every replicated document. */
+export const documentNames: readonly DocumentName[] = [
+  'plans',
+  'allowances',
+  'endpoints',
+  'moves',
+];
+
+/** One version of a document. */
+export interface VersionedDocument<N extends DocumentName = DocumentName> {
+  readonly name: N;
+  /** Version that the platform gave; grows with each accepted change. */
+  readonly version: number;
+  readonly content: DocumentContents[N];
+}
--- /dev/null
+++ b/packages/ryeworks-utils/src/index.ts
@@ -0,0 +1,3 @@
+export * from './disposableStore.js';
+export * from './randomSource.js';
+export * from './rankByKey.js';
--- /dev/null
+++ b/packages/ryeworksd/src/callers/addStatusRoutes.ts
@@ -0,0 +1,56 @@
+import {FastifyInstance} from 'fastify';
+import {timingSafeEqual} from 'node:crypto';
+import type {CallerServerContext} from './createCallerServer.js';
+
+/** Tells whether a bearer token is the expected one, in constant time. */
+export function isBearer(
+  header: string | undefined,
+  expected: string,
+): boolean {
+  const given = Buffer.from(header ?? '');
+  const wanted = Buffer.from(`Bearer ${expected}`);
+  return given.length === wanted.length && timingSafeEqual(given, wanted);
+}
+
+/** Adds the operators' status page. */
+export function addStatusRoutes(
+  server: FastifyInstance,
+  context: CallerServerContext,
+): void {
+  const {loop, metrics, settings} = context;
+  server.get('/status', (request, reply) => {
+    if (!isBearer(request.headers.authorization, settings.operatorKey)) {
+      return reply.code(401).send({error: 'operator key missing or wrong'});
+    }
+    const {state} = loop;
+    const members = [...state.membership.members.values()].map(member => ({
+      vm: member.vm,
+      availabilityZone: member.availabilityZone,
+      status: member.status,
+    }));
+    const cells = [...state.admission.cells.values()].map(cell => ({
+      cell: cell.cellKey,
+      waiting: cell.queue.length,
+      inUse: cell.grants.size,
+      endpoints: [...cell.accounts.values()].map(account => ({
+        endpoint: account.endpoint,
+        inFlight: account.inFlight,
+        concurrencyLimit: Math.round(account.concurrencyLimit * 10) / 10,
+        interTokenMs: Math.round(account.interTokenMs * 10) / 10,
+      })),
+    }));
+    return {
+      vm: settings.vm,
+      availabilityZone: settings.availabilityZone,
+      draining: state.draining,
+      documents: state.documents.versions,
+      activeRequests: state.requests.active.size,
+      claims: state.claims.records.size,
+      claimsComplete: state.claims.isComplete,
+      withdrawn: Object.fromEntries(state.moves.withdrawn),
+      members,
+      cells,
+      counters: metrics.getCounters(),
+    };
+  });
+}
--- /dev/null
+++ b/packages/ryeworksd/src/callers/createCallerServer.ts
@@ -0,0 +1,218 @@
+import {Settings} from '@ryeworks/config';
+import {Metrics} from '@ryeworks/logger';
+import {findCustomerByKeyHash, isConfigured} from '@ryeworks/scheduler';
+import {errorAnswers, ErrorKind} from '@ryeworks/types';
+import {getHash} from '@ryeworks/utils';
+import Fastify, {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import {createHash, randomUUID} from 'node:crypto';
+import {AnswerRegistry} from '../answers/answerRegistry.js';
+import {OpenRequests} from '../answers/openRequests.js';
+import {Clock} from '../core/clock.js';
+import {SchedulerLoop} from '../core/schedulerLoop.js';
+import {addStatusRoutes} from './addStatusRoutes.js';
+import {CallHeaders, readCallHeaders} from './readCallHeaders.js';
+import {CompletionRequest, readCompletion} from './readCompletion.js';
+import {createErrorBody, createErrorHeaders, ReplySink} from './replySink.js';
+
+/** Path of completions at model engines. */
+const completionsPath = '/v1/chat/completions';
+
+/** What the caller server works with. */
+export interface CallerServerContext {
+  readonly settings: Settings;
+  readonly loop: SchedulerLoop;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly answers: AnswerRegistry;
+  readonly openRequests: OpenRequests;
+}
+
+/** A call that has been read and may be scheduled. */
+interface ReadCall {
+  readonly customer: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: CallHeaders;
+  readonly completion?: CompletionRequest;
+}
+
+/** Refuses a call before it reaches the scheduler. */
+function sendRefusal(
+  context: CallerServerContext,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  error: ErrorKind,
+  detail?: string,
+): FastifyReply {
+  const {ran, status} = errorAnswers[error];
+  const failure = {error, ran, retryAfterMs: 0};
+  context.metrics.count('request.refused', {reason: error}, 1);
+  return reply
+    .code(status)
+    .headers({...createErrorHeaders(failure), 'x-request-id': request.id})
+    .send(createErrorBody(failure, request.id, detail));
+}
+
+/** Finds the customer of a call's API key. */
+function authenticateCaller(
+  context: CallerServerContext,
+  request: FastifyRequest,
+): string | undefined {
+  const [scheme, key] = (request.headers.authorization ?? '').split(' ');
+  if (scheme.toLowerCase() !== 'bearer' || key === undefined) return undefined;
+  const keyHash = createHash('sha256').update(key).digest('hex');
+  return findCustomerByKeyHash(context.loop.state.documents, keyHash);
+}
+
+/** Returns the body of a call as bytes. */
+function getBody(request: FastifyRequest): Buffer {
+  return Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
+}
+
+/** Gives a call to the scheduler and connects the reply to its answer. */
+function scheduleCall(
+  context: CallerServerContext,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  call: ReadCall,
+): void {
+  const {answers, loop, openRequests} = context;
+  const {completion, headers} = call;
+  const body = getBody(request);
+  const requestId = request.id;
+  const isKept = headers.idempotencyKey !== undefined;
+  const answer = answers.create(requestId, isKept);
+  const sink = new ReplySink(reply, requestId);
+  reply.hijack();
+  answer.addSink(sink);
+  reply.raw.on('close', () => {
+    answer.removeSink(sink);
+    if (!answer.hasEnded) loop.submit({kind: 'callerGone', requestId});
+  });
+  openRequests.set(requestId, {
+    requestId,
+    kind: completion === undefined ? 'plain' : 'model',
+    method: call.method,
+    path: call.path,
+    contentType: request.headers['content-type'] ?? '',
+    body,
+    idempotencyKey: headers.idempotencyKey,
+    isStreamed: completion?.isStreamed ?? false,
+    model: completion?.model ?? '',
+    answer,
+  });
+  const [path] = call.path.split('?');
+  const route = `${call.method} ${path}`;
+  loop.submit({
+    kind: 'requestReceived',
+    requestId,
+    customer: call.customer,
+    service: call.service,
+    route,
+    promptTokens: completion?.promptTokens ?? 0,
+    maxTokens: completion?.maxTokens ?? 0,
+    prefixHash: completion?.prefixHash ?? 0,
+    fingerprint: getHash(`${route} ${body.toString('latin1')}`),
+    ...headers,
+  });
+}
+
+/** Reads a completion call. */
+function handleCompletionCall(
+  context: CallerServerContext,
+  request: FastifyRequest,
+  reply: FastifyReply,
+): FastifyReply | void {
+  const customer = authenticateCaller(context, request);
+  if (customer === undefined) {
+    return sendRefusal(context, request, reply, 'unauthenticated');
+  }
+  const wallClockMs = context.clock.readWallClockMs();
+  const headers = readCallHeaders(request.headers, wallClockMs);
+  if (typeof headers === 'string') {
+    return sendRefusal(context, request, reply, 'malformedRequest', headers);
+  }
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(getBody(request).toString('utf8'));
+  } catch (error) {
+    const detail = (error as Error).message;
+    return sendRefusal(context, request, reply, 'malformedRequest', detail);
+  }
+  const completion = readCompletion(parsed);
+  if (typeof completion === 'string') {
+    return sendRefusal(context, request, reply, 'malformedRequest', completion);
+  }
+  return scheduleCall(context, request, reply, {
+    customer,
+    service: completion.model,
+    method: 'POST',
+    path: completionsPath,
+    headers,
+    completion,
+  });
+}
+
+/** Reads a call to a plain service. */
+function handleServiceCall(
+  context: CallerServerContext,
+  request: FastifyRequest,
+  reply: FastifyReply,
+): FastifyReply | void {
+  const customer = authenticateCaller(context, request);
+  if (customer === undefined) {
+    return sendRefusal(context, request, reply, 'unauthenticated');
+  }
+  const wallClockMs = context.clock.readWallClockMs();
+  const headers = readCallHeaders(request.headers, wallClockMs);
+  if (typeof headers === 'string') {
+    return sendRefusal(context, request, reply, 'malformedRequest', headers);
+  }
+  const {service} = request.params as {service: string};
+  const path = request.url.slice(`/services/${service}`.length);
+  const {method} = request;
+  const call = {customer, service, method, path, headers};
+  return scheduleCall(context, request, reply, call);
+}
+
+/** Creates the server that callers, the balancer and operators use. */
+export function createCallerServer(
+  context: CallerServerContext,
+): FastifyInstance {
+  const server = Fastify({
+    bodyLimit: context.settings.maxBodyBytes,
+    genReqId: () => randomUUID(),
+    requestTimeout: 30_000,
+  });
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser(
+    '*',
+    {parseAs: 'buffer'},
+    (_request, body, done) => done(null, body),
+  );
+  server.setErrorHandler((error, request, reply) => {
+    const isTooLarge =
+      (error as {code?: string}).code === 'FST_ERR_CTP_BODY_TOO_LARGE';
+    const kind = isTooLarge ? 'bodyTooLarge' : 'malformedRequest';
+    const detail = (error as Error).message;
+    return sendRefusal(context, request, reply, kind, detail);
+  });
+  server.setNotFoundHandler((request, reply) =>
+    sendRefusal(context, request, reply, 'unknownService'),
+  );
+  server.post(completionsPath, (request, reply) =>
+    handleCompletionCall(context, request, reply),
+  );
+  server.all('/services/:service/*', (request, reply) =>
+    handleServiceCall(context, request, reply),
+  );
+  server.get('/healthz', () => ({alive: true}));
+  server.get('/readyz', (_request, reply) => {
+    const {documents, draining} = context.loop.state;
+    const isReady = isConfigured(documents) && !draining;
+    return reply.code(isReady ? 200 : 503).send({ready: isReady});
+  });
+  addStatusRoutes(server, context);
+  return server;
+}
--- /dev/null
+++ b/packages/ryeworksd/src/index.ts
@@ -0,0 +1,1 @@
+export * from './createEntryProcess.js';
