Prove promises in virtual time with scripted scenarios

Cause: the core had run without a fault only.

Cause: asks waited in a cell whose only endpoint rested, and connect failures used up the retry budget though they cost no endpoint any work. Cause: slow calls come in bursts, and the test took them as independent.

--- a/admin/runTests.js
+++ b/admin/runTests.js
@@ -1,7 +1,12 @@
-import {spawnSync} from 'node:child_process';
+import {spawn} from 'node:child_process';
 import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
 
+/** Test files that run at the same time. */
+const concurrency = 3;
+/** Lines shown for each failed test point. */
+const linesPerFailure = 25;
+
 /** Finds the compiled test files of all packages. */
 function findTests(folder) {
   const found = [];
@@ -26,32 +31,60 @@
   return compiled.replace('/dist/', '/src/').replace(/\.js$/, '.ts');
 }
 
+/** Prints the failed points of a run and what follows each. */
+function printFailures(output) {
+  const lines = output.split('\n');
+  let left = 0;
+  for (const line of lines) {
+    if (/^ *not ok /.test(line)) left = linesPerFailure;
+    if (left <= 0) continue;
+    left -= 1;
+    console.log(line);
+  }
+}
+
+/** Runs one test file to its end. */
+function runTest(path) {
+  return new Promise(resolve => {
+    const env = {...process.env, TAP_TIMEOUT: '600'};
+    const child = spawn(process.execPath, [path], {env});
+    let output = '';
+    child.stdout.on('data', chunk => (output += chunk));
+    child.stderr.on('data', chunk => (output += chunk));
+    child.on('close', code => resolve({code, output}));
+  });
+}
+
 const knownRed = readKnownRed();
 const wanted = process.argv.slice(2);
 const tests = findTests('packages')
   .filter(path => wanted.length === 0 || wanted.some(one => path.includes(one)))
   .sort();
+const count = tests.length;
 let passed = 0;
 let failed = 0;
-for (const test of tests) {
-  const source = getSource(test);
-  const startedMs = Date.now();
-  const run = spawnSync(process.execPath, [test], {
-    encoding: 'utf8',
-    env: {...process.env, TAP_DIAG: '1'},
-  });
-  const seconds = ((Date.now() - startedMs) / 1000).toFixed(1);
-  const points = run.stdout.match(/^ok |^ {4}ok /gm)?.length ?? 0;
-  if (run.status === 0) {
-    passed += 1;
-    console.log(`ok      ${source} (${points} points, ${seconds} s)`);
-    continue;
+
+/** Runs test files until none is left. */
+async function runQueue() {
+  for (;;) {
+    const test = tests.shift();
+    if (test === undefined) return;
+    const source = getSource(test);
+    const {code, output} = await runTest(test);
+    const points = output.match(/^ *ok \d+ /gm)?.length ?? 0;
+    if (code === 0) {
+      passed += 1;
+      console.log(`ok      ${source} (${points} points)`);
+      continue;
+    }
+    const isKnown = knownRed.includes(source);
+    console.log(`${isKnown ? 'KNOWN RED' : 'not ok '} ${source}`);
+    printFailures(output);
+    if (!/^ *not ok /m.test(output)) console.log(output);
+    if (!isKnown) failed += 1;
   }
-  const isKnown = knownRed.includes(source);
-  console.log(`${isKnown ? 'KNOWN RED' : 'not ok '} ${source} (${seconds} s)`);
-  console.log(run.stdout);
-  console.log(run.stderr);
-  if (!isKnown) failed += 1;
 }
+
+await Promise.all(Array.from({length: concurrency}, runQueue));
 console.log(`${passed} passed, ${failed} failed`);
-process.exit(failed === 0 && tests.length > 0 ? 0 : 1);
+process.exit(failed === 0 && count > 0 ? 0 : 1);
--- /dev/null
+++ b/packages/ryeworks-lab/src/bin/scenarios.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+import {Command} from 'commander';
+import {findScenarios} from '../scenarios/findScenarios.js';
+import {runScenario} from '../scenarios/runScenario.js';
+
+/** Options of the command line. */
+interface ScenarioOptions {
+  readonly seed: number;
+  readonly seeds: number;
+}
+
+/** Runs the scenarios whose name contains a text, over some seeds. */
+function runScenarios(wanted: string, options: ScenarioOptions): void {
+  let passed = 0;
+  let failed = 0;
+  for (const {name, text} of findScenarios(wanted)) {
+    for (let index = 0; index < options.seeds; index++) {
+      const seed = options.seed + index;
+      const result = runScenario(text, `${name}.scenario`, seed);
+      const missed = result.expectations.filter(one => !one.isMet);
+      const verdict = missed.length === 0 ? 'ok    ' : 'not ok';
+      console.log(`${verdict} ${name} (seed ${seed}): ${result.title}`);
+      for (const {line, text: wantedText, found} of missed) {
+        console.log(`         line ${line}: ${wantedText}, found ${found}`);
+      }
+      if (missed.length === 0) passed += 1;
+      else failed += 1;
+    }
+  }
+  console.log(`${passed} passed, ${failed} failed`);
+  process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
+}
+
+await new Command('scenarios')
+  .description('Runs scenarios of failures in virtual time.')
+  .argument('[name]', 'part of the names of the scenarios to run', '')
+  .option('--seed <number>', 'first seed', Number, 1)
+  .option('--seeds <count>', 'seeds for each scenario', Number, 1)
+  .action(runScenarios)
+  .parseAsync();
--- /dev/null
+++ b/packages/ryeworks-lab/src/harness/callerBoard.ts
@@ -0,0 +1,220 @@
+import {getHash, pickRandom} from '@ryeworks/utils';
+import {CallKind} from '../deployment/deploymentPlan.js';
+import {pickSize} from '../load/runLoad.js';
+import {AttemptAnswer, CallerBehavior, CallRecord} from './callLedger.js';
+import type {ScenarioHarness} from './scenarioHarness.js';
+
+/** Most attempts of a caller that tries again. */
+const maxAttempts = 4;
+/** Time after which a caller that tries again gives up an attempt, in ms. */
+const patienceMs = 2500;
+/** Time for the balancer to leave out a VM that stops, in ms. */
+const balancerLagMs = 1000;
+
+/** The callers and the balancer of a scenario. */
+export class CallerBoard {
+  private nextCall = 1;
+  /** Answers "not run" to a key that had run. */
+  wrongNotRun = 0;
+  /** Racing updates of which one overwrote the other. */
+  lostUpdates = 0;
+  /** Callers that wait for the answer of another request. */
+  private readonly attached = new Map<string, string[]>();
+  private readonly ended = new Map<string, AttemptAnswer>();
+  /** VMs that the balancer leaves out, and since when. */
+  readonly leftOut = new Map<string, number>();
+
+  constructor(private readonly harness: ScenarioHarness) {}
+
+  /** Makes calls of a kind at random times at a mean rate. */
+  startLoad(
+    kind: CallKind,
+    callsPerSecond: number,
+    untilMs: number,
+    behavior: CallerBehavior,
+  ): void {
+    const {events, random} = this.harness;
+    const gap = -Math.log(1 - random.next()) / callsPerSecond;
+    events.schedule(gap * 1000, () => {
+      if (events.nowMs > untilMs) return;
+      this.makeCall(kind, behavior);
+      this.startLoad(kind, callsPerSecond, untilMs, behavior);
+    });
+  }
+
+  /** Makes one call. */
+  makeCall(kind: CallKind, behavior: CallerBehavior): CallRecord {
+    const {events, ledger, options, random} = this.harness;
+    const callId = `call-${this.nextCall++}`;
+    const call: CallRecord = {
+      callId,
+      kind,
+      key: kind.isKeyed ? `key-${callId}` : '',
+      customer: pickRandom(random, options.plan.customers)!.customer,
+      promptTokens: pickSize(kind.promptTokens, random),
+      outputTokens: pickSize(kind.outputTokens, random),
+      behavior,
+      startedMs: events.nowMs,
+      attempts: [],
+      answers: [],
+      firstTokenMs: 0,
+      dispatchedMs: 0,
+    };
+    ledger.calls.push(call);
+    this.startAttempt(call);
+    return call;
+  }
+
+  /** Ends the attempts that wait at a VM that died. */
+  dropConnections(vm: string): void {
+    const {events, ledger} = this.harness;
+    this.leftOut.set(vm, events.nowMs);
+    for (const call of ledger.calls) {
+      for (const {requestId, vm: at} of call.attempts) {
+        if (at !== vm || this.ended.has(requestId)) continue;
+        this.noteAnswer(vm, requestId, {
+          outcome: 'lost',
+          ran: 'unknown',
+          retryAfterMs: 0,
+          atMs: events.nowMs,
+        });
+      }
+    }
+  }
+
+  /** Notes the first token of a request. */
+  noteFirstToken(requestId: string): void {
+    const call = this.harness.ledger.byRequest.get(requestId);
+    if (call === undefined || call.firstTokenMs > 0) return;
+    call.firstTokenMs = this.harness.events.nowMs;
+  }
+
+  /** Gives an answer to its caller and to those attached to it. */
+  noteAnswer(vm: string, requestId: string, answer: AttemptAnswer): void {
+    if (this.ended.has(requestId)) return;
+    this.ended.set(requestId, answer);
+    const call = this.harness.ledger.byRequest.get(requestId);
+    if (call === undefined) return;
+    const isCurrent =
+      call.attempts[call.attempts.length - 1].requestId === requestId;
+    if (isCurrent && !this.hasFinal(call)) {
+      this.checkNotRun(call, requestId, answer);
+      call.answers.push(answer);
+      this.scheduleRetry(call, answer);
+    }
+    for (const waiting of this.attached.get(requestId) ?? []) {
+      this.noteAnswer(vm, waiting, answer);
+    }
+  }
+
+  /** Connects a retry to the request that holds its key. */
+  attachAnswer(
+    vm: string,
+    requestId: string,
+    holder: string,
+    holderRequestId: string,
+  ): void {
+    const answer = this.ended.get(holderRequestId);
+    if (answer !== undefined && answer.outcome !== 'lost') {
+      const {events} = this.harness;
+      this.noteAnswer(vm, requestId, {...answer, atMs: events.nowMs});
+      return;
+    }
+    const isGone = this.harness.vms.get(holder)?.isDead !== false;
+    if (isGone) {
+      this.noteAnswer(vm, requestId, {
+        outcome: 'outcomeUnknown',
+        ran: 'unknown',
+        retryAfterMs: 1000,
+        atMs: this.harness.events.nowMs,
+      });
+      return;
+    }
+    const waiting = this.attached.get(holderRequestId) ?? [];
+    waiting.push(requestId);
+    this.attached.set(holderRequestId, waiting);
+  }
+
+  /** Checks an answer "not run" against the endpoints' ledgers. */
+  private checkNotRun(
+    call: CallRecord,
+    requestId: string,
+    answer: AttemptAnswer,
+  ): void {
+    if (answer.ran !== 'not-run') return;
+    if (this.harness.countRuns(call.key || requestId) > 0) {
+      this.wrongNotRun += 1;
+    }
+  }
+
+  private hasFinal(call: CallRecord): boolean {
+    const last = call.answers[call.answers.length - 1];
+    return last?.outcome === 'done';
+  }
+
+  /** Lists the VMs to which the balancer sends new calls. */
+  private listOpenVms(): string[] {
+    const {events, vms} = this.harness;
+    const open: string[] = [];
+    for (const {vm} of vms.values()) {
+      const sinceMs = this.leftOut.get(vm);
+      const isOut =
+        sinceMs !== undefined && events.nowMs - sinceMs >= balancerLagMs;
+      if (!isOut) open.push(vm);
+    }
+    return open;
+  }
+
+  private startAttempt(call: CallRecord): void {
+    const {events, ledger, options, random, vms} = this.harness;
+    const attempt = call.attempts.length + 1;
+    const requestId = `${call.callId}.${attempt}`;
+    const vm = pickRandom(random, this.listOpenVms())!;
+    call.attempts.push({requestId, vm, startedMs: events.nowMs});
+    ledger.byRequest.set(requestId, call);
+    const target = vms.get(vm)!;
+    if (target.isDead) {
+      events.schedule(1, () => this.dropConnections(vm));
+      return;
+    }
+    const {kind} = call;
+    const isModel = kind.path === '';
+    const {modelService} = options.plan;
+    const path = isModel ? modelService.routes[0].path : kind.path;
+    target.submit({
+      kind: 'requestReceived',
+      requestId,
+      customer: call.customer,
+      service: kind.service,
+      route: `${kind.method} ${path}`,
+      tier: kind.tier,
+      promptTokens: call.promptTokens,
+      maxTokens: call.outputTokens,
+      prefixHash: getHash(kind.name),
+      fingerprint: getHash(call.callId),
+      idempotencyKey: call.key === '' ? undefined : call.key,
+      attempt: call.behavior.marksAttempts ? attempt : undefined,
+      deadlineInMs: kind.deadlineMs,
+    });
+    if (!call.behavior.isRetrying) return;
+    events.schedule(patienceMs, () => {
+      if (this.ended.has(requestId) || call.attempts.length !== attempt) return;
+      target.submit({kind: 'callerGone', requestId});
+      this.startRetry(call);
+    });
+  }
+
+  private startRetry(call: CallRecord): void {
+    if (call.attempts.length >= maxAttempts) return;
+    this.startAttempt(call);
+  }
+
+  private scheduleRetry(call: CallRecord, answer: AttemptAnswer): void {
+    if (!call.behavior.isRetrying || answer.outcome === 'done') return;
+    const delayMs = Math.max(50, answer.retryAfterMs);
+    const attempts = call.attempts.length;
+    this.harness.events.schedule(delayMs, () => {
+      if (call.attempts.length === attempts) this.startRetry(call);
+    });
+  }
+}
--- /dev/null
+++ b/packages/ryeworks-lab/src/harness/endpointCalls.ts
@@ -0,0 +1,116 @@
+import {Dispatch, EndpointFailed, Resume} from '@ryeworks/scheduler';
+import {EndpointListener, FakeEndpoint} from './fakeEndpoint.js';
+import {FakeVm} from './fakeVm.js';
+import type {ScenarioHarness} from './scenarioHarness.js';
+
+/** Time to notice that an endpoint cannot be connected to, in ms. */
+const connectTimeoutMs = 1000;
+/** Time between two progress reports of one call, in ms. */
+const progressIntervalMs = 250;
+
+/** Calls between the VMs and the endpoints of a scenario. */
+export class EndpointCalls {
+  private readonly calledEndpoint = new Map<string, FakeEndpoint>();
+
+  constructor(private readonly harness: ScenarioHarness) {}
+
+  /** Stops a call at its endpoint. */
+  cancel(requestId: string): void {
+    this.calledEndpoint.get(requestId)?.cancelCall(requestId);
+  }
+
+  /** Connects a call's events at an endpoint to the VM that made it. */
+  private createListener(
+    vm: FakeVm,
+    requestId: string,
+    zone: string,
+  ): EndpointListener {
+    const tell = (submit: () => void) => {
+      if (this.harness.network.isCut(vm.availabilityZone, zone)) return;
+      const delayMs = this.harness.network.getDelayMs(
+        zone,
+        vm.availabilityZone,
+      );
+      this.harness.events.schedule(delayMs, submit);
+    };
+    let lastProgressMs = 0;
+    return {
+      noteFirstToken: () =>
+        tell(() => {
+          this.harness.callers.noteFirstToken(requestId);
+          vm.submit({kind: 'endpointFirstToken', requestId});
+        }),
+      noteProgress: () => {
+        if (this.harness.events.nowMs - lastProgressMs < progressIntervalMs)
+          return;
+        lastProgressMs = this.harness.events.nowMs;
+        tell(() => vm.submit({kind: 'endpointProgress', requestId}));
+      },
+      noteDone: outputTokens =>
+        tell(() => vm.submit({kind: 'endpointDone', requestId, outputTokens})),
+      noteFailed: () => tell(() => this.failCall(vm, requestId, 'failed')),
+    };
+  }
+
+  private failCall(
+    vm: FakeVm,
+    requestId: string,
+    failure: EndpointFailed['failure'],
+  ): void {
+    vm.submit({kind: 'endpointFailed', requestId, failure});
+  }
+
+  /** Sends a request to an endpoint. */
+  dispatch(vm: FakeVm, {requestId, endpoint}: Dispatch): void {
+    const target = this.harness.endpoints.get(endpoint.endpoint)!;
+    const call = this.harness.ledger.byRequest.get(requestId)!;
+    const zone = endpoint.availabilityZone;
+    this.harness.ledger.dispatches.push({
+      atMs: this.harness.events.nowMs,
+      requestId,
+      endpoint: endpoint.endpoint,
+      version: endpoint.version,
+      vm: vm.vm,
+      tier: call.kind.tier,
+    });
+    call.dispatchedMs = this.harness.events.nowMs;
+    const isCut = this.harness.network.isCut(vm.availabilityZone, zone);
+    if (target.isDown || isCut) {
+      const delayMs = isCut ? connectTimeoutMs : 1;
+      this.harness.events.schedule(delayMs, () =>
+        this.failCall(vm, requestId, 'notSent'),
+      );
+      return;
+    }
+    this.calledEndpoint.set(requestId, target);
+    const listener = this.createListener(vm, requestId, zone);
+    const delayMs = this.harness.network.getDelayMs(vm.availabilityZone, zone);
+    this.harness.events.schedule(delayMs, () =>
+      target.startCall(
+        {
+          requestId,
+          route: call.kind.name,
+          promptTokens: call.promptTokens,
+          maxTokens: call.outputTokens,
+          prefix: call.kind.name,
+          ledgerKey: call.key || requestId,
+        },
+        listener,
+      ),
+    );
+  }
+
+  /** Gives a stream a new reader. */
+  resume(vm: FakeVm, {requestId, endpoint, streamId}: Resume): void {
+    const target = this.harness.endpoints.get(endpoint.endpoint)!;
+    const zone = endpoint.availabilityZone;
+    const isCut = this.harness.network.isCut(vm.availabilityZone, zone);
+    if (target.isDown || isCut || target.isSilent) return;
+    const listener = this.createListener(vm, requestId, zone);
+    const delayMs = this.harness.network.getDelayMs(vm.availabilityZone, zone);
+    this.harness.events.schedule(delayMs, () => {
+      if (target.resumeStream(streamId, listener)) return;
+      this.failCall(vm, requestId, 'failed');
+    });
+  }
+}
--- /dev/null
+++ b/packages/ryeworks-lab/src/harness/scenarioHarness.ts
@@ -0,0 +1,345 @@
+import {
+  defaultSchedulerOptions,
+  Effect,
+  SchedulerOptions,
+} from '@ryeworks/scheduler';
+import {DocumentName, Endpoint, errorAnswers} from '@ryeworks/types';
+import {createRandomSource, getHash, RandomSource} from '@ryeworks/utils';
+import {
+  CallKind,
+  createAllowancesList,
+  createPlansList,
+  DeploymentPlan,
+} from '../deployment/deploymentPlan.js';
+import {CallerBoard} from './callerBoard.js';
+import {CallLedger} from './callLedger.js';
+import {EventQueue} from './eventQueue.js';
+import {EndpointCalls} from './endpointCalls.js';
+import {FakeEndpoint} from './fakeEndpoint.js';
+import {FakeNetwork, platformPlace} from './fakeNetwork.js';
+import {FakePlatform} from './fakePlatform.js';
+import {FakeVm} from './fakeVm.js';
+
+/** Time for a change to reach a watcher, in ms. */
+const watchDelayMs = 5;
+/** Time between two tries of a VM to read a platform that is down, in ms. */
+const readRetryMs = 500;
+/** Time between two load reports and their lag, in ms. */
+const loadPeriodMs = 500;
+const loadLagMs = 1000;
+
+/** Options of {@link ScenarioHarness}. */
+export interface HarnessOptions {
+  readonly plan: DeploymentPlan;
+  readonly seed: number;
+  readonly scheduler?: Partial<SchedulerOptions>;
+}
+
+/**
+ * A handful of decision cores in virtual time with small fakes around them:
+ * network, endpoints, platform and callers. The same seed gives the same run.
+ */
+export class ScenarioHarness {
+  readonly events = new EventQueue();
+  readonly random: RandomSource;
+  readonly network: FakeNetwork;
+  readonly platform = new FakePlatform();
+  readonly ledger = new CallLedger();
+  readonly vms = new Map<string, FakeVm>();
+  readonly endpoints = new Map<string, FakeEndpoint>();
+  readonly callers: CallerBoard;
+  private readonly calls: EndpointCalls;
+
+  constructor(readonly options: HarnessOptions) {
+    this.random = createRandomSource(options.seed);
+    this.network = new FakeNetwork(this.events, this.random);
+    this.callers = new CallerBoard(this);
+    this.calls = new EndpointCalls(this);
+    this.platform.onChange = name => this.pushChange(name);
+    const {plan} = options;
+    this.addEndpoints('v1', plan.enginesPerZone, plan.servicesPerZone);
+    this.platform.setContent('plans', createPlansList(plan));
+    this.platform.setContent('allowances', createAllowancesList(plan));
+    this.platform.setContent('moves', {moves: []});
+    for (const zone of plan.availabilityZones) {
+      for (let index = 0; index < plan.vmsPerZone; index++) {
+        this.startVm(`${zone}-${index}`, zone);
+      }
+    }
+  }
+
+  /** Adds endpoints of a version to every zone. */
+  addEndpoints(
+    version: string,
+    engines: readonly number[],
+    services: number,
+  ): void {
+    const {plan} = this.options;
+    const added: Endpoint[] = [];
+    for (const availabilityZone of plan.availabilityZones) {
+      const common = {
+        version,
+        availabilityZone,
+        address: 'http://endpoint',
+        state: 'live' as const,
+        checksFencing: true,
+      };
+      for (const [index, generation] of engines.entries()) {
+        added.push({
+          ...common,
+          endpoint: `engine-${version}-${availabilityZone}-${index}`,
+          service: plan.modelService.service,
+          kind: 'model',
+          engine: `generation-${generation}`,
+          generation,
+          canResume: true,
+        });
+      }
+      for (let index = 0; index < services; index++) {
+        added.push({
+          ...common,
+          endpoint: `service-${version}-${availabilityZone}-${index}`,
+          service: plan.plainService.service,
+          kind: 'plain',
+          engine: 'plain',
+          generation: 1,
+          canResume: false,
+        });
+      }
+    }
+    for (const endpoint of added) {
+      const seed = getHash(`${endpoint.endpoint}/${this.options.seed}`);
+      const fake = new FakeEndpoint(endpoint, this.events, seed);
+      this.endpoints.set(endpoint.endpoint, fake);
+    }
+    const all = [...this.endpoints.values()].map(one => one.endpoint);
+    this.platform.setContent('endpoints', {endpoints: all});
+  }
+
+  /** Starts an entry VM; its name may be that of one that died. */
+  startVm(name: string, availabilityZone: string): FakeVm {
+    const {plan, scheduler, seed} = this.options;
+    const vm = new FakeVm(
+      {
+        ...defaultSchedulerOptions,
+        ...scheduler,
+        vm: name,
+        availabilityZone,
+        availabilityZones: plan.availabilityZones,
+        peerAddress: name,
+        initialIncarnation: 1 + Math.floor(this.events.nowMs),
+        services: [plan.modelService, plan.plainService],
+        seed: getHash(`${name}/${seed}/${this.events.nowMs}`),
+      },
+      this.events,
+      (from, effect) => this.runEffect(from, effect),
+      1000 + this.random.nextInt(100_000),
+    );
+    this.vms.set(name, vm);
+    vm.start();
+    this.readPlatform(vm, true);
+    if (vm.options.routing === 'leastLoadedOfTwo') this.reportLoads(vm);
+    return vm;
+  }
+
+  /** Kills a VM; its callers lose their connections. */
+  killVm(name: string): void {
+    const vm = this.vms.get(name)!;
+    vm.isDead = true;
+    this.callers.dropConnections(name);
+  }
+
+  /** Runs up to a time. */
+  runUntil(endMs: number): void {
+    this.events.runUntil(endMs);
+  }
+
+  /** Returns the total runs of a key over all endpoints. */
+  countRuns(key: string): number {
+    let sum = 0;
+    for (const endpoint of this.endpoints.values()) {
+      sum += endpoint.runs.get(key) ?? 0;
+    }
+    return sum;
+  }
+
+  /** Finds a kind of call by name. */
+  findCallKind(name: string): CallKind {
+    const kind = this.options.plan.calls.find(one => one.name === name);
+    if (kind === undefined) throw new Error(`no kind of call "${name}"`);
+    return kind;
+  }
+
+  /** Gives a VM all that the platform has, trying again while it is down. */
+  private readPlatform(vm: FakeVm, isStart: boolean): void {
+    if (vm.isDead) return;
+    const zone = vm.availabilityZone;
+    const isCut = this.network.isCut(zone, platformPlace);
+    this.platform.calls.reads += 1;
+    if (this.platform.isDown || isCut) {
+      this.events.schedule(readRetryMs, () => this.readPlatform(vm, isStart));
+      return;
+    }
+    if (isStart && !this.platform.foundedZones.has(zone)) {
+      this.platform.foundedZones.add(zone);
+      vm.submit({kind: 'zoneFounded'});
+    }
+    const vms = [...this.vms.values()]
+      .filter(one => !one.isDead)
+      .map(one => ({
+        vm: one.vm,
+        availabilityZone: one.availabilityZone,
+        peerAddress: one.vm,
+      }));
+    vm.submit({kind: 'vmsListed', vms});
+    for (const name of this.platform.listDocuments()) {
+      vm.submit({
+        kind: 'documentRead',
+        name,
+        ...this.platform.readDocument(name),
+      });
+    }
+  }
+
+  /** Tells the watching VMs of a change. */
+  private pushChange(name: DocumentName): void {
+    const {version} = this.platform.readDocument(name);
+    this.ledger.changedMs.set(`${name}@${version}`, this.events.nowMs);
+    for (const vm of this.vms.values()) this.pushChangeTo(vm, name);
+  }
+
+  private pushChangeTo(vm: FakeVm, name: DocumentName): void {
+    if (vm.isDead || !vm.isWatching) return;
+    const zone = vm.availabilityZone;
+    const {isDown} = this.platform;
+    if (isDown || this.network.isCut(zone, platformPlace)) {
+      this.events.schedule(readRetryMs, () => this.pushChangeTo(vm, name));
+      return;
+    }
+    this.events.schedule(watchDelayMs, () => {
+      const read = this.platform.readDocument(name);
+      vm.submit({kind: 'documentRead', name, ...read});
+    });
+  }
+
+  private reportLoads(vm: FakeVm): void {
+    if (vm.isDead) return;
+    for (const {endpoint, model} of this.endpoints.values()) {
+      const load = {
+        running: model.running.length,
+        queued: model.waiting.length,
+      };
+      this.events.schedule(loadLagMs, () =>
+        vm.submit({
+          kind: 'loadReported',
+          endpoint: endpoint.endpoint,
+          ...load,
+        }),
+      );
+    }
+    this.events.schedule(loadPeriodMs, () => this.reportLoads(vm));
+  }
+
+  private runEffect(vm: FakeVm, effect: Effect): void {
+    const handler = this.effectHandlers[effect.kind] as (
+      vm: FakeVm,
+      effect: Effect,
+    ) => void;
+    handler(vm, effect);
+  }
+
+  private readonly effectHandlers: {
+    [K in Effect['kind']]: (
+      vm: FakeVm,
+      effect: Extract<Effect, {kind: K}>,
+    ) => void;
+  } = {
+    sendPeer: (vm, effect) => {
+      const target = this.vms.get(effect.to);
+      if (target === undefined) return;
+      const message = structuredClone(effect.message);
+      const from = vm.vm;
+      this.network.send(vm.availabilityZone, target.availabilityZone, () =>
+        target.submit({kind: 'peerMessageReceived', from, message}),
+      );
+    },
+    dispatch: (vm, effect) => this.calls.dispatch(vm, effect),
+    resume: (vm, effect) => this.calls.resume(vm, effect),
+    cancelDispatch: (_vm, effect) => this.calls.cancel(effect.requestId),
+    answerError: (vm, effect) => {
+      const {requestId, error, ran, retryAfterMs} = effect;
+      this.callers.noteAnswer(vm.vm, requestId, {
+        outcome: error,
+        ran,
+        retryAfterMs,
+        atMs: this.events.nowMs,
+      });
+    },
+    attachAnswer: (vm, effect) =>
+      this.callers.attachAnswer(
+        vm.vm,
+        effect.requestId,
+        effect.holder,
+        effect.holderRequestId,
+      ),
+    completeAnswer: (vm, effect) =>
+      this.callers.noteAnswer(vm.vm, effect.requestId, {
+        outcome: 'done',
+        ran: errorAnswers.endpointFailed.ran,
+        retryAfterMs: 0,
+        atMs: this.events.nowMs,
+      }),
+    writeDocument: (vm, effect) => {
+      const {callId, name, expectedVersion, contentJson} = effect;
+      const zone = vm.availabilityZone;
+      const isCut = this.network.isCut(zone, platformPlace);
+      const written = isCut
+        ? {result: 'unknown' as const}
+        : this.platform.writeDocument(name, expectedVersion, contentJson);
+      this.events.schedule(watchDelayMs, () => {
+        const {result} = written;
+        if ('version' in written) {
+          const {version} = written;
+          vm.submit({kind: 'documentRead', name, version, contentJson});
+        }
+        vm.submit({kind: 'platformAnswered', callId, result});
+      });
+    },
+    readDocument: (vm, {name}) => this.pushChangeTo(vm, name),
+    setWatching: (vm, {watching}) => {
+      vm.isWatching = watching;
+      if (watching) this.readPlatform(vm, false);
+    },
+    count: (_vm, {name, tags, amount}) =>
+      this.ledger.addCount(name, tags, amount),
+    log: (vm, {event, fields}) => {
+      if (event === 'document_in_force') this.noteInForce(vm, fields);
+      if (event === 'move_withdrawn') this.noteVerdict(vm, fields);
+    },
+  };
+
+  private noteInForce(
+    vm: FakeVm,
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    const name = `${fields['document']}@${fields['version']}`;
+    const byVm = this.ledger.inForceMs.get(name) ?? new Map<string, number>();
+    byVm.set(vm.vm, this.events.nowMs);
+    const document = String(fields['document']);
+    const version = Number(fields['version']);
+    const last = vm.inForce.get(document) ?? 0;
+    if (version < last) this.ledger.revertedVersions += 1;
+    vm.inForce.set(document, version);
+    this.ledger.inForceMs.set(name, byVm);
+  }
+
+  private noteVerdict(
+    vm: FakeVm,
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    const move = `${fields['move']}`;
+    const byVm = this.ledger.verdictMs.get(move) ?? new Map<string, number>();
+    byVm.set(vm.vm, this.events.nowMs);
+    this.ledger.verdictMs.set(move, byVm);
+  }
+}
--- a/packages/ryeworks-lab/src/load/runLoad.ts
+++ b/packages/ryeworks-lab/src/load/runLoad.ts
@@ -23,7 +23,7 @@
 }
 
 /** Picks a size between two bounds, small sizes being more frequent. */
-function pickSize(
+export function pickSize(
   [least, most]: readonly [number, number],
   random: RandomSource,
 ): number {
--- a/packages/ryeworks-scheduler/src/admission/decideGrants.ts
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -5,6 +5,7 @@
 import {Cell, QueuedAsk} from './admissionState.js';
 import {
   createEndpointAccount,
+  isOnProbation,
   EndpointAccount,
   estimateFirstTokenMs,
   recordGrant,
@@ -55,6 +56,7 @@
 ): boolean {
   if (account.inFlight >= getSlots(account, ask.tier)) return false;
   if (account.restingUntilMs > nowMs) return false;
+  if (isOnProbation(account) && account.inFlight > 0) return false;
   if (ask.avoid.includes(account.endpoint)) return false;
   if (ask.engines.length === 0) return true;
   const endpoint = state.admission.endpoints.get(account.endpoint);
@@ -84,13 +86,29 @@
   return best;
 }
 
-/** Removes asks that can no longer be answered in time and refuses them. */
-function refuseLateAsks(state: NodeState, cell: Cell, nowMs: number): Effect[] {
+/** Tells whether every endpoint of a cell rests after failures. */
+export function isCellResting(
+  accounts: readonly EndpointAccount[],
+  nowMs: number,
+): boolean {
+  return accounts.every(account => account.restingUntilMs > nowMs);
+}
+
+/**
+ * Removes asks that can no longer be answered in time, and all of them while
+ * every endpoint rests, so that their holders ask elsewhere.
+ */
+export function refuseLateAsks(
+  state: NodeState,
+  cell: Cell,
+  nowMs: number,
+): Effect[] {
   const effects: Effect[] = [];
   const kept: QueuedAsk[] = [];
+  const isResting = isCellResting(getAccounts(state, cell), nowMs);
   for (const ask of cell.queue) {
     const latestStartMs = ask.deadlineMs - estimateServiceMs(cell, ask);
-    if (latestStartMs >= nowMs) {
+    if (latestStartMs >= nowMs && !isResting) {
       kept.push(ask);
       continue;
     }
@@ -98,11 +116,11 @@
       createSendPeer(state, ask.holder, {
         kind: 'grantRefusal',
         askId: ask.askId,
-        reason: 'overloaded',
+        reason: isResting ? 'noEndpoint' : 'overloaded',
         retryAfterMs: estimateRetryAfterMs(state, cell),
       }),
       createCount('admission.refused', {
-        reason: 'too_late',
+        reason: isResting ? 'resting' : 'too_late',
         tier: `${ask.tier}`,
       }),
     );
@@ -151,22 +169,19 @@
   cell: Cell,
   nowMs: number,
 ): Effect[] {
-  const effects = refuseLateAsks(state, cell, nowMs);
+  const effects: Effect[] = [];
   const accounts = getAccounts(state, cell);
-  const kept: QueuedAsk[] = [];
-  for (const [index, ask] of cell.queue.entries()) {
-    if (!hasRoom(accounts, nowMs)) {
-      kept.push(...cell.queue.slice(index));
-      break;
-    }
+  let index = 0;
+  while (index < cell.queue.length && hasRoom(accounts, nowMs)) {
+    const ask = cell.queue[index];
     const account = pickAccount(state, accounts, ask, nowMs);
     if (account === undefined) {
-      kept.push(ask);
+      index += 1;
       continue;
     }
+    cell.queue.splice(index, 1);
     effects.push(grantAsk(state, cell, ask, account, nowMs));
   }
-  cell.queue.splice(0, cell.queue.length, ...kept);
   scheduleSweep(state, cell, nowMs);
   return effects;
 }
--- a/packages/ryeworks-scheduler/src/admission/endpointAccount.ts
+++ b/packages/ryeworks-scheduler/src/admission/endpointAccount.ts
@@ -148,6 +148,11 @@
   account.concurrencyLimit = Math.max(1, reduced);
 }
 
+/** Tells whether an endpoint that failed gets one call at a time. */
+export function isOnProbation(account: EndpointAccount): boolean {
+  return account.failuresInRow >= failuresBeforeRest;
+}
+
 /** Rests an endpoint that fails again and again. */
 export function recordFailure(account: EndpointAccount, nowMs: number): void {
   account.failuresInRow += 1;
--- a/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
+++ b/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
@@ -9,6 +9,8 @@
   decideGrants,
   getAccounts,
   grantLeaseMs,
+  isCellResting,
+  refuseLateAsks,
   scheduleSweep,
 } from './decideGrants.js';
 import {recordFailure, recordSample} from './endpointAccount.js';
@@ -99,7 +101,9 @@
     return [createSendPeer(state, from, {kind: 'grantOffer', askId, endpoint})];
   }
   if (cell.queue.some(one => one.askId === ask.askId)) return [queued];
-  getAccounts(state, cell);
+  if (isCellResting(getAccounts(state, cell), nowMs)) {
+    return refuseAsk(state, cell, ask, 'noEndpoint', 'resting');
+  }
   const waitMs = estimateWaitMs(cell, countAhead(cell, ask));
   const readyMs = nowMs + waitMs + estimateServiceMs(cell, ask);
   if (readyMs > ask.deadlineMs) {
@@ -204,5 +208,6 @@
     if (account === undefined) continue;
     account.inFlight = Math.max(0, account.inFlight - 1);
   }
-  return decideGrants(state, cell, nowMs);
+  const effects = refuseLateAsks(state, cell, nowMs);
+  return [...effects, ...decideGrants(state, cell, nowMs)];
 }
--- a/packages/ryeworks-scheduler/src/moves/handleEvidence.ts
+++ b/packages/ryeworks-scheduler/src/moves/handleEvidence.ts
@@ -20,8 +20,14 @@
 import {
   addObservations,
   estimateFailureRates,
-  estimateSlowRates,
+  slowBlockRates,
 } from './sequentialTest.js';
+import {
+  addToBlock,
+  createSlownessBlock,
+  decideBlock,
+  isBlockOver,
+} from './slownessBlock.js';
 
 /** Time between two reports of evidence, in ms. */
 const reportPeriodMs = 200;
@@ -68,7 +74,7 @@
 }
 
 /** Returns the tests of a route. */
-function getRouteTest(state: NodeState, key: string): RouteTest {
+function getRouteTest(state: NodeState, key: string, nowMs: number): RouteTest {
   const known = state.moves.tests.get(key);
   if (known !== undefined) return known;
   const test: RouteTest = {
@@ -76,28 +82,43 @@
     new: {observed: 0, failed: 0, slow: 0},
     failures: {sum: 0},
     slowness: {sum: 0},
+    block: createSlownessBlock(nowMs),
   };
   state.moves.tests.set(key, test);
   return test;
 }
 
-/** Runs the tests of a route; returns the symptom that they found. */
-function findSymptom(
+/** Adds failures to the test of a route; tells whether they are too many. */
+function findFailures(
   test: RouteTest,
   report: EvidenceReport,
-): 'failures' | 'slowness' | undefined {
-  const {observed, failed, slow} = report;
+): 'failures' | undefined {
+  const {observed, failed} = report;
   const failureRates = estimateFailureRates(test.old.observed, test.old.failed);
-  const slowRates = estimateSlowRates(test.old.observed, test.old.slow);
   if (addObservations(test.failures, observed, failed, failureRates)) {
     return 'failures';
   }
-  if (addObservations(test.slowness, observed, slow, slowRates)) {
-    return 'slowness';
-  }
   return undefined;
 }
 
+/** Adds the slowness of a block that is over; tells whether it is too much. */
+function findSlowness(
+  test: RouteTest,
+  report: EvidenceReport,
+  nowMs: number,
+): 'slowness' | undefined {
+  let isSlow: boolean | undefined;
+  if (isBlockOver(test.block, nowMs)) {
+    isSlow = decideBlock(test.block);
+    test.block = createSlownessBlock(nowMs);
+  }
+  addToBlock(test.block, report);
+  if (isSlow === undefined) return undefined;
+  const bad = isSlow ? 1 : 0;
+  const isAlarm = addObservations(test.slowness, 1, bad, slowBlockRates);
+  return isAlarm ? 'slowness' : undefined;
+}
+
 /** Tells every VM of a verdict at once; gossip reaches those that miss it. */
 function spreadVerdict(state: NodeState, verdict: Verdict): Effect[] {
   const {membership, options} = state;
@@ -128,14 +149,15 @@
   const {moves, options} = state;
   const {move, route, onNewVersion} = message;
   if (moves.withdrawn.has(move)) return [];
-  const test = getRouteTest(state, `${move}|${route}`);
+  const test = getRouteTest(state, `${move}|${route}`, nowMs);
   const counts = onNewVersion ? test.new : test.old;
   counts.observed += message.observed;
   counts.failed += message.failed;
   counts.slow += message.slow;
-  if (!onNewVersion) return [];
-  const effects = summarizeEvidence(state, move);
-  const symptom = findSymptom(test, message);
+  const slowness = findSlowness(test, message, nowMs);
+  const failures = onNewVersion ? findFailures(test, message) : undefined;
+  const symptom = failures ?? slowness;
+  const effects = onNewVersion ? summarizeEvidence(state, move) : [];
   if (symptom === undefined) return effects;
   const bad = symptom === 'failures' ? test.new.failed : test.new.slow;
   const verdict: Verdict = {
--- a/packages/ryeworks-scheduler/src/moves/movesState.ts
+++ b/packages/ryeworks-scheduler/src/moves/movesState.ts
@@ -17,12 +17,20 @@
   interTokenMs: number;
 }
 
+/** Slow calls of a short time, which tend to come together. */
+export interface SlownessBlock {
+  startedAtMs: number;
+  readonly old: {observed: number; slow: number};
+  readonly new: {observed: number; slow: number};
+}
+
 /** Sequential tests of one route under one move, at the zone's owner. */
 export interface RouteTest {
   readonly old: ObservationCounts;
   readonly new: ObservationCounts;
   readonly failures: SequentialTest;
   readonly slowness: SequentialTest;
+  block: SlownessBlock;
 }
 
 /** Observations of the new version that the leader has heard of. */
--- a/packages/ryeworks-scheduler/src/moves/sequentialTest.ts
+++ b/packages/ryeworks-scheduler/src/moves/sequentialTest.ts
@@ -51,10 +51,8 @@
   return {acceptable, unacceptable};
 }
 
-/** Derives the rates of slow calls to tell apart from the old version's. */
-export function estimateSlowRates(observed: number, slow: number): TestedRates {
-  const rate = (slow + 5) / (observed + 50);
-  const acceptable = clampRate(rate, 0.05, 0.5);
-  const unacceptable = clampRate(acceptable + 0.4, 0.45, 0.95);
-  return {acceptable, unacceptable};
-}
+/** Rates of slow blocks that the test of slowness tells apart. */
+export const slowBlockRates: TestedRates = {
+  acceptable: 0.05,
+  unacceptable: 0.6,
+};
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -111,6 +111,11 @@
   ];
 }
 
+/** Tells whether a failed call had reached its endpoint and cost it work. */
+function loadsEndpoint(failure: CallFailure): boolean {
+  return failure !== callFailure.notSent;
+}
+
 /** Decides whether a request may be attempted again. */
 function canRetry(
   state: NodeState,
@@ -120,7 +125,7 @@
   if (!mayRetry[failure][request.routeClass]) return false;
   if (request.firstTokenAtMs > 0) return false;
   if (request.attempts >= maxAttempts) return false;
-  return state.requests.retryBudget >= 1;
+  return !loadsEndpoint(failure) || state.requests.retryBudget >= 1;
 }
 
 /** Waits a little and attempts a request again on another endpoint. */
@@ -131,7 +136,7 @@
   nowMs: number,
 ): Effect[] {
   const {random, requests, timers} = state;
-  requests.retryBudget -= 1;
+  if (loadsEndpoint(failure)) requests.retryBudget -= 1;
   const effects: Effect[] = [
     createCount('request.retried', {reason: failure}),
     ...recordObservation(state, request, false, 0, nowMs),
