Add the operators' command line, zone status and process fault tests

Change besides: 'ryeworks plans|allowances|moves|status', a status object a zone (one write in 5 s for all its VMs), tests with real processes: SIGKILL, SIGSTOP past ownership, SIGTERM, silent connections, retries at other VMs.

--- a/packages/ryeworks-config/src/settings.ts
+++ b/packages/ryeworks-config/src/settings.ts
@@ -17,6 +17,11 @@
   readonly availabilityZone: string;
   /** Every availability zone of the deployment. */
   readonly availabilityZones: readonly string[];
+  /**
+   * `host:port` of some VMs of the deployment, asked when the platform's list
+   * is not to be had at the start. Default none.
+   */
+  readonly seedPeers: readonly string[];
   /** Where callers and the balancer reach this VM. */
   readonly callerListen: ListenAddress;
   /** Where the other VMs reach this VM. */
@@ -131,6 +136,11 @@
       minItems: 1,
       uniqueItems: true,
     },
+    seedPeers: {
+      type: 'array',
+      items: {type: 'string', pattern: '^[^:]+:[0-9]+$'},
+      default: [],
+    },
     callerListen: listenAddressSchema,
     peerListen: listenAddressSchema,
     peerKey: {type: 'string', minLength: 8},
--- /dev/null
+++ b/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
@@ -0,0 +1,144 @@
+import t, {Test} from 'tap';
+import {Deployment, DeploymentOptions} from '../deployment/deployment.js';
+import {
+  aerolithPlan,
+  DeploymentPlan,
+  desatorosPlan,
+} from '../deployment/deploymentPlan.js';
+import {waitUntil} from '../deployment/waitUntil.js';
+import {createCall, makeCall} from '../load/makeCall.js';
+import {RetriedCall, runRetryingLoad} from '../load/runRetryingLoad.js';
+import {findBrokenPromises} from '../report/findBrokenPromises.js';
+
+const seed = 11;
+const plan: DeploymentPlan = {
+  ...desatorosPlan,
+  availabilityZones: ['lima-1', 'lima-2'],
+};
+
+/** Starts a deployment that ends with the test. */
+async function startDeployment(
+  t: Test,
+  options: DeploymentOptions = {},
+): Promise<Deployment> {
+  const deployment = await Deployment.start(plan, options);
+  t.teardown(() => deployment.stop());
+  return deployment;
+}
+
+/** Runs a load while something happens; returns all attempts of all calls. */
+async function runLoadDuring(
+  deployment: Deployment,
+  disturb: () => Promise<void>,
+): Promise<RetriedCall[]> {
+  const load = runRetryingLoad({
+    plan: deployment.plan,
+    urls: () => deployment.vms.map(vm => vm.callerUrl),
+    callsPerSecond: 60,
+    durationMs: 6000,
+    seed,
+  });
+  await new Promise(resolve => setTimeout(resolve, 2000));
+  await disturb();
+  return load;
+}
+
+/** Checks the promises on all attempts of all calls. */
+async function checkPromises(
+  t: Test,
+  deployment: Deployment,
+  calls: readonly RetriedCall[],
+): Promise<void> {
+  const runs = await deployment.readRuns();
+  const last = calls.map(one => one.attempts[one.attempts.length - 1]);
+  t.strictSame(findBrokenPromises(last, runs), [], `seed ${seed}`);
+  const crossed = calls
+    .flatMap(one => one.attempts)
+    .filter(one => one.isCrossed);
+  t.equal(crossed.length, 0, 'no crossed answer');
+}
+
+t.test('a VM killed under load: no call runs twice', async t => {
+  const deployment = await startDeployment(t);
+  const calls = await runLoadDuring(deployment, async () => {
+    const [killed] = deployment.vms.splice(0, 1);
+    deployment.processes.signal(killed.name, 'SIGKILL');
+  });
+  await checkPromises(t, deployment, calls);
+  const whole = calls.filter(one => one.attempts.some(two => two.isWhole));
+  t.ok(whole.length > calls.length * 0.9, `${whole.length}/${calls.length}`);
+});
+
+t.test('a VM frozen past its ownership: no call runs twice', async t => {
+  const deployment = await startDeployment(t);
+  const [frozen] = deployment.vms;
+  const calls = await runLoadDuring(deployment, async () => {
+    deployment.processes.signal(frozen.name, 'SIGSTOP');
+    await new Promise(resolve => setTimeout(resolve, 3500));
+    deployment.processes.signal(frozen.name, 'SIGCONT');
+  });
+  await checkPromises(t, deployment, calls);
+});
+
+t.test('a planned stop under load cuts no answer', async t => {
+  const deployment = await startDeployment(t);
+  const [leaving] = deployment.vms;
+  let exitCode: number | null = null;
+  const calls = await runLoadDuring(deployment, async () => {
+    deployment.processes.signal(leaving.name, 'SIGTERM');
+    exitCode = await deployment.processes.waitForExit(leaving.name);
+    deployment.vms.splice(0, 1);
+  });
+  await checkPromises(t, deployment, calls);
+  t.equal(exitCode, 0, 'the process ends by itself');
+  const cut = calls
+    .flatMap(one => one.attempts)
+    .filter(one => one.error === 'truncated' || one.ran === 'unknown');
+  t.strictSame(
+    cut.map(one => one.error),
+    [],
+    'no answer was cut',
+  );
+});
+
+t.test('open connections to engines go silent: streams resume', async t => {
+  const deployment = await startDeployment(t, {hasEngineProxies: true});
+  const calls = await runLoadDuring(deployment, async () => {
+    for (const url of deployment.proxyUrls.values()) {
+      if (url === deployment.platformUrl) continue;
+      await deployment.control(url, {silenceOpen: true});
+    }
+  });
+  await checkPromises(t, deployment, calls);
+  const whole = calls.filter(one => one.attempts.some(two => two.isWhole));
+  t.equal(whole.length, calls.length, 'every call got its whole answer');
+});
+
+t.test('a retry at another VM gets the answer of the first', async t => {
+  const deployment = await startDeployment(t);
+  const [kind] = aerolithPlan.calls.filter(one => one.tier === 1);
+  const {apiKey} = plan.customers[0];
+  const service = plan.modelService.service;
+  const sizes = {promptTokens: 50, outputTokens: 150};
+  const call = createCall({...kind, service}, apiKey, sizes);
+  const first = makeCall(deployment.vms[0].callerUrl, call);
+  await waitUntil('the first attempt was dispatched', async () => {
+    const runs = await deployment.readRuns();
+    return runs.has(`key:${call.key}`);
+  });
+  const retries = await Promise.all(
+    deployment.vms.map((vm, index) =>
+      makeCall(vm.callerUrl, {
+        ...call,
+        attempt: index + 2,
+        isStreamed: true,
+      }),
+    ),
+  );
+  for (const retry of retries) {
+    t.equal(retry.isWhole, true, `the retry got the answer: ${retry.error}`);
+  }
+  t.equal((await first).isWhole, true);
+  const runs = await deployment.readRuns();
+  t.equal(runs.get(`key:${call.key}`), 1, 'the call ran once');
+});
--- a/packages/ryeworks-platform/src/createHttpPlatform.ts
+++ b/packages/ryeworks-platform/src/createHttpPlatform.ts
@@ -104,7 +104,9 @@
     },
     putObject: async (kind, name, value, expectedVersion) => {
       const encoded = encodeURIComponent(name);
-      const path = `/objects/${kind}/${encoded}?expected=${expectedVersion}`;
+      const condition =
+        expectedVersion === undefined ? '' : `?expected=${expectedVersion}`;
+      const path = `/objects/${kind}/${encoded}${condition}`;
       const answer = await makeCall({
         method: 'PUT',
         path,
--- a/packages/ryeworks-platform/src/platformPort.ts
+++ b/packages/ryeworks-platform/src/platformPort.ts
@@ -6,6 +6,8 @@
   endpoint: 'endpoint',
   /** One for each entry VM, kept by the platform. */
   vm: 'vm',
+  /** One for each zone: its VMs and the versions they have in force. */
+  status: 'status',
   /** One for each zone that ever had an entry VM. */
   zone: 'zone',
 } as const;
@@ -38,7 +40,8 @@
   /** Returns all objects of a kind. */
   listObjects(kind: ObjectKind): Promise<PlatformObjectList>;
   /**
-   * Writes an object if its version is still the expected one; 0 expects none.
+   * Writes an object if its version is still the expected one; 0 expects none,
+   * undefined takes any.
    * Returns the new version. Throws `VersionConflictError`, `PlatformError`
    * when nothing was written, or `PlatformAnswerLostError` when that is not
    * known.
@@ -47,7 +50,7 @@
     kind: ObjectKind,
     name: string,
     value: unknown,
-    expectedVersion: number,
+    expectedVersion: number | undefined,
   ): Promise<number>;
   /**
    * Returns all objects of a kind once its version is above `sinceVersion`;
--- a/packages/ryeworks-scheduler/src/effect.ts
+++ b/packages/ryeworks-scheduler/src/effect.ts
@@ -1,4 +1,10 @@
-import {DocumentName, Endpoint, ErrorKind, RunStatus} from '@ryeworks/types';
+import {
+  DocumentName,
+  Endpoint,
+  ErrorKind,
+  RunStatus,
+  ZoneStatus,
+} from '@ryeworks/types';
 import {PeerMessage} from './peerMessage.js';
 
 /** Sends a message to a peer; it may be lost. */
@@ -72,6 +78,12 @@
   readonly name: DocumentName;
 }
 
+/** Writes the status of this VM's zone. */
+export interface WriteStatus {
+  readonly kind: 'writeStatus';
+  readonly status: ZoneStatus;
+}
+
 /** Tells the shell whether this VM watches the platform for its zone. */
 export interface SetWatching {
   readonly kind: 'setWatching';
@@ -104,6 +116,7 @@
   | CompleteAnswer
   | WriteDocument
   | ReadDocument
+  | WriteStatus
   | SetWatching
   | Count
   | Log;
--- a/packages/ryeworks-scheduler/src/handleTimerDue.ts
+++ b/packages/ryeworks-scheduler/src/handleTimerDue.ts
@@ -9,6 +9,7 @@
   expireSuspicion,
   probeMember,
 } from './membership/probeMember.js';
+import {reportStatus} from './membership/reportStatus.js';
 import {reportEvidence} from './moves/handleEvidence.js';
 import {leadMoves} from './moves/leadMoves.js';
 import {NodeState} from './nodeState.js';
@@ -42,6 +43,7 @@
   reportEvidence,
   leadMoves,
   sweepClaims,
+  reportStatus,
 };
 
 /** Runs every timer that is due. */
--- a/packages/ryeworks-scheduler/src/membership/applyMemberUpdate.ts
+++ b/packages/ryeworks-scheduler/src/membership/applyMemberUpdate.ts
@@ -71,7 +71,11 @@
   if (known !== undefined && !isNewerUpdate(known, update)) return [];
   const wasLiving = known !== undefined && livingStatuses.has(known.status);
   const isLiving = livingStatuses.has(update.status);
-  state.membership.members.set(update.vm, {...update, changedAtMs: nowMs});
+  state.membership.members.set(update.vm, {
+    ...update,
+    changedAtMs: nowMs,
+    documents: known?.documents ?? {},
+  });
   spreadUpdate(state, update);
   if (update.status === memberStatus.suspect) {
     const dueMs = nowMs + state.options.suspicionMs;
--- a/packages/ryeworks-scheduler/src/membership/gossip.ts
+++ b/packages/ryeworks-scheduler/src/membership/gossip.ts
@@ -52,6 +52,11 @@
   nowMs: number,
 ): Effect[] {
   const effects: Effect[] = [];
+  const sender = state.membership.members.get(from);
+  if (sender !== undefined) {
+    const named = gossip.documents.map(one => [one.name, one.version]);
+    sender.documents = Object.fromEntries(named) as Record<string, number>;
+  }
   for (const update of gossip.updates) {
     effects.push(...applyMemberUpdate(state, update, nowMs));
   }
--- a/packages/ryeworks-scheduler/src/membership/membershipState.ts
+++ b/packages/ryeworks-scheduler/src/membership/membershipState.ts
@@ -16,6 +16,8 @@
   status: MemberStatus;
   /** When the status last changed, in ms. */
   changedAtMs: number;
+  /** Versions in force there, as it last said. */
+  documents: Readonly<Record<string, number>>;
 }
 
 /** An update or verdict that is still to be passed on. */
@@ -51,6 +53,7 @@
     incarnation: options.initialIncarnation,
     status: memberStatus.alive,
     changedAtMs: 0,
+    documents: {},
   };
   return {
     members: new Map([[self.vm, self]]),
--- a/packages/ryeworks-scheduler/src/membership/probeMember.ts
+++ b/packages/ryeworks-scheduler/src/membership/probeMember.ts
@@ -69,7 +69,10 @@
     sequence,
     full,
     sender: createMemberUpdate(self),
-    ...createGossip(state, [createMemberUpdate(target)]),
+    ...createGossip(
+      state,
+      target.vm === '' ? [] : [createMemberUpdate(target)],
+    ),
   };
   return [createSendPeer(state, target.vm, ping)];
 }
@@ -108,6 +111,35 @@
   }
 }
 
+/** Probes the addresses from the settings while no other VM is known. */
+function probeSeeds(state: NodeState, nowMs: number): Effect[] {
+  const effects: Effect[] = [];
+  for (const address of state.options.seedPeers) {
+    if (address === state.options.peerAddress) continue;
+    effects.push(...probeAddress(state, address, nowMs));
+  }
+  return effects;
+}
+
+/** Probes a VM that is known by its address alone. */
+export function probeAddress(
+  state: NodeState,
+  address: string,
+  nowMs: number,
+): Effect[] {
+  const unknown: Member = {
+    vm: '',
+    availabilityZone: '',
+    address,
+    incarnation: 0,
+    status: memberStatus.alive,
+    changedAtMs: nowMs,
+    documents: {},
+  };
+  const probes = sendProbe(state, unknown, nowMs, true);
+  return probes.map(one => (one.kind === 'sendPeer' ? {...one, address} : one));
+}
+
 /** Probes one member and sets the next probe. */
 export function probeMember(
   state: NodeState,
@@ -120,7 +152,7 @@
   forgetMembers(state, nowMs);
   effects.push(...updateWatching(state));
   const target = pickProbeTarget(state);
-  if (target === undefined) return effects;
+  if (target === undefined) return [...effects, ...probeSeeds(state, nowMs)];
   const full = target.status === memberStatus.unreachable;
   return [...effects, ...sendProbe(state, target, nowMs, full)];
 }
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/membership/reportStatus.ts
@@ -0,0 +1,36 @@
+import {ZoneStatus} from '@ryeworks/types';
+import {Effect} from '../effect.js';
+import {getWallClockMs, NodeState} from '../nodeState.js';
+import {rankOwners} from './membershipState.js';
+
+/** Time between two reports of a zone, in ms. */
+const reportPeriodMs = 5000;
+
+/** Describes the VMs of this VM's zone. */
+function createZoneStatus(state: NodeState, nowMs: number): ZoneStatus {
+  const {documents, membership, options} = state;
+  const {availabilityZone} = options;
+  const vms: ZoneStatus['vms'][number][] = [];
+  for (const member of membership.members.values()) {
+    if (member.availabilityZone !== availabilityZone) continue;
+    const isSelf = member.vm === options.vm;
+    const versions = isSelf ? documents.versions : member.documents;
+    const {vm, status} = member;
+    vms.push({vm, status, documents: {...versions}});
+  }
+  const atMs = Math.round(getWallClockMs(state, nowMs));
+  return {availabilityZone, atMs, vms};
+}
+
+/** Reports the zone to the platform: one write for all its VMs. */
+export function reportStatus(
+  state: NodeState,
+  _subject: string,
+  nowMs: number,
+): Effect[] {
+  const {membership, options, timers} = state;
+  timers.set('reportStatus', '', nowMs + reportPeriodMs);
+  const [reporter] = rankOwners(membership, 'status', options.availabilityZone);
+  if (reporter !== options.vm) return [];
+  return [{kind: 'writeStatus', status: createZoneStatus(state, nowMs)}];
+}
--- a/packages/ryeworks-scheduler/src/schedulerOptions.ts
+++ b/packages/ryeworks-scheduler/src/schedulerOptions.ts
@@ -20,6 +20,8 @@
   readonly initialIncarnation: number;
   /** `host:port` where peers reach this VM. */
   readonly peerAddress: string;
+  /** `host:port` of peers to ask first, when no list of VMs is to be had. */
+  readonly seedPeers: readonly string[];
   /** Every availability zone of the deployment. */
   readonly availabilityZones: readonly string[];
   readonly services: readonly ServiceDefinition[];
--- a/packages/ryeworks-scheduler/src/startNode.ts
+++ b/packages/ryeworks-scheduler/src/startNode.ts
@@ -10,6 +10,7 @@
   ['reportEvidence', 200],
   ['leadMoves', 500],
   ['sweepClaims', 1000],
+  ['reportStatus', 2000],
 ];
 
 /** Starts the periodic work of a VM. */
--- a/packages/ryeworks-scheduler/src/timerQueue.ts
+++ b/packages/ryeworks-scheduler/src/timerQueue.ts
@@ -16,7 +16,8 @@
   | 'reportLimits'
   | 'reportEvidence'
   | 'leadMoves'
-  | 'sweepClaims';
+  | 'sweepClaims'
+  | 'reportStatus';
 
 /** A timer that fired. */
 export interface Timer {
--- a/packages/ryeworks-standins/src/engine/startEngine.ts
+++ b/packages/ryeworks-standins/src/engine/startEngine.ts
@@ -23,6 +23,8 @@
 
 /** A stream that may be read, cut and resumed. */
 interface EngineStream {
+  /** Idempotency key, or else the request id: marks each word. */
+  readonly label: string;
   readonly events: string[];
   isDone: boolean;
   isFailed: boolean;
@@ -77,7 +79,7 @@
     const stream = streams.get(event.id);
     if (stream === undefined) return;
     if (event.kind === 'token') {
-      const content = `w${stream.events.length + 1}-${event.id} `;
+      const content = `w${stream.events.length + 1}-${stream.label} `;
       const choices = [{index: 0, delta: {content}, finish_reason: null}];
       const object = 'chat.completion.chunk';
       emitEvent(stream, JSON.stringify({id: event.id, object, choices}));
@@ -133,7 +135,12 @@
     runs[id] = (runs[id] ?? 0) + 1;
     const key = request.headers['idempotency-key'];
     if (key !== undefined) runs[`key:${key}`] = (runs[`key:${key}`] ?? 0) + 1;
-    const stream: EngineStream = {events: [], isDone: false, isFailed: false};
+    const stream: EngineStream = {
+      label: String(key ?? id),
+      events: [],
+      isDone: false,
+      isFailed: false,
+    };
     streams.set(id, stream);
     addSequence(model, {
       id,
--- a/packages/ryeworks-types/src/index.ts
+++ b/packages/ryeworks-types/src/index.ts
@@ -8,3 +8,4 @@
 export * from './schedulerError.js';
 export * from './service.js';
 export * from './tier.js';
+export * from './zoneStatus.js';
--- /dev/null
+++ b/packages/ryeworks/src/bin/ryeworks.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {createProgram} from '../createProgram.js';
+
+await createProgram().parseAsync();
--- /dev/null
+++ b/packages/ryeworks/src/index.ts
@@ -0,0 +1,2 @@
+export {createProgram} from './createProgram.js';
+export {exitCodes} from './exitCodes.js';
--- /dev/null
+++ b/packages/ryeworks/src/moves/describeMove.ts
@@ -0,0 +1,22 @@
+import {VersionMove} from '@ryeworks/types';
+
+/** Describes a move in one line. */
+export function describeMove(move: VersionMove): string {
+  const {service, fromVersion, toVersion, phase, share, evidence} = move;
+  const percent = `${Math.round(share * 100)} %`;
+  const deadline = new Date(move.deadlineAtMs).toISOString();
+  const late = move.late ? ', late' : '';
+  const why =
+    evidence === undefined
+      ? ''
+      : `: ${evidence.symptom}` +
+        (evidence.route === '' ? '' : ` on ${evidence.route}`) +
+        `, ${evidence.bad} of ${evidence.observed} calls` +
+        (evidence.availabilityZone === ''
+          ? ''
+          : `, seen in ${evidence.availabilityZone}`);
+  return (
+    `${move.move}  ${service} ${fromVersion} -> ${toVersion}  ` +
+    `${phase} (${percent})  by ${deadline}${late}${why}`
+  );
+}
--- a/packages/ryeworksd/src/createEffectHandlers.ts
+++ b/packages/ryeworksd/src/createEffectHandlers.ts
@@ -56,6 +56,7 @@
     },
     writeDocument: effect => void platformWatcher.writeDocument(effect),
     readDocument: effect => void platformWatcher.readDocument(effect.name),
+    writeStatus: effect => void platformWatcher.writeStatus(effect.status),
     setWatching: effect => platformWatcher.setWatching(effect.watching),
   };
 }
--- a/packages/ryeworksd/src/createEntryProcess.ts
+++ b/packages/ryeworksd/src/createEntryProcess.ts
@@ -65,6 +65,7 @@
     availabilityZone: settings.availabilityZone,
     availabilityZones: settings.availabilityZones,
     peerAddress: `${settings.peerListen.host}:${settings.peerListen.port}`,
+    seedPeers: settings.seedPeers,
     initialIncarnation: Math.floor(startedMs / 1000),
     services: settings.services,
     seed: getHash(`${settings.vm}/${startedMs}`),
--- a/packages/ryeworksd/src/platform/platformWatcher.ts
+++ b/packages/ryeworksd/src/platform/platformWatcher.ts
@@ -13,6 +13,7 @@
   PlatformAnswerLostError,
   VersionConflictError,
   VmRecord,
+  ZoneStatus,
 } from '@ryeworks/types';
 import {SchedulerLoop} from '../core/schedulerLoop.js';
 
@@ -93,6 +94,17 @@
     }
   }
 
+  /** Writes the status of the zone; one that fails is left out. */
+  async writeStatus(status: ZoneStatus): Promise<void> {
+    const {availabilityZone} = status;
+    const kind = objectKind.status;
+    try {
+      await this.platform.putObject(kind, availabilityZone, status, undefined);
+    } catch (error) {
+      this.logger.warn('platform_write_failed', {kind, reason: `${error}`});
+    }
+  }
+
   /** Learns whether this is the first start of the zone ever. */
   private async foundZone(availabilityZone: string): Promise<void> {
     while (!this.isStopped) {
