--- /dev/null
+++ b/packages/ryeworks-lab/src/__tests__/badInput.test.ts
@@ -0,0 +1,134 @@
+import t from 'tap';
+import {connect} from 'node:net';
+import {request} from 'undici';
+import {Deployment, operatorKey} from '../deployment/deployment.js';
+import {desatorosPlan} from '../deployment/deploymentPlan.js';
+import {createCall, makeCall} from '../load/makeCall.js';
+
+const plan = {
+  ...desatorosPlan,
+  availabilityZones: ['lima-1'],
+  vmsPerZone: 1,
+  enginesPerZone: [2],
+};
+const deployment = await Deployment.start(plan);
+t.teardown(() => deployment.stop());
+const [vm] = deployment.vms;
+const {apiKey} = plan.customers[0];
+const goodBody = {
+  model: plan.modelService.service,
+  messages: [{role: 'user', content: 'hello'}],
+  max_tokens: 3,
+};
+
+/** What a refused caller reads. */
+interface ErrorBody {
+  readonly error: {readonly type: string; readonly message: string};
+}
+
+/** Sends a completion call; returns status and error. */
+async function send(
+  body: string,
+  headers: Record<string, string> = {},
+): Promise<{status: number; error: ErrorBody['error'] | undefined}> {
+  const answer = await request(`${vm.callerUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${apiKey}`,
+      'content-type': 'application/json',
+      ...headers,
+    },
+    body,
+  });
+  const parsed = (await answer.body.json()) as ErrorBody;
+  return {status: answer.statusCode, error: parsed.error};
+}
+
+t.test('malformed JSON', async t => {
+  const {status, error} = await send('{"model": ');
+  t.equal(status, 400);
+  t.equal(error?.type, 'malformedRequest');
+  t.match(error?.message, /JSON/);
+});
+
+t.test('a field of the wrong type is named', async t => {
+  const {error} = await send(JSON.stringify({...goodBody, max_tokens: -1}));
+  t.match(error?.message, /"max_tokens"/);
+});
+
+t.test('a body that is too large', async t => {
+  const {status, error} = await send('x'.repeat(1_100_000));
+  t.equal(status, 413);
+  t.equal(error?.type, 'bodyTooLarge');
+});
+
+t.test('an unknown model', async t => {
+  const {status} = await send(JSON.stringify({...goodBody, model: 'none'}));
+  t.equal(status, 404);
+});
+
+t.test('a wrong key', async t => {
+  const body = JSON.stringify(goodBody);
+  const {status} = await send(body, {authorization: 'Bearer wrong'});
+  t.equal(status, 401);
+});
+
+t.test('a tier that does not exist', async t => {
+  const body = JSON.stringify(goodBody);
+  const {error} = await send(body, {'ryeworks-tier': '9'});
+  t.match(error?.message, /Ryeworks-Tier must be one of 1, 2, 3/);
+});
+
+t.test('an idempotency key that was used for another request', async t => {
+  const headers = {'idempotency-key': 'k-1'};
+  t.equal((await send(JSON.stringify(goodBody), headers)).status, 200);
+  const other = JSON.stringify({...goodBody, max_tokens: 4});
+  const {status, error} = await send(other, headers);
+  t.equal(status, 409);
+  t.equal(error?.type, 'keyReused');
+});
+
+t.test('bytes that are no peer message', async t => {
+  await new Promise<void>((resolve, reject) => {
+    const socket = connect(vm.peerPort, '127.0.0.1', () => {
+      socket.end('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\u0000garbage');
+    });
+    socket.on('close', () => resolve());
+    socket.on('error', reject);
+    socket.resume();
+  });
+  t.equal((await send(JSON.stringify(goodBody))).status, 200);
+});
+
+t.test('a peer without the key is refused', async t => {
+  const answer = await fetch(`${vm.callerUrl}/status`);
+  t.equal(answer.status, 401);
+  const allowed = await fetch(`${vm.callerUrl}/status`, {
+    headers: {authorization: `Bearer ${operatorKey}`},
+  });
+  t.equal(allowed.status, 200);
+});
+
+t.test('"not run" of an endpoint allows another attempt', async t => {
+  const [name] = [...deployment.directUrls.keys()].filter(one =>
+    one.startsWith('service'),
+  );
+  const url = deployment.directUrls.get(name)!;
+  const booking = plan.calls.find(one => one.name === 'gully booking')!;
+  const sizes = {promptTokens: 0, outputTokens: 0};
+  await deployment.control(url, {refuseRate: 1});
+  const refused = await makeCall(
+    vm.callerUrl,
+    createCall(booking, apiKey, sizes),
+  );
+  t.equal(refused.ran, 'not-run');
+  await deployment.control(url, {refuseRate: 0, failRate: 1});
+  const failed = await makeCall(
+    vm.callerUrl,
+    createCall(booking, apiKey, sizes),
+  );
+  t.equal(failed.ran, 'ran', 'a failure after the run is not "not run"');
+  const runs = await deployment.readRuns();
+  t.equal(runs.get(refused.call.key), undefined);
+  t.equal(runs.get(failed.call.key), 1);
+});
--- /dev/null
+++ b/packages/ryeworks-lab/src/__tests__/operators.test.ts
@@ -0,0 +1,159 @@
+import t from 'tap';
+import {exitCodes} from 'ryeworks';
+import {writeFile} from 'node:fs/promises';
+import {Deployment} from '../deployment/deployment.js';
+import {desatorosPlan} from '../deployment/deploymentPlan.js';
+import {runCli} from '../deployment/runCli.js';
+import {waitUntil} from '../deployment/waitUntil.js';
+import {runLoad} from '../load/runLoad.js';
+
+const seed = 5;
+const plan = {...desatorosPlan, availabilityZones: ['lima-1', 'lima-2']};
+const deployment = await Deployment.start(plan, {
+  hasPlatformProxy: true,
+  scheduler: {observeMs: 1000},
+});
+t.teardown(() => deployment.stop());
+const directory = t.testdir();
+const directPlatform = deployment.proxyUrls.get('platform-control')!;
+
+/** Returns the version of a document on every VM. */
+async function readVersions(name: string): Promise<number[]> {
+  const statuses = await Promise.all(
+    deployment.vms.map(vm => deployment.readStatus(vm)),
+  );
+  return statuses.map(status => status.documents[name]);
+}
+
+/** Reads a list with the command line and saves it, changed. */
+async function editPlans(file: string, requestsPerSecond: number) {
+  const {stdout} = await runCli(deployment, ['plans', 'get']);
+  const pattern = /"requestsPerSecond": \d+/;
+  const text = stdout.replace(
+    pattern,
+    `"requestsPerSecond": ${requestsPerSecond}`,
+  );
+  await writeFile(file, text);
+}
+
+t.test('a change is in force on every VM', async t => {
+  const file = `${directory}/plans.jsonc`;
+  await editPlans(file, 3001);
+  const applied = await runCli(deployment, ['--json', 'plans', 'apply', file]);
+  t.equal(applied.exitCode, exitCodes.ok, applied.stderr);
+  const {version} = JSON.parse(applied.stdout) as {version: number};
+  await waitUntil('the change is in force', async () =>
+    (await readVersions('plans')).every(one => one === version),
+  );
+});
+
+t.test(
+  'of two racing operators one wins, the other sees what changed',
+  async t => {
+    const files = [`${directory}/a.jsonc`, `${directory}/b.jsonc`];
+    await editPlans(files[0], 4001);
+    await editPlans(files[1], 4002);
+    const results = await Promise.all(
+      files.map(file => runCli(deployment, ['plans', 'apply', file])),
+    );
+    const codes = results.map(one => one.exitCode).sort();
+    t.strictSame(codes, [exitCodes.ok, exitCodes.conflict]);
+    const loser = results.find(one => one.exitCode === exitCodes.conflict)!;
+    t.match(loser.stderr, /requestsPerSecond: 400\d -> 400\d/);
+  },
+);
+
+t.test('a lost answer is settled by reading back', async t => {
+  const file = `${directory}/lost.jsonc`;
+  await editPlans(file, 5001);
+  await deployment.control(directPlatform, {loseAnswers: 1});
+  const applied = await runCli(deployment, ['plans', 'apply', file]);
+  t.equal(applied.exitCode, exitCodes.ok, applied.stderr);
+});
+
+t.test('an invalid list is refused whole, with the place', async t => {
+  const file = `${directory}/bad.jsonc`;
+  await writeFile(file, '// version: 1\n{"plans": [], "customer": []}');
+  const applied = await runCli(deployment, ['plans', 'apply', file]);
+  t.equal(applied.exitCode, exitCodes.invalidContent);
+  t.match(applied.stderr, /bad\.jsonc:2:\d+: "customer" is not a known key/);
+});
+
+t.test('invalid content on the platform leaves the last good one', async t => {
+  const before = await readVersions('plans');
+  await deployment.platform.putObject('config', 'plans', {plans: 7}, undefined);
+  const config = await deployment.platform.listObjects('config');
+  const {version} = config.items.find(one => one.name === 'allowances')!;
+  const allowances = await deployment.platform.getObject(
+    'config',
+    'allowances',
+  );
+  await deployment.platform.putObject(
+    'config',
+    'allowances',
+    allowances!.value,
+    version,
+  );
+  await waitUntil('the valid list came through', async () =>
+    (await readVersions('allowances')).every(one => one > version),
+  );
+  t.strictSame(await readVersions('plans'), before);
+});
+
+t.test(
+  'the platform down: serving goes on',
+  async t => {
+    await deployment.control(directPlatform, {isDown: true});
+    const before = await readVersions('allowances');
+    const results = await runLoad({
+      plan,
+      urls: () => deployment.vms.map(vm => vm.callerUrl),
+      callsPerSecond: 20,
+      durationMs: 1500,
+      seed,
+    });
+    t.ok(
+      results.every(one => one.isWhole),
+      `all answered, seed ${seed}`,
+    );
+    const refused = await runCli(deployment, ['plans', 'get']);
+    t.equal(refused.exitCode, exitCodes.platformUnreachable);
+    await deployment.control(directPlatform, {isDown: false});
+    t.strictSame(await readVersions('allowances'), before);
+  },
+);
+
+t.test('a bad version is withdrawn and the report says why', async t => {
+  await deployment.startEndpoints('v2', [1, 2]);
+  for (const [name, url] of deployment.directUrls) {
+    if (name.includes('-v2-')) await deployment.control(url, {failRate: 0.8});
+  }
+  const service = plan.modelService.service;
+  const args = ['moves', 'start', '--service', service];
+  args.push('--to', 'v2', '--deadline', '+30s', '--json');
+  const started = await runCli(deployment, args);
+  t.equal(started.exitCode, exitCodes.ok, started.stderr);
+  const {move} = JSON.parse(started.stdout) as {move: string};
+  const racing = await runCli(deployment, args);
+  t.equal(racing.exitCode, exitCodes.conflict, 'one move at a time');
+  const load = runLoad({
+    plan,
+    urls: () => deployment.vms.map(vm => vm.callerUrl),
+    callsPerSecond: 80,
+    durationMs: 25_000,
+    seed,
+  });
+  const watched = await runCli(deployment, ['moves', 'watch', move]);
+  t.equal(watched.exitCode, exitCodes.failed, watched.stdout);
+  t.match(watched.stdout, /withdrawn .*failures on POST .*seen in lima-/);
+  await load;
+});
+
+t.test('the status names every VM and its versions', async t => {
+  await waitUntil('every zone has reported', async () => {
+    const {items} = await deployment.platform.listObjects('status');
+    return items.length === plan.availabilityZones.length;
+  });
+  const {stdout} = await runCli(deployment, ['status']);
+  for (const {name} of deployment.vms) t.match(stdout, name);
+});
--- a/packages/ryeworks-lab/src/deployment/processGroup.ts
+++ b/packages/ryeworks-lab/src/deployment/processGroup.ts
@@ -71,14 +71,14 @@
   }
 }
 
-/** Waits until a URL answers with a status below 400. */
+/** Waits until a URL answers with a status below 500. */
 export async function waitUntilReady(url: string): Promise<void> {
   const attempts = startTimeoutMs / pollMs;
   for (let attempt = 0; attempt < attempts; attempt++) {
     try {
       const answer = await request(url, {signal: AbortSignal.timeout(1000)});
       await answer.body.dump();
-      if (answer.statusCode < 400) return;
+      if (answer.statusCode < 500) return;
     } catch {
       // Not listening yet.
     }
