--- a/packages/ryeworks-lab/src/__tests__/operators.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/operators.test.ts
@@ -100,28 +100,25 @@
   t.strictSame(await readVersions('plans'), before);
 });
 
-t.test(
-  'the platform down: serving goes on',
-  async t => {
-    await deployment.control(directPlatform, {isDown: true});
-    const before = await readVersions('allowances');
-    const results = await runLoad({
-      plan,
-      urls: () => deployment.vms.map(vm => vm.callerUrl),
-      callsPerSecond: 20,
-      durationMs: 1500,
-      seed,
-    });
-    t.ok(
-      results.every(one => one.isWhole),
-      `all answered, seed ${seed}`,
-    );
-    const refused = await runCli(deployment, ['plans', 'get']);
-    t.equal(refused.exitCode, exitCodes.platformUnreachable);
-    await deployment.control(directPlatform, {isDown: false});
-    t.strictSame(await readVersions('allowances'), before);
-  },
-);
+t.test('the platform down: serving goes on', async t => {
+  await deployment.control(directPlatform, {isDown: true});
+  const before = await readVersions('allowances');
+  const results = await runLoad({
+    plan,
+    urls: () => deployment.vms.map(vm => vm.callerUrl),
+    callsPerSecond: 20,
+    durationMs: 1500,
+    seed,
+  });
+  t.ok(
+    results.every(one => one.isWhole),
+    `all answered, seed ${seed}`,
+  );
+  const refused = await runCli(deployment, ['plans', 'get']);
+  t.equal(refused.exitCode, exitCodes.platformUnreachable);
+  await deployment.control(directPlatform, {isDown: false});
+  t.strictSame(await readVersions('allowances'), before);
+});
 
 t.test('a bad version is withdrawn and the report says why', async t => {
   await deployment.startEndpoints('v2', [1, 2]);
--- /dev/null
+++ b/packages/ryeworks-lab/src/bin/measure.ts
@@ -0,0 +1,37 @@
+#!/usr/bin/env node
+import {Command} from 'commander';
+import {mkdir} from 'node:fs/promises';
+import {runOverload} from '../measure/runOverload.js';
+
+/** Measurements by name; each tells whether its targets were met. */
+const measurements: Readonly<
+  Record<string, (directory: string) => Promise<boolean>>
+> = {
+  overload: runOverload,
+};
+
+const names = Object.keys(measurements).join(', ');
+
+/** Runs a measurement; exit code 1 when it misses a target. */
+async function runMeasurement(
+  name: string,
+  options: {out: string},
+): Promise<void> {
+  const runNamed = measurements[name];
+  if (runNamed === undefined) {
+    console.error(`no measurement "${name}"; known: ${names}`);
+    process.exitCode = 2;
+    return;
+  }
+  await mkdir(options.out, {recursive: true});
+  const isMet = await runNamed(options.out);
+  console.log(isMet ? 'targets met' : 'targets missed');
+  process.exitCode = isMet ? 0 : 1;
+}
+
+await new Command('measure')
+  .description('Measures the product; writes figures and plots.')
+  .argument('<name>', names)
+  .option('--out <directory>', 'where to write', 'docs/measurements')
+  .action(runMeasurement)
+  .parseAsync();
