Learn each engine's concurrency from its mean pace

Cause: the concurrency of an engine stayed near its first guess.

Change: the call that ends still counts; pace is a token-weighted mean; concurrency grows with spare pace and is cut in proportion.

--- a/packages/ryeworks-scheduler/src/admission/decideGrants.ts
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -8,6 +8,7 @@
   isOnProbation,
   EndpointAccount,
   estimateFirstTokenMs,
+  getInterTokenMs,
   recordGrant,
 } from './endpointAccount.js';
 import {estimateRetryAfterMs, estimateServiceMs} from './estimateWait.js';
@@ -77,7 +78,7 @@
     const isCached = account.prefixes.has(ask.prefixHash);
     const promptTokens = ask.promptTokens * (isCached ? 1 - prefixSaving : 1);
     const firstTokenMs = estimateFirstTokenMs(account, promptTokens, nowMs);
-    const loadMs = account.inFlight * account.interTokenMs;
+    const loadMs = account.inFlight * getInterTokenMs(account);
     const score = firstTokenMs + loadMs;
     if (score >= bestScore) continue;
     best = account;
--- a/packages/ryeworks-scheduler/src/admission/endpointAccount.ts
+++ b/packages/ryeworks-scheduler/src/admission/endpointAccount.ts
@@ -1,9 +1,17 @@
 /** Weight of a new sample in a running mean. */
-const sampleWeight = 0.1;
-/** Factor by which an endpoint that is too slow loses concurrency. */
-const slowDownFactor = 0.85;
+const sampleWeight = 0.05;
+/** Least factor by which an endpoint that is too slow loses concurrency. */
+const leastSlowDownFactor = 0.5;
 /** Least time between two cuts of the concurrency of an endpoint, in ms. */
 const slowDownIntervalMs = 500;
+/** Mean pace over the target above which concurrency is cut. */
+const cutAbovePace = 0.9;
+/** Mean pace over the target below which concurrency grows. */
+const growBelowPace = 0.8;
+/** Part of its concurrency from which an endpoint counts as in use. */
+const inUseFraction = 0.8;
+/** Concurrency gained with each call, for each unit of spare pace. */
+const growthPerCall = 0.5;
 /** Failures in a row after which an endpoint rests. */
 const failuresBeforeRest = 3;
 /** First and longest rest of a failing endpoint, in ms. */
@@ -16,6 +24,8 @@
 const initialFirstTokenMs = 50;
 /** Mean time between tokens of an unknown endpoint, in ms. */
 const initialInterTokenMs = 20;
+/** Gaps between tokens of a call that an unknown endpoint starts from. */
+const initialGaps = 20;
 
 /** What the admission owner knows of one endpoint. */
 export interface EndpointAccount {
@@ -29,8 +39,9 @@
   /** Running means over calls; their ratio is the reading speed. */
   meanPromptTokens: number;
   meanFirstTokenMs: number;
-  /** Learned mean time between tokens. */
-  interTokenMs: number;
+  /** Running means over calls; their ratio is the time between tokens. */
+  meanGaps: number;
+  meanSpanMs: number;
   failuresInRow: number;
   restingUntilMs: number;
   lastSlowDownMs: number;
@@ -43,6 +54,7 @@
   readonly promptTokens: number;
   readonly firstTokenMs: number;
   readonly interTokenMs: number;
+  readonly outputTokens: number;
 }
 
 /** Longest acceptable times of a service. */
@@ -63,7 +75,8 @@
     promptsReadAtMs: 0,
     meanPromptTokens: initialPromptTokens,
     meanFirstTokenMs: initialFirstTokenMs,
-    interTokenMs: initialInterTokenMs,
+    meanGaps: initialGaps,
+    meanSpanMs: initialGaps * initialInterTokenMs,
     failuresInRow: 0,
     restingUntilMs: 0,
     lastSlowDownMs: 0,
@@ -81,6 +94,11 @@
   return account.meanPromptTokens / account.meanFirstTokenMs;
 }
 
+/** Returns the mean time between the tokens of an endpoint, in ms. */
+export function getInterTokenMs(account: EndpointAccount): number {
+  return account.meanSpanMs / account.meanGaps;
+}
+
 /** Estimates the time to the first token of a prompt, in ms. */
 export function estimateFirstTokenMs(
   account: EndpointAccount,
@@ -111,7 +129,7 @@
   }
 }
 
-/** Learns speed and concurrency from a call that ended well. */
+/** Learns from a call that ends well, while it still counts as in flight. */
 export function recordSample(
   account: EndpointAccount,
   sample: CallSample,
@@ -126,26 +144,41 @@
     account.meanFirstTokenMs = mixSample(meanFirstTokenMs, sample.firstTokenMs);
   }
   if (sample.interTokenMs > 0) {
-    account.interTokenMs = mixSample(account.interTokenMs, sample.interTokenMs);
+    const gaps = sample.outputTokens - 1;
+    account.meanGaps = mixSample(account.meanGaps, gaps);
+    const spanMs = gaps * sample.interTokenMs;
+    account.meanSpanMs = mixSample(account.meanSpanMs, spanMs);
   }
-  const isSlow =
-    targets.interTokenTargetMs > 0
-      ? sample.interTokenMs > targets.interTokenTargetMs
-      : sample.firstTokenMs > targets.firstTokenTargetMs;
-  if (isSlow) {
-    reduceConcurrency(account, nowMs);
+  const pace = getPace(account, targets);
+  if (pace > cutAbovePace) {
+    reduceConcurrency(account, pace, nowMs);
     return;
   }
-  const isInUse = account.inFlight >= account.concurrencyLimit * 0.8;
-  if (isInUse) account.concurrencyLimit += 1 / account.concurrencyLimit;
+  const isInUse =
+    account.inFlight + 1 > account.concurrencyLimit * inUseFraction;
+  if (!isInUse || pace > growBelowPace) return;
+  account.concurrencyLimit += (growBelowPace - pace) * growthPerCall;
+}
+
+/** Returns the mean pace of an endpoint over the target of its service. */
+function getPace(account: EndpointAccount, targets: PaceTargets): number {
+  const {firstTokenTargetMs, interTokenTargetMs} = targets;
+  if (interTokenTargetMs > 0) {
+    return getInterTokenMs(account) / interTokenTargetMs;
+  }
+  return account.meanFirstTokenMs / firstTokenTargetMs;
 }
 
-/** Cuts the concurrency of an endpoint that is too slow. */
-function reduceConcurrency(account: EndpointAccount, nowMs: number): void {
+/** Cuts the concurrency of an endpoint in proportion to its slowness. */
+function reduceConcurrency(
+  account: EndpointAccount,
+  pace: number,
+  nowMs: number,
+): void {
   if (nowMs - account.lastSlowDownMs < slowDownIntervalMs) return;
   account.lastSlowDownMs = nowMs;
-  const reduced = account.concurrencyLimit * slowDownFactor;
-  account.concurrencyLimit = Math.max(1, reduced);
+  const factor = Math.max(leastSlowDownFactor, cutAbovePace / pace);
+  account.concurrencyLimit = Math.max(1, account.concurrencyLimit * factor);
 }
 
 /** Tells whether an endpoint that failed gets one call at a time. */
--- a/packages/ryeworks-scheduler/src/admission/estimateWait.ts
+++ b/packages/ryeworks-scheduler/src/admission/estimateWait.ts
@@ -1,6 +1,10 @@
 import {NodeState} from '../nodeState.js';
 import {Cell, QueuedAsk} from './admissionState.js';
-import {EndpointAccount, getPromptTokensPerMs} from './endpointAccount.js';
+import {
+  EndpointAccount,
+  getInterTokenMs,
+  getPromptTokensPerMs,
+} from './endpointAccount.js';
 
 /** Least time after which a refused caller is told to come back, in ms. */
 const leastRetryAfterMs = 200;
@@ -29,7 +33,7 @@
   let least = Number.POSITIVE_INFINITY;
   for (const account of cell.accounts.values()) {
     const promptMs = ask.promptTokens / getPromptTokensPerMs(account);
-    const outputMs = ask.maxTokens * account.interTokenMs;
+    const outputMs = ask.maxTokens * getInterTokenMs(account);
     least = Math.min(least, promptMs + outputMs);
   }
   return Number.isFinite(least) ? least : 0;
--- a/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
+++ b/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
@@ -13,7 +13,7 @@
   refuseLateAsks,
   scheduleSweep,
 } from './decideGrants.js';
-import {recordFailure, recordSample} from './endpointAccount.js';
+import {EndpointAccount, recordFailure, recordSample} from './endpointAccount.js';
 import {
   estimateRetryAfterMs,
   estimateServiceMs,
@@ -116,8 +116,8 @@
   return isWaiting ? [...effects, queued] : effects;
 }
 
-/** Learns from a grant that ended. */
-function recordEnd(
+/** Ends the use of a grant. */
+function endGrant(
   state: NodeState,
   cell: Cell,
   grant: Grant,
@@ -126,7 +126,19 @@
 ): void {
   const account = cell.accounts.get(grant.endpoint);
   if (account === undefined) return;
+  learnFromEnd(state, cell, account, grant, message, nowMs);
   account.inFlight = Math.max(0, account.inFlight - 1);
+}
+
+/** Learns the pace of an endpoint from a grant that was used. */
+function learnFromEnd(
+  state: NodeState,
+  cell: Cell,
+  account: EndpointAccount,
+  grant: Grant,
+  message: GrantEnd,
+  nowMs: number,
+): void {
   if (message.outcome === 'unused') return;
   if (message.outcome === 'failed') {
     recordFailure(account, nowMs);
@@ -139,8 +151,8 @@
   );
   if (service === undefined) return;
   const {promptTokens} = grant;
-  const {firstTokenMs, interTokenMs} = message;
-  const sample = {promptTokens, firstTokenMs, interTokenMs};
+  const {firstTokenMs, interTokenMs, outputTokens} = message;
+  const sample = {promptTokens, firstTokenMs, interTokenMs, outputTokens};
   recordSample(account, sample, service, nowMs);
 }
 
@@ -157,7 +169,7 @@
   const grant = cell.grants.get(message.askId);
   if (grant === undefined) return [];
   cell.grants.delete(message.askId);
-  recordEnd(state, cell, grant, message, nowMs);
+  endGrant(state, cell, grant, message, nowMs);
   return decideGrants(state, cell, nowMs);
 }
 
--- a/packages/ryeworks-scheduler/src/index.ts
+++ b/packages/ryeworks-scheduler/src/index.ts
@@ -1,3 +1,4 @@
+export {getInterTokenMs} from './admission/endpointAccount.js';
 export * from './effect.js';
 export * from './handleInput.js';
 export * from './input.js';
--- a/packages/ryeworksd/src/callers/addStatusRoutes.ts
+++ b/packages/ryeworksd/src/callers/addStatusRoutes.ts
@@ -1,3 +1,4 @@
+import {getInterTokenMs} from '@ryeworks/scheduler';
 import {FastifyInstance} from 'fastify';
 import {timingSafeEqual} from 'node:crypto';
 import type {CallerServerContext} from './createCallerServer.js';
@@ -36,7 +37,7 @@
         endpoint: account.endpoint,
         inFlight: account.inFlight,
         concurrencyLimit: Math.round(account.concurrencyLimit * 10) / 10,
-        interTokenMs: Math.round(account.interTokenMs * 10) / 10,
+        interTokenMs: Math.round(getInterTokenMs(account) * 10) / 10,
       })),
     }));
     return {
