--- a/packages/ryeworks-scheduler/src/admission/decideGrants.ts
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -11,7 +11,11 @@
   getInterTokenMs,
   recordGrant,
 } from './endpointAccount.js';
-import {estimateRetryAfterMs, estimateServiceMs} from './estimateWait.js';
+import {
+  estimateCallMs,
+  estimateRetryAfterMs,
+  estimateServiceMs,
+} from './estimateWait.js';
 
 /** Part of an endpoint's concurrency that lower tiers may use. */
 const lowerTierFraction = 0.9;
@@ -59,6 +63,7 @@
   if (account.restingUntilMs > nowMs) return false;
   if (isOnProbation(account) && account.inFlight > 0) return false;
   if (ask.avoid.includes(account.endpoint)) return false;
+  if (nowMs + estimateCallMs(account, ask) > ask.deadlineMs) return false;
   if (ask.engines.length === 0) return true;
   const endpoint = state.admission.endpoints.get(account.endpoint);
   return endpoint !== undefined && ask.engines.includes(endpoint.engine);
--- a/packages/ryeworks-scheduler/src/admission/estimateWait.ts
+++ b/packages/ryeworks-scheduler/src/admission/estimateWait.ts
@@ -10,6 +10,8 @@
 const leastRetryAfterMs = 200;
 /** Longest time after which a refused caller is told to come back, in ms. */
 const longestRetryAfterMs = 10_000;
+/** Factor over the mean time of a call that is allowed for. */
+const callTimeMargin = 1.2;
 /** Spread of the time to come back, as a fraction. */
 const retryAfterSpread = 0.4;
 
@@ -28,17 +30,25 @@
   return (behind * cell.meanHoldMs) / slots;
 }
 
-/** Estimates the time of a call once it is granted, in ms. */
+/** Estimates the time of a call on the fastest endpoint, in ms. */
 export function estimateServiceMs(cell: Cell, ask: QueuedAsk): number {
   let least = Number.POSITIVE_INFINITY;
   for (const account of cell.accounts.values()) {
-    const promptMs = ask.promptTokens / getPromptTokensPerMs(account);
-    const outputMs = ask.maxTokens * getInterTokenMs(account);
-    least = Math.min(least, promptMs + outputMs);
+    least = Math.min(least, estimateCallMs(account, ask));
   }
   return Number.isFinite(least) ? least : 0;
 }
 
+/** Estimates the time of a call on one endpoint, with a margin, in ms. */
+export function estimateCallMs(
+  account: EndpointAccount,
+  ask: QueuedAsk,
+): number {
+  const promptMs = ask.promptTokens / getPromptTokensPerMs(account);
+  const outputMs = ask.maxTokens * getInterTokenMs(account);
+  return (promptMs + outputMs) * callTimeMargin;
+}
+
 /** Returns when a refused caller should come back, in ms from now. */
 export function estimateRetryAfterMs(
   state: NodeState,
