Refuse late asks at once also in a busy cell

The look at a cell's queue was set anew to 50 ms later by every event, so a busy cell never had it. Change: the look is never put off.

--- a/packages/ryeworks-lab/src/scenarios/metrics.ts
+++ b/packages/ryeworks-lab/src/scenarios/metrics.ts
@@ -9,6 +9,9 @@
 /** Time for a verdict to reach every VM that can hear it, in ms. */
 const verdictGraceMs = 2000;
 
+/** A refusal this short before the deadline was held back, in ms. */
+const heldBackMs = 20;
+
 /** Computes one number of a finished run. */
 type Metric = (
   harness: ScenarioHarness,
@@ -165,6 +168,15 @@
       const limitMs = call.startedMs + call.kind.deadlineMs + answerGraceMs;
       return answer !== undefined && answer.atMs > limitMs;
     }).length,
+  'held back': harness =>
+    harness.ledger.calls.filter(call => {
+      if (call.behavior.isRetrying) return false;
+      return call.answers.some(
+        answer =>
+          answer.outcome !== 'done' &&
+          answer.atMs - call.startedMs >= call.kind.deadlineMs - heldBackMs,
+      );
+    }).length,
   'cut answers': harness =>
     harness.ledger.calls.filter(call =>
       call.answers.some(
--- a/packages/ryeworks-scheduler/src/admission/admissionState.ts
+++ b/packages/ryeworks-scheduler/src/admission/admissionState.ts
@@ -37,6 +37,8 @@
   readonly accounts: Map<string, EndpointAccount>;
   /** Running mean of the time that a grant is held, in ms. */
   meanHoldMs: number;
+  /** When the cell is next looked at, in ms. */
+  sweepAtMs: number;
 }
 
 /** A load report of an endpoint and when it arrived. */
--- a/packages/ryeworks-scheduler/src/admission/decideGrants.ts
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -192,12 +192,16 @@
   return effects;
 }
 
-/** Sets the next look at a cell. */
+/** Sets the next look at a cell, never later than the one that is set. */
 export function scheduleSweep(
   state: NodeState,
   cell: Cell,
   nowMs: number,
 ): void {
   const delayMs = cell.queue.length > 0 ? busySweepMs : grantLeaseMs;
-  state.timers.set('cellSweep', cell.cellKey, nowMs + delayMs);
+  const dueMs = nowMs + delayMs;
+  const isSooner = cell.sweepAtMs <= nowMs || dueMs < cell.sweepAtMs;
+  if (!isSooner) return;
+  cell.sweepAtMs = dueMs;
+  state.timers.set('cellSweep', cell.cellKey, dueMs);
 }
--- a/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
+++ b/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
@@ -36,6 +36,7 @@
     grants: new Map(),
     accounts: new Map(),
     meanHoldMs: initialHoldMs,
+    sweepAtMs: 0,
   };
   state.admission.cells.set(cellKey, cell);
   return cell;
--- a/packages/ryeworks-scheduler/src/requests/askForGrant.ts
+++ b/packages/ryeworks-scheduler/src/requests/askForGrant.ts
@@ -104,7 +104,8 @@
 ): Effect[] {
   const request = state.requests.active.get(requestId);
   if (request === undefined || request.phase !== 'asking') return [];
-  if (!request.isQueued) request.askRank += 1;
+  if (request.isQueued) return sendAsk(state, request, nowMs);
+  request.askRank += 1;
   const silent = createCount('ask.silent');
   if (request.askRank <= maxAskRank) {
     return [silent, ...sendAsk(state, request, nowMs)];
