Let the highest tier use what other zones spend on lower tiers

Ways weighed: pressure of each cell in the gossip (stale by seconds), asking every cell (messages grow with the fleet), asking up to four cells for an early grant first and then the one with the shortest wait (chosen: messages only where there is a wait). The check 'held back' now looks at answers 'not run' alone: a call that is running at its deadline is not one that was given up.

--- a/packages/ryeworks-lab/src/harness/callLedger.ts
+++ b/packages/ryeworks-lab/src/harness/callLedger.ts
@@ -7,6 +7,8 @@
   readonly isRetrying: boolean;
   /** Says which attempt it makes. */
   readonly marksAttempts: boolean;
+  /** Zone whose entry VMs it calls; empty or absent for any. */
+  readonly zone?: string;
 }
 
 /** The final answer to one attempt of a call. */
--- a/packages/ryeworks-lab/src/scenarios/metrics.ts
+++ b/packages/ryeworks-lab/src/scenarios/metrics.ts
@@ -1,5 +1,6 @@
 import {CallRecord} from '../harness/callLedger.js';
 import {ScenarioHarness} from '../harness/scenarioHarness.js';
+import {getPercentile} from '../report/summarizeCalls.js';
 import {MetricQualifiers} from './scenarioStatements.js';
 
 /** Time after its deadline by which a call must have its answer, in ms. */
@@ -150,6 +151,13 @@
     const good = calls.filter(call => harness.ledger.isGood(call));
     return calls.length === 0 ? 1 : good.length / calls.length;
   },
+  'first token': (harness, qualifiers) => {
+    const answered = listCalls(harness, qualifiers).filter(
+      call => call.firstTokenMs > 0,
+    );
+    const times = answered.map(call => call.firstTokenMs - call.startedMs);
+    return getPercentile(times, 95);
+  },
   duplicates: countDuplicates,
   'wrong not-run': countWrongNotRun,
   inversions: countInversions,
@@ -173,7 +181,7 @@
       if (call.behavior.isRetrying) return false;
       return call.answers.some(
         answer =>
-          answer.outcome !== 'done' &&
+          answer.ran === 'not-run' &&
           answer.atMs - call.startedMs >= call.kind.deadlineMs - heldBackMs,
       );
     }).length,
--- a/packages/ryeworks-lab/src/scenarios/scenario.peggy
+++ b/packages/ryeworks-lab/src/scenarios/scenario.peggy
@@ -27,8 +27,8 @@
 
 Load
   = "from" __ fromMs:Duration __ "to" __ toMs:Duration __ "call" __ call:Text
-    __ rate:Number __ "per" __ "second" behavior:Behavior {
-      return {kind: 'load', fromMs, toMs, call, rate, ...behavior};
+    __ rate:Number __ "per" __ "second" zone:(__ "in" __ zone:Name { return zone; })? behavior:Behavior {
+      return {kind: 'load', fromMs, toMs, call, rate, zone: zone ?? '', ...behavior};
     }
 
 Behavior
--- /dev/null
+++ b/packages/ryeworks-scheduler/src/__tests__/limits.test.ts
@@ -0,0 +1,98 @@
+import t from 'tap';
+import {handleDocumentRead} from '../documents/handleDocuments.js';
+import {handleLimitReport, handleLimitShares} from '../limits/handleLimits.js';
+import {getFallbackShare, takeLimit} from '../limits/takeLimit.js';
+import {createNodeState, NodeState} from '../nodeState.js';
+import {createTestOptions} from './testOptions.js';
+
+const limits = {
+  requestsPerSecond: 100,
+  tokensPerSecond: 10_000,
+  concurrency: 50,
+};
+
+/** Creates a VM that knows one customer. */
+function createVm(): NodeState {
+  const state = createNodeState(createTestOptions('vm-a'), 0);
+  const plans = [{plan: 'p', limits}];
+  const customers = [{customer: 'c', plan: 'p', keyHashes: []}];
+  const contentJson = JSON.stringify({plans, customers});
+  const read = {kind: 'documentRead', name: 'plans', version: 1} as const;
+  handleDocumentRead(state, {...read, contentJson}, 0);
+  return state;
+}
+
+t.test('requests within the limit are taken, more are refused', async t => {
+  const state = createVm();
+  let taken = 0;
+  for (let index = 0; index < 300; index++) {
+    const nowMs = index * 10;
+    if (takeLimit(state, 'c', 1, 1, nowMs).isTaken) taken += 1;
+    state.limits.usage.get('c')!.concurrency.clear();
+  }
+  t.ok(taken <= 400, `${taken} in 3 s at 100 a second and a burst of 1 s`);
+  t.ok(taken >= 297, `${taken} taken`);
+});
+
+t.test('lower tiers of a customer do not use up its highest', async t => {
+  const state = createVm();
+  for (let index = 0; index < 200; index++) takeLimit(state, 'c', 3, 1, 0);
+  const lower = takeLimit(state, 'c', 3, 1, 0);
+  t.equal(lower.isTaken, false);
+  t.equal(takeLimit(state, 'c', 1, 1, 0).isTaken, true);
+});
+
+t.test('a refusal says when to come back', async t => {
+  const state = createVm();
+  for (let index = 0; index < 200; index++) {
+    takeLimit(state, 'c', 1, 1, 0);
+    state.limits.usage.get('c')!.concurrency.clear();
+  }
+  const refused = takeLimit(state, 'c', 1, 1, 0);
+  t.match(refused, {isTaken: false, limit: 'requests'});
+  if (refused.isTaken) return;
+  t.equal(takeLimit(state, 'c', 1, 1, refused.retryAfterMs).isTaken, true);
+});
+
+t.test('shares of all VMs sum to the limit and follow the demand', async t => {
+  const home = createVm();
+  const shares = new Map<string, number>();
+  const demands = new Map([
+    ['vm-a', 900],
+    ['vm-b', 100],
+    ['vm-c', 0],
+  ]);
+  for (const round of [1, 2]) {
+    for (const [vm, tokensPerSecond] of demands) {
+      const demand = {customer: 'c', requestsPerSecond: 1, concurrency: 0};
+      const report = {
+        kind: 'limitReport' as const,
+        demands: [{...demand, tokensPerSecond}],
+      };
+      const [answer] = handleLimitReport(home, vm, report, round * 1000);
+      if (answer.kind !== 'sendPeer') continue;
+      const {message} = answer;
+      if (message.kind !== 'limitShares') continue;
+      shares.set(vm, message.shares[0].share);
+    }
+  }
+  const sum = [...shares.values()].reduce((total, one) => total + one, 0);
+  t.ok(Math.abs(sum - 1) < 0.001, `sum ${sum}`);
+  t.ok(shares.get('vm-a')! > 0.8);
+  t.ok(shares.get('vm-c')! > 0.02);
+});
+
+t.test('a share lapses to an even one when its home is silent', async t => {
+  const state = createVm();
+  takeLimit(state, 'c', 1, 1, 0);
+  const given = {kind: 'limitShares' as const};
+  handleLimitShares(
+    state,
+    'h',
+    {...given, shares: [{customer: 'c', share: 0.9}]},
+    0,
+  );
+  t.equal(state.limits.usage.get('c')!.share, 0.9);
+  takeLimit(state, 'c', 1, 1, 60_000);
+  t.equal(state.limits.usage.get('c')!.share, getFallbackShare(state));
+});
--- a/packages/ryeworks-scheduler/src/admission/decideGrants.ts
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -124,6 +124,7 @@
         askId: ask.askId,
         reason: isResting ? 'noEndpoint' : 'overloaded',
         retryAfterMs: estimateRetryAfterMs(state, cell),
+        waitMs: 0,
       }),
       createCount('admission.refused', {
         reason: isResting ? 'resting' : 'too_late',
--- a/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
+++ b/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
@@ -1,7 +1,7 @@
 import {createCount, Effect} from '../effect.js';
 import {createSendPeer} from '../membership/sendPeer.js';
 import {NodeState} from '../nodeState.js';
-import {GrantAsk, GrantEnd, GrantReport} from '../peerMessage.js';
+import {GrantAsk, GrantEnd, GrantRefusal, GrantReport} from '../peerMessage.js';
 import {Cell, Grant, QueuedAsk} from './admissionState.js';
 import {parseCellKey} from './cellKeys.js';
 import {countAhead, insertAsk, removeAsk} from './cellQueue.js';
@@ -13,7 +13,11 @@
   refuseLateAsks,
   scheduleSweep,
 } from './decideGrants.js';
-import {EndpointAccount, recordFailure, recordSample} from './endpointAccount.js';
+import {
+  EndpointAccount,
+  recordFailure,
+  recordSample,
+} from './endpointAccount.js';
 import {
   estimateRetryAfterMs,
   estimateServiceMs,
@@ -42,13 +46,14 @@
   return cell;
 }
 
-/** Refuses an ask for good. */
+/** Refuses an ask. */
 function refuseAsk(
   state: NodeState,
   cell: Cell | undefined,
   ask: QueuedAsk,
-  reason: 'overloaded' | 'noEndpoint',
+  reason: GrantRefusal['reason'],
   cause: string,
+  waitMs = 0,
 ): Effect[] {
   return [
     createSendPeer(state, ask.holder, {
@@ -56,6 +61,7 @@
       askId: ask.askId,
       reason,
       retryAfterMs: estimateRetryAfterMs(state, cell),
+      waitMs: Math.round(waitMs),
     }),
     createCount('admission.refused', {reason: cause, tier: `${ask.tier}`}),
   ];
@@ -110,6 +116,9 @@
   if (readyMs > ask.deadlineMs) {
     return refuseAsk(state, cell, ask, 'overloaded', 'estimated_late');
   }
+  if (message.maxWaitMs > 0 && waitMs > message.maxWaitMs) {
+    return refuseAsk(state, cell, ask, 'wouldWait', 'would_wait', waitMs);
+  }
   insertAsk(cell, ask);
   const effects = shedExcess(state, cell);
   effects.push(...decideGrants(state, cell, nowMs));
--- a/packages/ryeworks-scheduler/src/limits/handleLimits.ts
+++ b/packages/ryeworks-scheduler/src/limits/handleLimits.ts
@@ -3,6 +3,7 @@
 import {createSendPeer} from '../membership/sendPeer.js';
 import {NodeState} from '../nodeState.js';
 import {LimitDemand, LimitReport, LimitShares} from '../peerMessage.js';
+import {sumConcurrency} from './limitsState.js';
 import {getFallbackShare} from './takeLimit.js';
 
 /** Time between two reports, in ms. */
@@ -16,7 +17,8 @@
 function takeDemands(state: NodeState): LimitDemand[] {
   const demands: LimitDemand[] = [];
   for (const [customer, usage] of state.limits.usage) {
-    const isIdle = usage.demandedRequests === 0 && usage.concurrency === 0;
+    const concurrency = sumConcurrency(usage);
+    const isIdle = usage.demandedRequests === 0 && concurrency === 0;
     if (isIdle) {
       state.limits.usage.delete(customer);
       continue;
@@ -25,7 +27,7 @@
       customer,
       requestsPerSecond: (usage.demandedRequests * 1000) / reportPeriodMs,
       tokensPerSecond: (usage.demandedTokens * 1000) / reportPeriodMs,
-      concurrency: usage.concurrency,
+      concurrency,
     });
     usage.demandedRequests = 0;
     usage.demandedTokens = 0;
--- a/packages/ryeworks-scheduler/src/limits/limitsState.ts
+++ b/packages/ryeworks-scheduler/src/limits/limitsState.ts
@@ -1,10 +1,13 @@
+import {Tier} from '@ryeworks/types';
+
 /** What one customer uses at this VM. */
 export interface LocalUsage {
   /** Requests and tokens that may be taken now. */
   requestAllowance: number;
   tokenAllowance: number;
   refilledAtMs: number;
-  concurrency: number;
+  /** Requests in progress by tier; each tier has the whole limit. */
+  readonly concurrency: Map<Tier, number>;
   /** Demand since the last report, refused requests included. */
   demandedRequests: number;
   demandedTokens: number;
@@ -27,6 +30,13 @@
   readonly demands: Map<string, Map<string, RemoteDemand>>;
 }
 
+/** Returns the requests in progress of a customer over all tiers. */
+export function sumConcurrency(usage: LocalUsage): number {
+  let sum = 0;
+  for (const count of usage.concurrency.values()) sum += count;
+  return sum;
+}
+
 /** Creates an empty limits state. */
 export function createLimitsState(): LimitsState {
   return {usage: new Map(), demands: new Map()};
--- a/packages/ryeworks-scheduler/src/limits/takeLimit.ts
+++ b/packages/ryeworks-scheduler/src/limits/takeLimit.ts
@@ -1,4 +1,4 @@
-import {PlanLimits} from '@ryeworks/types';
+import {highestTier, PlanLimits, Tier} from '@ryeworks/types';
 import {findLimits} from '../documents/findPlan.js';
 import {getOwningVms} from '../membership/membershipState.js';
 import {NodeState} from '../nodeState.js';
@@ -7,6 +7,9 @@
 /** Time over which an unused allowance builds up, in ms. */
 const burstMs = 1000;
 
+/** Part of the built-up allowance that only the highest tier may use. */
+const reservedFraction = 0.2;
+
 /** Answer to a request for a part of a customer's limit. */
 export type LimitDecision =
   | {readonly isTaken: true}
@@ -35,7 +38,7 @@
     requestAllowance: Math.max(1, limits.requestsPerSecond * share),
     tokenAllowance: limits.tokensPerSecond * share,
     refilledAtMs: nowMs,
-    concurrency: 0,
+    concurrency: new Map(),
     demandedRequests: 0,
     demandedTokens: 0,
     share,
@@ -56,15 +59,20 @@
   const requestRate = limits.requestsPerSecond * usage.share;
   const tokenRate = limits.tokensPerSecond * usage.share;
   usage.requestAllowance = Math.min(
-    Math.max(1, (requestRate * burstMs) / 1000),
+    Math.max(1, getBurst(requestRate)),
     usage.requestAllowance + (requestRate * elapsedMs) / 1000,
   );
   usage.tokenAllowance = Math.min(
-    (tokenRate * burstMs) / 1000,
+    getBurst(tokenRate),
     usage.tokenAllowance + (tokenRate * elapsedMs) / 1000,
   );
 }
 
+/** Returns the most that builds up at a rate. */
+function getBurst(ratePerSecond: number): number {
+  return (ratePerSecond * burstMs) / 1000;
+}
+
 /** Returns the time until a rate has brought an amount, in ms. */
 function getRefillMs(amount: number, ratePerSecond: number): number {
   return Math.ceil((amount / Math.max(ratePerSecond, 0.01)) * 1000);
@@ -74,6 +82,7 @@
 export function takeLimit(
   state: NodeState,
   customer: string,
+  tier: Tier,
   tokens: number,
   nowMs: number,
 ): LimitDecision {
@@ -88,29 +97,39 @@
     1,
     Math.round(limits.concurrency * usage.share),
   );
-  if (usage.concurrency >= maxConcurrency) {
+  const inProgress = usage.concurrency.get(tier) ?? 0;
+  if (inProgress >= maxConcurrency) {
     return {isTaken: false, limit: 'concurrency', retryAfterMs: 1000};
   }
-  if (usage.requestAllowance < 1) {
-    const rate = limits.requestsPerSecond * usage.share;
-    const retryAfterMs = getRefillMs(1 - usage.requestAllowance, rate);
+  const requestRate = limits.requestsPerSecond * usage.share;
+  const tokenRate = limits.tokensPerSecond * usage.share;
+  const reserve = tier === highestTier ? 0 : reservedFraction;
+  const requestReserve = getBurst(requestRate) * reserve;
+  if (usage.requestAllowance < 1 + requestReserve) {
+    const missing = 1 + requestReserve - usage.requestAllowance;
+    const retryAfterMs = getRefillMs(missing, requestRate);
     return {isTaken: false, limit: 'requests', retryAfterMs};
   }
-  if (usage.tokenAllowance <= 0) {
-    const rate = limits.tokensPerSecond * usage.share;
-    const missing = tokens - usage.tokenAllowance;
-    const retryAfterMs = getRefillMs(missing, rate);
+  const tokenReserve = getBurst(tokenRate) * reserve;
+  if (usage.tokenAllowance <= tokenReserve) {
+    const missing = tokens + tokenReserve - usage.tokenAllowance;
+    const retryAfterMs = getRefillMs(missing, tokenRate);
     return {isTaken: false, limit: 'tokens', retryAfterMs};
   }
   usage.requestAllowance -= 1;
   usage.tokenAllowance -= tokens;
-  usage.concurrency += 1;
+  usage.concurrency.set(tier, inProgress + 1);
   return {isTaken: true};
 }
 
 /** Ends one request of a customer. */
-export function releaseLimit(state: NodeState, customer: string): void {
+export function releaseLimit(
+  state: NodeState,
+  customer: string,
+  tier: Tier,
+): void {
   const usage = state.limits.usage.get(customer);
   if (usage === undefined) return;
-  usage.concurrency = Math.max(0, usage.concurrency - 1);
+  const inProgress = usage.concurrency.get(tier) ?? 0;
+  usage.concurrency.set(tier, Math.max(0, inProgress - 1));
 }
--- a/packages/ryeworks-scheduler/src/peerMessage.ts
+++ b/packages/ryeworks-scheduler/src/peerMessage.ts
@@ -104,6 +104,8 @@
   readonly engines: readonly string[];
   /** Endpoints that already failed this request. */
   readonly avoid: readonly string[];
+  /** Longest wait for which the ask may be queued, in ms; 0 for any. */
+  readonly maxWaitMs: number;
 }
 
 /** Tells the asker that its ask waits in the owner's queue. */
@@ -119,12 +121,14 @@
   readonly endpoint: string;
 }
 
-/** Refuses an ask for good. */
+/** Refuses an ask; `wouldWait` when it may be asked again with patience. */
 export interface GrantRefusal {
   readonly kind: 'grantRefusal';
   readonly askId: string;
-  readonly reason: 'overloaded' | 'noEndpoint';
+  readonly reason: 'overloaded' | 'noEndpoint' | 'wouldWait';
   readonly retryAfterMs: number;
+  /** Estimated wait, in ms. */
+  readonly waitMs: number;
 }
 
 /** Withdraws an ask, or returns a grant with what was observed. */
--- a/packages/ryeworks-scheduler/src/requests/askForGrant.ts
+++ b/packages/ryeworks-scheduler/src/requests/askForGrant.ts
@@ -9,6 +9,10 @@
 import {EndOutcome, endRequest} from './endRequest.js';
 import {ActiveRequest} from './requestsState.js';
 
+/** Cells that are asked for an early grant before a wait is accepted. */
+const maxSoonCells = 4;
+/** Part of the first-token target that an early grant may wait. */
+const soonFraction = 0.5;
 /** Owners of a cell that are asked in turn when one stays silent. */
 const maxAskRank = 2;
 
@@ -33,22 +37,56 @@
   return [...rankByKey(prefix, own), ...rankByKey(prefix, other)];
 }
 
-/** Asks the next untried cell for a grant; undefined when none is left. */
+/** Picks the next cell that may grant soon; undefined when none is left. */
+function pickSoonCell(
+  request: ActiveRequest,
+  ranked: readonly string[],
+): string | undefined {
+  for (const cellKey of ranked.slice(0, maxSoonCells)) {
+    const isAsked =
+      request.refusedCells.has(cellKey) || request.cellWaits.has(cellKey);
+    if (!isAsked) return cellKey;
+  }
+  return undefined;
+}
+
+/** Picks the cell with the shortest wait; undefined when none is left. */
+function pickPatientCell(
+  request: ActiveRequest,
+  ranked: readonly string[],
+): string | undefined {
+  let best: string | undefined;
+  let bestWaitMs = Number.POSITIVE_INFINITY;
+  for (const cellKey of ranked) {
+    if (request.refusedCells.has(cellKey)) continue;
+    const waitMs = request.cellWaits.get(cellKey) ?? Number.MAX_VALUE;
+    if (waitMs >= bestWaitMs) continue;
+    best = cellKey;
+    bestWaitMs = waitMs;
+  }
+  return best;
+}
+
+/**
+ * Asks the next cell: first some that may grant soon, in the own zone and
+ * beyond, so that a crowded zone uses what others spend on lower tiers; then
+ * the one with the shortest wait. Undefined when every cell has refused.
+ */
 export function askNextCell(
   state: NodeState,
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] | undefined {
-  for (const cellKey of rankCells(state, request)) {
-    if (request.triedCells.includes(cellKey)) continue;
-    request.triedCells.push(cellKey);
-    request.cellKey = cellKey;
-    request.askRank = 0;
-    const ask = `${request.attempts}.${request.triedCells.length}`;
-    request.askId = `${request.requestId}/${ask}`;
-    return sendAsk(state, request, nowMs);
-  }
-  return undefined;
+  const ranked = rankCells(state, request);
+  const soonCell = pickSoonCell(request, ranked);
+  const cellKey = soonCell ?? pickPatientCell(request, ranked);
+  if (cellKey === undefined) return undefined;
+  request.cellKey = cellKey;
+  request.askRank = 0;
+  request.asks += 1;
+  request.askId = `${request.requestId}/${request.asks}`;
+  request.isSoonWanted = soonCell !== undefined;
+  return sendAsk(state, request, nowMs);
 }
 
 /** Asks the cells in turn; refuses when none can be asked. */
@@ -92,6 +130,9 @@
     deadlineInMs: Math.max(0, Math.round(request.deadlineMs - nowMs)),
     engines: engines.includes('*') ? [] : engines,
     avoid: request.avoid,
+    maxWaitMs: request.isSoonWanted
+      ? Math.round(request.service.firstTokenTargetMs * soonFraction)
+      : 0,
   };
   return [createSendPeer(state, owner, ask)];
 }
--- a/packages/ryeworks-scheduler/src/requests/endRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/endRequest.ts
@@ -87,7 +87,7 @@
   timers.clear('retryBackoff', requestId);
   timers.clear('progress', requestId);
   timers.clear('claimTimeout', requestId);
-  releaseLimit(state, request.customer);
+  releaseLimit(state, request.customer, request.tier);
 }
 
 /** Ends a request that the endpoint answered in full. */
--- a/packages/ryeworks-scheduler/src/requests/handleGrants.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleGrants.ts
@@ -87,7 +87,8 @@
     const effects = returnGrant(state, request, 'unused', 0, nowMs);
     request.version = decideVersion(state, request);
     request.attempts += 1;
-    request.triedCells = [];
+    request.refusedCells.clear();
+    request.cellWaits.clear();
     return [...effects, ...askForGrant(state, request, nowMs)];
   }
   return dispatchRequest(state, request, endpoint, nowMs);
@@ -102,12 +103,18 @@
 ): Effect[] {
   const request = findAsking(state, message.askId);
   if (request === undefined) return [];
+  if (message.reason === 'wouldWait') {
+    request.cellWaits.set(request.cellKey, message.waitMs);
+  } else {
+    request.refusedCells.add(request.cellKey);
+  }
   const asked = askNextCell(state, request, nowMs);
   if (asked !== undefined) {
     return [createCount('ask.next_cell', {reason: message.reason}), ...asked];
   }
   request.cellKey = '';
   const {reason, retryAfterMs} = message;
-  const outcome: EndOutcome = {error: reason, reason, retryAfterMs};
+  const error = reason === 'wouldWait' ? 'overloaded' : reason;
+  const outcome: EndOutcome = {error, reason, retryAfterMs};
   return endRequest(state, request, outcome, nowMs);
 }
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -75,7 +75,10 @@
     askRank: 0,
     askedOwner: '',
     isQueued: false,
-    triedCells: [],
+    isSoonWanted: false,
+    asks: 0,
+    refusedCells: new Set(),
+    cellWaits: new Map(),
     avoid: [],
     version: '',
     endpoint: '',
@@ -110,7 +113,7 @@
   );
   if (allowance === undefined) return refuseRequest(input, 'notAllowed');
   const tokens = input.promptTokens + input.maxTokens;
-  const decision = takeLimit(state, input.customer, tokens, nowMs);
+  const decision = takeLimit(state, input.customer, tier, tokens, nowMs);
   if (!decision.isTaken) {
     const reason = `limit_${decision.limit}`;
     const {retryAfterMs} = decision;
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -45,7 +45,14 @@
   askedOwner: string;
   /** Whether that owner said that the ask waits. */
   isQueued: boolean;
-  triedCells: string[];
+  /** Whether the present ask is for an early grant alone. */
+  isSoonWanted: boolean;
+  /** Asks made so far; part of the ask id. */
+  asks: number;
+  /** Cells that refused the present attempt for good. */
+  refusedCells: Set<string>;
+  /** Estimated waits of the cells that could not grant soon, in ms. */
+  cellWaits: Map<string, number>;
   /** Endpoints that failed this request. */
   avoid: string[];
   version: string;
--- a/packages/ryeworks-scheduler/src/requests/startAttempt.ts
+++ b/packages/ryeworks-scheduler/src/requests/startAttempt.ts
@@ -32,7 +32,8 @@
   }
   request.phase = 'asking';
   request.attempts += 1;
-  request.triedCells = [];
+  request.refusedCells.clear();
+  request.cellWaits.clear();
   request.version = decideVersion(state, request);
   return attemptStarters[state.options.routing](state, request, nowMs);
 }
--- a/packages/ryeworks-types/src/plans.ts
+++ b/packages/ryeworks-types/src/plans.ts
@@ -3,7 +3,7 @@
   readonly requestsPerSecond: number;
   /** Prompt and generated tokens together. */
   readonly tokensPerSecond: number;
-  /** Requests in progress at the same time. */
+  /** Requests of one tier in progress at the same time. */
   readonly concurrency: number;
 }
 
