Mend limits after a share grows, and streams an engine does not know

Cause: the reserve for the highest tier was a part of the new, larger share while the allowance had built up under the old one. Cause: the connection went silent before the request reached the engine, the stream could not be resumed, and the 404 was passed on. Now that ends as 'outcome unknown'.

--- a/packages/ryeworks-lab/src/harness/endpointCalls.ts
+++ b/packages/ryeworks-lab/src/harness/endpointCalls.ts
@@ -110,7 +110,7 @@
     const delayMs = this.harness.network.getDelayMs(vm.availabilityZone, zone);
     this.harness.events.schedule(delayMs, () => {
       if (target.resumeStream(streamId, listener)) return;
-      this.failCall(vm, requestId, 'failed');
+      this.failCall(vm, requestId, 'streamUnknown');
     });
   }
 }
--- a/packages/ryeworks-lab/src/measure/fitLine.ts
+++ b/packages/ryeworks-lab/src/measure/createLineFit.ts
@@ -8,7 +8,7 @@
 }
 
 /** Fits a line by least squares. */
-export function fitLine(
+export function createLineFit(
   points: readonly (readonly [number, number])[],
 ): LineFit {
   const count = points.length;
--- a/packages/ryeworks-scheduler/src/__tests__/limits.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/limits.test.ts
@@ -82,6 +82,25 @@
   t.ok(shares.get('vm-c')! > 0.02);
 });
 
+t.test(
+  'a share that grows does not refuse a customer below its limit',
+  async t => {
+    const state = createVm();
+    const give = (share: number, nowMs: number) =>
+      handleLimitShares(
+        state,
+        'h',
+        {kind: 'limitShares', shares: [{customer: 'c', share}]},
+        nowMs,
+      );
+    t.equal(takeLimit(state, 'c', 2, 1, 0).isTaken, true);
+    give(0.1, 10);
+    t.equal(takeLimit(state, 'c', 2, 1, 10).isTaken, true);
+    give(0.9, 20);
+    t.equal(takeLimit(state, 'c', 2, 1, 20).isTaken, true);
+  },
+);
+
 t.test('a share lapses to an even one when its home is silent', async t => {
   const state = createVm();
   takeLimit(state, 'c', 1, 1, 0);
--- a/packages/ryeworks-scheduler/src/input.ts
+++ b/packages/ryeworks-scheduler/src/input.ts
@@ -62,6 +62,8 @@
   failed: 'failed',
   /** The connection failed after the request was sent. */
   cut: 'cut',
+  /** The endpoint does not know the stream that was to be resumed. */
+  streamUnknown: 'streamUnknown',
 } as const;
 
 /** One of the call failures. */
--- a/packages/ryeworks-scheduler/src/limits/handleLimits.ts
+++ b/packages/ryeworks-scheduler/src/limits/handleLimits.ts
@@ -4,7 +4,7 @@
 import {NodeState} from '../nodeState.js';
 import {LimitDemand, LimitReport, LimitShares} from '../peerMessage.js';
 import {sumConcurrency} from './limitsState.js';
-import {getFallbackShare} from './takeLimit.js';
+import {getFallbackShare, setShare} from './takeLimit.js';
 
 /** Time between two reports, in ms. */
 const reportPeriodMs = 1000;
@@ -95,7 +95,7 @@
   for (const {customer, share} of message.shares) {
     const usage = state.limits.usage.get(customer);
     if (usage === undefined) continue;
-    usage.share = Math.max(least, share);
+    setShare(usage, Math.max(least, share));
     usage.shareUntilMs = nowMs + shareLifeMs;
   }
   return [];
--- a/packages/ryeworks-scheduler/src/limits/takeLimit.ts
+++ b/packages/ryeworks-scheduler/src/limits/takeLimit.ts
@@ -48,6 +48,14 @@
   return usage;
 }
 
+/** Changes the share of a VM; what has built up grows or shrinks with it. */
+export function setShare(usage: LocalUsage, share: number): void {
+  const ratio = share / usage.share;
+  usage.requestAllowance *= ratio;
+  usage.tokenAllowance *= ratio;
+  usage.share = share;
+}
+
 /** Adds the allowance that time has brought. */
 function refillAllowance(
   usage: LocalUsage,
@@ -89,7 +97,7 @@
   const limits = findLimits(state.documents, customer);
   if (limits === undefined) return {isTaken: true};
   const usage = getUsage(state, customer, limits, nowMs);
-  if (nowMs > usage.shareUntilMs) usage.share = getFallbackShare(state);
+  if (nowMs > usage.shareUntilMs) setShare(usage, getFallbackShare(state));
   refillAllowance(usage, limits, nowMs);
   usage.demandedRequests += 1;
   usage.demandedTokens += tokens;
@@ -104,7 +112,10 @@
   const requestRate = limits.requestsPerSecond * usage.share;
   const tokenRate = limits.tokensPerSecond * usage.share;
   const reserve = tier === highestTier ? 0 : reservedFraction;
-  const requestReserve = getBurst(requestRate) * reserve;
+  const requestReserve = Math.max(
+    0,
+    Math.min(getBurst(requestRate) * reserve, getBurst(requestRate) - 1),
+  );
   if (usage.requestAllowance < 1 + requestReserve) {
     const missing = 1 + requestReserve - usage.requestAllowance;
     const retryAfterMs = getRefillMs(missing, requestRate);
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -26,6 +26,7 @@
   refused: {idempotent: true, dispatchOnce: false, nonIdempotent: true},
   failed: {idempotent: true, dispatchOnce: false, nonIdempotent: false},
   cut: {idempotent: true, dispatchOnce: false, nonIdempotent: false},
+  streamUnknown: {idempotent: true, dispatchOnce: false, nonIdempotent: false},
 };
 
 /** The answer when a failed call allows no further attempt. */
@@ -34,6 +35,7 @@
   refused: {error: 'noEndpoint', reason: 'endpoint_refused'},
   failed: {error: 'endpointFailed', reason: 'endpoint_failed'},
   cut: {error: 'outcomeUnknown', reason: 'connection_cut'},
+  streamUnknown: {error: 'outcomeUnknown', reason: 'stream_unknown'},
 };
 
 /** Finds a dispatched request. */
--- a/packages/ryeworksd/src/endpoints/endpointClient.ts
+++ b/packages/ryeworksd/src/endpoints/endpointClient.ts
@@ -23,6 +23,8 @@
   readonly abort: AbortController;
   readonly endpoint: Endpoint;
   readonly streamId: string;
+  /** Whether the call picks up an earlier stream. */
+  readonly isResumed: boolean;
   readonly answer?: ModelAnswer;
 }
 
@@ -121,7 +123,8 @@
     const answer =
       open.kind === 'model' ? (previous ?? new ModelAnswer(open)) : undefined;
     const abort = new AbortController();
-    const call = {abort, endpoint, streamId, answer};
+    const isResumed = previous !== undefined || streamId !== open.requestId;
+    const call = {abort, endpoint, streamId, isResumed, answer};
     this.calls.set(open.requestId, call);
     return call;
   }
@@ -154,6 +157,11 @@
         this.reportFailure(open, call, isRefused ? 'refused' : 'failed');
         return;
       }
+      if (call.isResumed && response.statusCode !== 200) {
+        await response.body.dump();
+        this.reportFailure(open, call, 'streamUnknown');
+        return;
+      }
       if (call.answer === undefined || response.statusCode >= 400) {
         await this.passWhole(open, call, response);
         return;
