--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -17,7 +17,7 @@
     file: `${scheduler}/requests/handleEndpointEvents.js`,
     from: /cut: \{ idempotent: true, dispatchOnce: false/,
     to: 'cut: { idempotent: true, dispatchOnce: true',
-    scenario: 'silent-endpoint',
+    scenario: 'engine-crash',
   },
   {
     promise: '"not run" means not run',
@@ -90,7 +90,7 @@
     file: `${scheduler}/requests/handleEndpointEvents.js`,
     from: /const resumed = resumeStream\(state, request, 'silent', nowMs\);/,
     to: 'return [];',
-    scenario: 'silent-endpoint',
+    scenario: 'silent-connection',
   },
   {
     promise: 'a planned stop cuts nothing',
--- a/packages/ryeworks-lab/src/harness/endpointCalls.ts
+++ b/packages/ryeworks-lab/src/harness/endpointCalls.ts
@@ -49,6 +49,7 @@
       noteDone: outputTokens =>
         tell(() => vm.submit({kind: 'endpointDone', requestId, outputTokens})),
       noteFailed: () => tell(() => this.failCall(vm, requestId, 'failed')),
+      noteCut: () => tell(() => this.failCall(vm, requestId, 'cut')),
     };
   }
 
@@ -105,7 +106,13 @@
     const target = this.harness.endpoints.get(endpoint.endpoint)!;
     const zone = endpoint.availabilityZone;
     const isCut = this.harness.network.isCut(vm.availabilityZone, zone);
-    if (target.isDown || isCut || target.isSilent) return;
+    if (target.isDown) {
+      this.harness.events.schedule(1, () =>
+        this.failCall(vm, requestId, 'notSent'),
+      );
+      return;
+    }
+    if (isCut || target.isSilent) return;
     const listener = this.createListener(vm, requestId, zone);
     const delayMs = this.harness.network.getDelayMs(vm.availabilityZone, zone);
     this.harness.events.schedule(delayMs, () => {
--- a/packages/ryeworks-lab/src/harness/fakeEndpoint.ts
+++ b/packages/ryeworks-lab/src/harness/fakeEndpoint.ts
@@ -20,6 +20,8 @@
   noteProgress(): void;
   noteDone(outputTokens: number): void;
   noteFailed(): void;
+  /** The connection was reset. */
+  noteCut(): void;
 }
 
 /** A call as an endpoint sees it. */
@@ -112,7 +114,10 @@
 
   /** Breaks off the readers of all streams. */
   dropListeners(): void {
-    for (const stream of this.streams.values()) stream.listener = undefined;
+    for (const stream of this.streams.values()) {
+      if (!stream.isDone) stream.listener?.noteCut();
+      stream.listener = undefined;
+    }
   }
 
   private notify(
--- a/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
+++ b/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
@@ -179,59 +179,60 @@
   const peg$c11 = "call";
   const peg$c12 = "second";
   const peg$c13 = "in";
-  const peg$c14 = "retrying";
-  const peg$c15 = "unmarked";
-  const peg$c16 = "at";
-  const peg$c17 = "kill";
-  const peg$c18 = "stop";
-  const peg$c19 = "start";
-  const peg$c20 = "resume";
-  const peg$c21 = "vm";
-  const peg$c22 = "pause";
-  const peg$c23 = "for";
-  const peg$c24 = "cut";
-  const peg$c25 = "heal";
-  const peg$c26 = "lose";
-  const peg$c27 = "of";
-  const peg$c28 = "messages";
-  const peg$c29 = "repeat";
-  const peg$c30 = "platform";
-  const peg$c31 = "down";
-  const peg$c32 = "up";
-  const peg$c33 = "loses";
-  const peg$c34 = "answers";
-  const peg$c35 = "slow";
-  const peg$c36 = "by";
-  const peg$c37 = "silence";
-  const peg$c38 = "unsilence";
-  const peg$c39 = "crash";
-  const peg$c40 = "leave";
-  const peg$c41 = "version";
-  const peg$c42 = "fails";
-  const peg$c43 = "slows";
-  const peg$c44 = "move";
-  const peg$c45 = "within";
-  const peg$c46 = "change";
-  const peg$c47 = "plans";
-  const peg$c48 = "invalid";
-  const peg$c49 = "operators";
-  const peg$c50 = "race";
-  const peg$c51 = "after";
-  const peg$c52 = "calls";
-  const peg$c53 = "batch";
-  const peg$c54 = "on";
-  const peg$c55 = "expect";
-  const peg$c56 = "tier";
-  const peg$c57 = "endpoint";
-  const peg$c58 = "since";
-  const peg$c59 = "until";
-  const peg$c60 = ">=";
-  const peg$c61 = "<=";
-  const peg$c62 = "ms";
-  const peg$c63 = ".";
-  const peg$c64 = "\"";
-  const peg$c65 = "#";
-  const peg$c66 = "\n";
+  const peg$c14 = "due";
+  const peg$c15 = "retrying";
+  const peg$c16 = "unmarked";
+  const peg$c17 = "at";
+  const peg$c18 = "kill";
+  const peg$c19 = "stop";
+  const peg$c20 = "start";
+  const peg$c21 = "resume";
+  const peg$c22 = "vm";
+  const peg$c23 = "pause";
+  const peg$c24 = "for";
+  const peg$c25 = "cut";
+  const peg$c26 = "heal";
+  const peg$c27 = "lose";
+  const peg$c28 = "of";
+  const peg$c29 = "messages";
+  const peg$c30 = "repeat";
+  const peg$c31 = "platform";
+  const peg$c32 = "down";
+  const peg$c33 = "up";
+  const peg$c34 = "loses";
+  const peg$c35 = "answers";
+  const peg$c36 = "slow";
+  const peg$c37 = "by";
+  const peg$c38 = "silence";
+  const peg$c39 = "unsilence";
+  const peg$c40 = "crash";
+  const peg$c41 = "leave";
+  const peg$c42 = "version";
+  const peg$c43 = "fails";
+  const peg$c44 = "slows";
+  const peg$c45 = "move";
+  const peg$c46 = "within";
+  const peg$c47 = "change";
+  const peg$c48 = "plans";
+  const peg$c49 = "invalid";
+  const peg$c50 = "operators";
+  const peg$c51 = "race";
+  const peg$c52 = "after";
+  const peg$c53 = "calls";
+  const peg$c54 = "batch";
+  const peg$c55 = "on";
+  const peg$c56 = "expect";
+  const peg$c57 = "tier";
+  const peg$c58 = "endpoint";
+  const peg$c59 = "since";
+  const peg$c60 = "until";
+  const peg$c61 = ">=";
+  const peg$c62 = "<=";
+  const peg$c63 = "ms";
+  const peg$c64 = ".";
+  const peg$c65 = "\"";
+  const peg$c66 = "#";
+  const peg$c67 = "\n";
 
   const peg$r0 = /^[ms]/;
   const peg$r1 = /^[0-9]/;
@@ -257,74 +258,75 @@
   const peg$e11 = peg$literalExpectation("call", false);
   const peg$e12 = peg$literalExpectation("second", false);
   const peg$e13 = peg$literalExpectation("in", false);
-  const peg$e14 = peg$literalExpectation("retrying", false);
-  const peg$e15 = peg$literalExpectation("unmarked", false);
-  const peg$e16 = peg$literalExpectation("at", false);
-  const peg$e17 = peg$literalExpectation("kill", false);
-  const peg$e18 = peg$literalExpectation("stop", false);
-  const peg$e19 = peg$literalExpectation("start", false);
-  const peg$e20 = peg$literalExpectation("resume", false);
-  const peg$e21 = peg$literalExpectation("vm", false);
-  const peg$e22 = peg$literalExpectation("pause", false);
-  const peg$e23 = peg$literalExpectation("for", false);
-  const peg$e24 = peg$literalExpectation("cut", false);
-  const peg$e25 = peg$literalExpectation("heal", false);
-  const peg$e26 = peg$literalExpectation("lose", false);
-  const peg$e27 = peg$literalExpectation("of", false);
-  const peg$e28 = peg$literalExpectation("messages", false);
-  const peg$e29 = peg$literalExpectation("repeat", false);
-  const peg$e30 = peg$literalExpectation("platform", false);
-  const peg$e31 = peg$literalExpectation("down", false);
-  const peg$e32 = peg$literalExpectation("up", false);
-  const peg$e33 = peg$literalExpectation("loses", false);
-  const peg$e34 = peg$literalExpectation("answers", false);
-  const peg$e35 = peg$literalExpectation("slow", false);
-  const peg$e36 = peg$literalExpectation("by", false);
-  const peg$e37 = peg$literalExpectation("silence", false);
-  const peg$e38 = peg$literalExpectation("unsilence", false);
-  const peg$e39 = peg$literalExpectation("crash", false);
-  const peg$e40 = peg$literalExpectation("leave", false);
-  const peg$e41 = peg$literalExpectation("version", false);
-  const peg$e42 = peg$literalExpectation("fails", false);
-  const peg$e43 = peg$literalExpectation("slows", false);
-  const peg$e44 = peg$literalExpectation("move", false);
-  const peg$e45 = peg$literalExpectation("within", false);
-  const peg$e46 = peg$literalExpectation("change", false);
-  const peg$e47 = peg$literalExpectation("plans", false);
-  const peg$e48 = peg$literalExpectation("invalid", false);
-  const peg$e49 = peg$literalExpectation("operators", false);
-  const peg$e50 = peg$literalExpectation("race", false);
-  const peg$e51 = peg$literalExpectation("after", false);
-  const peg$e52 = peg$literalExpectation("calls", false);
-  const peg$e53 = peg$literalExpectation("batch", false);
-  const peg$e54 = peg$literalExpectation("on", false);
-  const peg$e55 = peg$literalExpectation("expect", false);
-  const peg$e56 = peg$literalExpectation("tier", false);
-  const peg$e57 = peg$literalExpectation("endpoint", false);
-  const peg$e58 = peg$literalExpectation("since", false);
-  const peg$e59 = peg$literalExpectation("until", false);
-  const peg$e60 = peg$literalExpectation(">=", false);
-  const peg$e61 = peg$literalExpectation("<=", false);
-  const peg$e62 = peg$otherExpectation("a duration such as 500ms or 3s");
-  const peg$e63 = peg$literalExpectation("ms", false);
-  const peg$e64 = peg$classExpectation(["m", "s"], false, false, false);
-  const peg$e65 = peg$otherExpectation("a whole number");
-  const peg$e66 = peg$classExpectation([["0", "9"]], false, false, false);
-  const peg$e67 = peg$otherExpectation("a number");
-  const peg$e68 = peg$literalExpectation(".", false);
-  const peg$e69 = peg$otherExpectation("a text in quotes");
-  const peg$e70 = peg$literalExpectation("\"", false);
-  const peg$e71 = peg$classExpectation(["\"", "\n"], true, false, false);
-  const peg$e72 = peg$otherExpectation("a name");
-  const peg$e73 = peg$classExpectation([["A", "Z"], ["a", "z"]], false, false, false);
-  const peg$e74 = peg$otherExpectation("a word");
-  const peg$e75 = peg$classExpectation([["a", "z"]], false, false, false);
-  const peg$e76 = peg$classExpectation([["a", "z"], "-"], false, false, false);
-  const peg$e77 = peg$classExpectation([["A", "Z"], ["a", "z"], ["0", "9"], "_", ".", "-"], false, false, false);
-  const peg$e78 = peg$literalExpectation("#", false);
-  const peg$e79 = peg$classExpectation(["\n"], true, false, false);
-  const peg$e80 = peg$literalExpectation("\n", false);
-  const peg$e81 = peg$classExpectation([" ", "\t"], false, false, false);
+  const peg$e14 = peg$literalExpectation("due", false);
+  const peg$e15 = peg$literalExpectation("retrying", false);
+  const peg$e16 = peg$literalExpectation("unmarked", false);
+  const peg$e17 = peg$literalExpectation("at", false);
+  const peg$e18 = peg$literalExpectation("kill", false);
+  const peg$e19 = peg$literalExpectation("stop", false);
+  const peg$e20 = peg$literalExpectation("start", false);
+  const peg$e21 = peg$literalExpectation("resume", false);
+  const peg$e22 = peg$literalExpectation("vm", false);
+  const peg$e23 = peg$literalExpectation("pause", false);
+  const peg$e24 = peg$literalExpectation("for", false);
+  const peg$e25 = peg$literalExpectation("cut", false);
+  const peg$e26 = peg$literalExpectation("heal", false);
+  const peg$e27 = peg$literalExpectation("lose", false);
+  const peg$e28 = peg$literalExpectation("of", false);
+  const peg$e29 = peg$literalExpectation("messages", false);
+  const peg$e30 = peg$literalExpectation("repeat", false);
+  const peg$e31 = peg$literalExpectation("platform", false);
+  const peg$e32 = peg$literalExpectation("down", false);
+  const peg$e33 = peg$literalExpectation("up", false);
+  const peg$e34 = peg$literalExpectation("loses", false);
+  const peg$e35 = peg$literalExpectation("answers", false);
+  const peg$e36 = peg$literalExpectation("slow", false);
+  const peg$e37 = peg$literalExpectation("by", false);
+  const peg$e38 = peg$literalExpectation("silence", false);
+  const peg$e39 = peg$literalExpectation("unsilence", false);
+  const peg$e40 = peg$literalExpectation("crash", false);
+  const peg$e41 = peg$literalExpectation("leave", false);
+  const peg$e42 = peg$literalExpectation("version", false);
+  const peg$e43 = peg$literalExpectation("fails", false);
+  const peg$e44 = peg$literalExpectation("slows", false);
+  const peg$e45 = peg$literalExpectation("move", false);
+  const peg$e46 = peg$literalExpectation("within", false);
+  const peg$e47 = peg$literalExpectation("change", false);
+  const peg$e48 = peg$literalExpectation("plans", false);
+  const peg$e49 = peg$literalExpectation("invalid", false);
+  const peg$e50 = peg$literalExpectation("operators", false);
+  const peg$e51 = peg$literalExpectation("race", false);
+  const peg$e52 = peg$literalExpectation("after", false);
+  const peg$e53 = peg$literalExpectation("calls", false);
+  const peg$e54 = peg$literalExpectation("batch", false);
+  const peg$e55 = peg$literalExpectation("on", false);
+  const peg$e56 = peg$literalExpectation("expect", false);
+  const peg$e57 = peg$literalExpectation("tier", false);
+  const peg$e58 = peg$literalExpectation("endpoint", false);
+  const peg$e59 = peg$literalExpectation("since", false);
+  const peg$e60 = peg$literalExpectation("until", false);
+  const peg$e61 = peg$literalExpectation(">=", false);
+  const peg$e62 = peg$literalExpectation("<=", false);
+  const peg$e63 = peg$otherExpectation("a duration such as 500ms or 3s");
+  const peg$e64 = peg$literalExpectation("ms", false);
+  const peg$e65 = peg$classExpectation(["m", "s"], false, false, false);
+  const peg$e66 = peg$otherExpectation("a whole number");
+  const peg$e67 = peg$classExpectation([["0", "9"]], false, false, false);
+  const peg$e68 = peg$otherExpectation("a number");
+  const peg$e69 = peg$literalExpectation(".", false);
+  const peg$e70 = peg$otherExpectation("a text in quotes");
+  const peg$e71 = peg$literalExpectation("\"", false);
+  const peg$e72 = peg$classExpectation(["\"", "\n"], true, false, false);
+  const peg$e73 = peg$otherExpectation("a name");
+  const peg$e74 = peg$classExpectation([["A", "Z"], ["a", "z"]], false, false, false);
+  const peg$e75 = peg$otherExpectation("a word");
+  const peg$e76 = peg$classExpectation([["a", "z"]], false, false, false);
+  const peg$e77 = peg$classExpectation([["a", "z"], "-"], false, false, false);
+  const peg$e78 = peg$classExpectation([["A", "Z"], ["a", "z"], ["0", "9"], "_", ".", "-"], false, false, false);
+  const peg$e79 = peg$literalExpectation("#", false);
+  const peg$e80 = peg$classExpectation(["\n"], true, false, false);
+  const peg$e81 = peg$literalExpectation("\n", false);
+  const peg$e82 = peg$classExpectation([" ", "\t"], false, false, false);
 
   function peg$f0(first, line) {    return line;  }
   function peg$f1(first, rest) {
@@ -345,55 +347,56 @@
   }
   function peg$f9(durationMs) {    return {kind: 'run', durationMs};  }
   function peg$f10(fromMs, toMs, call, rate, zone) {    return zone;  }
-  function peg$f11(fromMs, toMs, call, rate, zone, behavior) {
-    return {kind: 'load', fromMs, toMs, call, rate, zone: zone ?? '', ...behavior};
+  function peg$f11(fromMs, toMs, call, rate, zone, due) {    return due;  }
+  function peg$f12(fromMs, toMs, call, rate, zone, deadlineMs, behavior) {
+    return {kind: 'load', fromMs, toMs, call, rate, zone: zone ?? '', deadlineMs, ...behavior};
   }
-  function peg$f12() {    return {isRetrying: true, marksAttempts: false};  }
-  function peg$f13() {    return {isRetrying: true, marksAttempts: true};  }
-  function peg$f14() {    return {isRetrying: false, marksAttempts: true};  }
-  function peg$f15(atMs, action) {    return {kind: 'fault', atMs, action};  }
-  function peg$f16(verb, vm) {    return {verb: `${verb}Vm`, vm};  }
-  function peg$f17(vm, durationMs) {    return {verb: 'pauseVm', vm, durationMs};  }
-  function peg$f18(a, b) {    return {verb: 'cut', a, b};  }
-  function peg$f19() {    return {verb: 'heal'};  }
-  function peg$f20(rate) {    return {verb: 'loseMessages', rate};  }
-  function peg$f21(rate) {    return {verb: 'repeatMessages', rate};  }
-  function peg$f22() {    return {verb: 'platformDown'};  }
-  function peg$f23() {    return {verb: 'platformUp'};  }
-  function peg$f24(count) {    return {verb: 'platformLoses', count};  }
-  function peg$f25(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
-  function peg$f26(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
-  function peg$f27(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
-  function peg$f28(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
-  function peg$f29(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
-  function peg$f30(version) {    return {verb: 'startVersion', version};  }
-  function peg$f31(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
-  function peg$f32(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
-  function peg$f33(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
-  function peg$f34() {    return {verb: 'changePlans'};  }
-  function peg$f35() {    return {verb: 'invalidPlans'};  }
-  function peg$f36() {    return {verb: 'operatorsRace'};  }
-  function peg$f37(calls) {    return {afterCalls: calls};  }
-  function peg$f38(batch) {    return {fromBatch: batch};  }
-  function peg$f39(route) {    return {route};  }
-  function peg$f40() {    return {};  }
-  function peg$f41(metric, qualifiers, operator, value) {
+  function peg$f13() {    return {isRetrying: true, marksAttempts: false};  }
+  function peg$f14() {    return {isRetrying: true, marksAttempts: true};  }
+  function peg$f15() {    return {isRetrying: false, marksAttempts: true};  }
+  function peg$f16(atMs, action) {    return {kind: 'fault', atMs, action};  }
+  function peg$f17(verb, vm) {    return {verb: `${verb}Vm`, vm};  }
+  function peg$f18(vm, durationMs) {    return {verb: 'pauseVm', vm, durationMs};  }
+  function peg$f19(a, b) {    return {verb: 'cut', a, b};  }
+  function peg$f20() {    return {verb: 'heal'};  }
+  function peg$f21(rate) {    return {verb: 'loseMessages', rate};  }
+  function peg$f22(rate) {    return {verb: 'repeatMessages', rate};  }
+  function peg$f23() {    return {verb: 'platformDown'};  }
+  function peg$f24() {    return {verb: 'platformUp'};  }
+  function peg$f25(count) {    return {verb: 'platformLoses', count};  }
+  function peg$f26(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
+  function peg$f27(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
+  function peg$f28(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
+  function peg$f29(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
+  function peg$f30(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
+  function peg$f31(version) {    return {verb: 'startVersion', version};  }
+  function peg$f32(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
+  function peg$f33(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
+  function peg$f34(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
+  function peg$f35() {    return {verb: 'changePlans'};  }
+  function peg$f36() {    return {verb: 'invalidPlans'};  }
+  function peg$f37() {    return {verb: 'operatorsRace'};  }
+  function peg$f38(calls) {    return {afterCalls: calls};  }
+  function peg$f39(batch) {    return {fromBatch: batch};  }
+  function peg$f40(route) {    return {route};  }
+  function peg$f41() {    return {};  }
+  function peg$f42(metric, qualifiers, operator, value) {
     return {kind: 'expect', metric, qualifiers: Object.assign({}, ...qualifiers), operator, value};
   }
-  function peg$f42(first, w) {    return w;  }
-  function peg$f43(first, rest) {    return [first, ...rest].join(' ');  }
-  function peg$f44(w) {    return w;  }
-  function peg$f45(tier) {    return {tier};  }
-  function peg$f46(version) {    return {version};  }
-  function peg$f47(endpoint) {    return {endpoint};  }
-  function peg$f48(sinceMs) {    return {sinceMs};  }
-  function peg$f49(untilMs) {    return {untilMs};  }
-  function peg$f50(value, unit) {
+  function peg$f43(first, w) {    return w;  }
+  function peg$f44(first, rest) {    return [first, ...rest].join(' ');  }
+  function peg$f45(w) {    return w;  }
+  function peg$f46(tier) {    return {tier};  }
+  function peg$f47(version) {    return {version};  }
+  function peg$f48(endpoint) {    return {endpoint};  }
+  function peg$f49(sinceMs) {    return {sinceMs};  }
+  function peg$f50(untilMs) {    return {untilMs};  }
+  function peg$f51(value, unit) {
     return value * {ms: 1, s: 1000, m: 60000}[unit];
   }
-  function peg$f51(digits) {    return Number(digits);  }
   function peg$f52(digits) {    return Number(digits);  }
-  function peg$f53(text) {    return text;  }
+  function peg$f53(digits) {    return Number(digits);  }
+  function peg$f54(text) {    return text;  }
   let peg$currPos = options.peg$currPos | 0;
   let peg$savedPos = peg$currPos;
   const peg$posDetailsCache = [{ line: 1, column: 1 }];
@@ -948,7 +951,7 @@
   }
 
   function peg$parseLoad() {
-    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10, s11, s12, s13, s14, s15, s16, s17, s18, s19, s20, s21, s22;
+    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10, s11, s12, s13, s14, s15, s16, s17, s18, s19, s20, s21, s22, s23, s24, s25;
 
     s0 = peg$currPos;
     if (input.substr(peg$currPos, 4) === peg$c9) {
@@ -1051,10 +1054,64 @@
                                       if (s18 === peg$FAILED) {
                                         s18 = null;
                                       }
-                                      s19 = peg$parseBehavior();
-                                      if (s19 !== peg$FAILED) {
+                                      s19 = peg$currPos;
+                                      s20 = peg$parse__();
+                                      if (s20 !== peg$FAILED) {
+                                        if (input.substr(peg$currPos, 3) === peg$c14) {
+                                          s21 = peg$c14;
+                                          peg$currPos += 3;
+                                        } else {
+                                          s21 = peg$FAILED;
+                                          if (peg$silentFails === 0) { peg$fail(peg$e14); }
+                                        }
+                                        if (s21 !== peg$FAILED) {
+                                          s22 = peg$parse__();
+                                          if (s22 !== peg$FAILED) {
+                                            if (input.substr(peg$currPos, 2) === peg$c13) {
+                                              s23 = peg$c13;
+                                              peg$currPos += 2;
+                                            } else {
+                                              s23 = peg$FAILED;
+                                              if (peg$silentFails === 0) { peg$fail(peg$e13); }
+                                            }
+                                            if (s23 !== peg$FAILED) {
+                                              s24 = peg$parse__();
+                                              if (s24 !== peg$FAILED) {
+                                                s25 = peg$parseDuration();
+                                                if (s25 !== peg$FAILED) {
+                                                  peg$savedPos = s19;
+                                                  s19 = peg$f11(s3, s7, s11, s13, s18, s25);
+                                                } else {
+                                                  peg$currPos = s19;
+                                                  s19 = peg$FAILED;
+                                                }
+                                              } else {
+                                                peg$currPos = s19;
+                                                s19 = peg$FAILED;
+                                              }
+                                            } else {
+                                              peg$currPos = s19;
+                                              s19 = peg$FAILED;
+                                            }
+                                          } else {
+                                            peg$currPos = s19;
+                                            s19 = peg$FAILED;
+                                          }
+                                        } else {
+                                          peg$currPos = s19;
+                                          s19 = peg$FAILED;
+                                        }
+                                      } else {
+                                        peg$currPos = s19;
+                                        s19 = peg$FAILED;
+                                      }
+                                      if (s19 === peg$FAILED) {
+                                        s19 = null;
+                                      }
+                                      s20 = peg$parseBehavior();
+                                      if (s20 !== peg$FAILED) {
                                         peg$savedPos = s0;
-                                        s0 = peg$f11(s3, s7, s11, s13, s18, s19);
+                                        s0 = peg$f12(s3, s7, s11, s13, s18, s19, s20);
                                       } else {
                                         peg$currPos = s0;
                                         s0 = peg$FAILED;
@@ -1137,26 +1194,26 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 8) === peg$c14) {
-        s2 = peg$c14;
+      if (input.substr(peg$currPos, 8) === peg$c15) {
+        s2 = peg$c15;
         peg$currPos += 8;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e14); }
+        if (peg$silentFails === 0) { peg$fail(peg$e15); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
         if (s3 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 8) === peg$c15) {
-            s4 = peg$c15;
+          if (input.substr(peg$currPos, 8) === peg$c16) {
+            s4 = peg$c16;
             peg$currPos += 8;
           } else {
             s4 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e15); }
+            if (peg$silentFails === 0) { peg$fail(peg$e16); }
           }
           if (s4 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f12();
+            s0 = peg$f13();
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -1177,16 +1234,16 @@
       s0 = peg$currPos;
       s1 = peg$parse__();
       if (s1 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 8) === peg$c14) {
-          s2 = peg$c14;
+        if (input.substr(peg$currPos, 8) === peg$c15) {
+          s2 = peg$c15;
           peg$currPos += 8;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e14); }
+          if (peg$silentFails === 0) { peg$fail(peg$e15); }
         }
         if (s2 !== peg$FAILED) {
           peg$savedPos = s0;
-          s0 = peg$f13();
+          s0 = peg$f14();
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -1199,7 +1256,7 @@
         s0 = peg$currPos;
         s1 = '';
         peg$savedPos = s0;
-        s1 = peg$f14();
+        s1 = peg$f15();
         s0 = s1;
       }
     }
@@ -1211,12 +1268,12 @@
     let s0, s1, s2, s3, s4, s5;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 2) === peg$c16) {
-      s1 = peg$c16;
+    if (input.substr(peg$currPos, 2) === peg$c17) {
+      s1 = peg$c17;
       peg$currPos += 2;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e16); }
+      if (peg$silentFails === 0) { peg$fail(peg$e17); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
@@ -1228,7 +1285,7 @@
             s5 = peg$parseAction();
             if (s5 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f15(s3, s5);
+              s0 = peg$f16(s3, s5);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -1257,36 +1314,36 @@
     let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 4) === peg$c17) {
-      s1 = peg$c17;
+    if (input.substr(peg$currPos, 4) === peg$c18) {
+      s1 = peg$c18;
       peg$currPos += 4;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e17); }
+      if (peg$silentFails === 0) { peg$fail(peg$e18); }
     }
     if (s1 === peg$FAILED) {
-      if (input.substr(peg$currPos, 4) === peg$c18) {
-        s1 = peg$c18;
+      if (input.substr(peg$currPos, 4) === peg$c19) {
+        s1 = peg$c19;
         peg$currPos += 4;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e18); }
+        if (peg$silentFails === 0) { peg$fail(peg$e19); }
       }
       if (s1 === peg$FAILED) {
-        if (input.substr(peg$currPos, 5) === peg$c19) {
-          s1 = peg$c19;
+        if (input.substr(peg$currPos, 5) === peg$c20) {
+          s1 = peg$c20;
           peg$currPos += 5;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e19); }
+          if (peg$silentFails === 0) { peg$fail(peg$e20); }
         }
         if (s1 === peg$FAILED) {
-          if (input.substr(peg$currPos, 6) === peg$c20) {
-            s1 = peg$c20;
+          if (input.substr(peg$currPos, 6) === peg$c21) {
+            s1 = peg$c21;
             peg$currPos += 6;
           } else {
             s1 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e20); }
+            if (peg$silentFails === 0) { peg$fail(peg$e21); }
           }
         }
       }
@@ -1294,12 +1351,12 @@
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
       if (s2 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 2) === peg$c21) {
-          s3 = peg$c21;
+        if (input.substr(peg$currPos, 2) === peg$c22) {
+          s3 = peg$c22;
           peg$currPos += 2;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e21); }
+          if (peg$silentFails === 0) { peg$fail(peg$e22); }
         }
         if (s3 !== peg$FAILED) {
           s4 = peg$parse__();
@@ -1307,7 +1364,7 @@
             s5 = peg$parseName();
             if (s5 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f16(s1, s5);
+              s0 = peg$f17(s1, s5);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -1330,22 +1387,22 @@
     }
     if (s0 === peg$FAILED) {
       s0 = peg$currPos;
-      if (input.substr(peg$currPos, 5) === peg$c22) {
-        s1 = peg$c22;
+      if (input.substr(peg$currPos, 5) === peg$c23) {
+        s1 = peg$c23;
         peg$currPos += 5;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e22); }
+        if (peg$silentFails === 0) { peg$fail(peg$e23); }
       }
       if (s1 !== peg$FAILED) {
         s2 = peg$parse__();
         if (s2 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 2) === peg$c21) {
-            s3 = peg$c21;
+          if (input.substr(peg$currPos, 2) === peg$c22) {
+            s3 = peg$c22;
             peg$currPos += 2;
           } else {
             s3 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e21); }
+            if (peg$silentFails === 0) { peg$fail(peg$e22); }
           }
           if (s3 !== peg$FAILED) {
             s4 = peg$parse__();
@@ -1354,12 +1411,12 @@
               if (s5 !== peg$FAILED) {
                 s6 = peg$parse__();
                 if (s6 !== peg$FAILED) {
-                  if (input.substr(peg$currPos, 3) === peg$c23) {
-                    s7 = peg$c23;
+                  if (input.substr(peg$currPos, 3) === peg$c24) {
+                    s7 = peg$c24;
                     peg$currPos += 3;
                   } else {
                     s7 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e23); }
+                    if (peg$silentFails === 0) { peg$fail(peg$e24); }
                   }
                   if (s7 !== peg$FAILED) {
                     s8 = peg$parse__();
@@ -1367,7 +1424,7 @@
                       s9 = peg$parseDuration();
                       if (s9 !== peg$FAILED) {
                         peg$savedPos = s0;
-                        s0 = peg$f17(s5, s9);
+                        s0 = peg$f18(s5, s9);
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -1406,12 +1463,12 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c24) {
-          s1 = peg$c24;
+        if (input.substr(peg$currPos, 3) === peg$c25) {
+          s1 = peg$c25;
           peg$currPos += 3;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e24); }
+          if (peg$silentFails === 0) { peg$fail(peg$e25); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
@@ -1433,7 +1490,7 @@
                     s7 = peg$parseName();
                     if (s7 !== peg$FAILED) {
                       peg$savedPos = s0;
-                      s0 = peg$f18(s3, s7);
+                      s0 = peg$f19(s3, s7);
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1464,26 +1521,26 @@
         }
         if (s0 === peg$FAILED) {
           s0 = peg$currPos;
-          if (input.substr(peg$currPos, 4) === peg$c25) {
-            s1 = peg$c25;
+          if (input.substr(peg$currPos, 4) === peg$c26) {
+            s1 = peg$c26;
             peg$currPos += 4;
           } else {
             s1 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e25); }
+            if (peg$silentFails === 0) { peg$fail(peg$e26); }
           }
           if (s1 !== peg$FAILED) {
             peg$savedPos = s0;
-            s1 = peg$f19();
+            s1 = peg$f20();
           }
           s0 = s1;
           if (s0 === peg$FAILED) {
             s0 = peg$currPos;
-            if (input.substr(peg$currPos, 4) === peg$c26) {
-              s1 = peg$c26;
+            if (input.substr(peg$currPos, 4) === peg$c27) {
+              s1 = peg$c27;
               peg$currPos += 4;
             } else {
               s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e26); }
+              if (peg$silentFails === 0) { peg$fail(peg$e27); }
             }
             if (s1 !== peg$FAILED) {
               s2 = peg$parse__();
@@ -1492,26 +1549,26 @@
                 if (s3 !== peg$FAILED) {
                   s4 = peg$parse__();
                   if (s4 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 2) === peg$c27) {
-                      s5 = peg$c27;
+                    if (input.substr(peg$currPos, 2) === peg$c28) {
+                      s5 = peg$c28;
                       peg$currPos += 2;
                     } else {
                       s5 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e27); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e28); }
                     }
                     if (s5 !== peg$FAILED) {
                       s6 = peg$parse__();
                       if (s6 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 8) === peg$c28) {
-                          s7 = peg$c28;
+                        if (input.substr(peg$currPos, 8) === peg$c29) {
+                          s7 = peg$c29;
                           peg$currPos += 8;
                         } else {
                           s7 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e28); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e29); }
                         }
                         if (s7 !== peg$FAILED) {
                           peg$savedPos = s0;
-                          s0 = peg$f20(s3);
+                          s0 = peg$f21(s3);
                         } else {
                           peg$currPos = s0;
                           s0 = peg$FAILED;
@@ -1542,12 +1599,12 @@
             }
             if (s0 === peg$FAILED) {
               s0 = peg$currPos;
-              if (input.substr(peg$currPos, 6) === peg$c29) {
-                s1 = peg$c29;
+              if (input.substr(peg$currPos, 6) === peg$c30) {
+                s1 = peg$c30;
                 peg$currPos += 6;
               } else {
                 s1 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e29); }
+                if (peg$silentFails === 0) { peg$fail(peg$e30); }
               }
               if (s1 !== peg$FAILED) {
                 s2 = peg$parse__();
@@ -1556,26 +1613,26 @@
                   if (s3 !== peg$FAILED) {
                     s4 = peg$parse__();
                     if (s4 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 2) === peg$c27) {
-                        s5 = peg$c27;
+                      if (input.substr(peg$currPos, 2) === peg$c28) {
+                        s5 = peg$c28;
                         peg$currPos += 2;
                       } else {
                         s5 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e27); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e28); }
                       }
                       if (s5 !== peg$FAILED) {
                         s6 = peg$parse__();
                         if (s6 !== peg$FAILED) {
-                          if (input.substr(peg$currPos, 8) === peg$c28) {
-                            s7 = peg$c28;
+                          if (input.substr(peg$currPos, 8) === peg$c29) {
+                            s7 = peg$c29;
                             peg$currPos += 8;
                           } else {
                             s7 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e28); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e29); }
                           }
                           if (s7 !== peg$FAILED) {
                             peg$savedPos = s0;
-                            s0 = peg$f21(s3);
+                            s0 = peg$f22(s3);
                           } else {
                             peg$currPos = s0;
                             s0 = peg$FAILED;
@@ -1606,26 +1663,26 @@
               }
               if (s0 === peg$FAILED) {
                 s0 = peg$currPos;
-                if (input.substr(peg$currPos, 8) === peg$c30) {
-                  s1 = peg$c30;
+                if (input.substr(peg$currPos, 8) === peg$c31) {
+                  s1 = peg$c31;
                   peg$currPos += 8;
                 } else {
                   s1 = peg$FAILED;
-                  if (peg$silentFails === 0) { peg$fail(peg$e30); }
+                  if (peg$silentFails === 0) { peg$fail(peg$e31); }
                 }
                 if (s1 !== peg$FAILED) {
                   s2 = peg$parse__();
                   if (s2 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 4) === peg$c31) {
-                      s3 = peg$c31;
+                    if (input.substr(peg$currPos, 4) === peg$c32) {
+                      s3 = peg$c32;
                       peg$currPos += 4;
                     } else {
                       s3 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e31); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e32); }
                     }
                     if (s3 !== peg$FAILED) {
                       peg$savedPos = s0;
-                      s0 = peg$f22();
+                      s0 = peg$f23();
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1640,26 +1697,26 @@
                 }
                 if (s0 === peg$FAILED) {
                   s0 = peg$currPos;
-                  if (input.substr(peg$currPos, 8) === peg$c30) {
-                    s1 = peg$c30;
+                  if (input.substr(peg$currPos, 8) === peg$c31) {
+                    s1 = peg$c31;
                     peg$currPos += 8;
                   } else {
                     s1 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e30); }
+                    if (peg$silentFails === 0) { peg$fail(peg$e31); }
                   }
                   if (s1 !== peg$FAILED) {
                     s2 = peg$parse__();
                     if (s2 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 2) === peg$c32) {
-                        s3 = peg$c32;
+                      if (input.substr(peg$currPos, 2) === peg$c33) {
+                        s3 = peg$c33;
                         peg$currPos += 2;
                       } else {
                         s3 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e32); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e33); }
                       }
                       if (s3 !== peg$FAILED) {
                         peg$savedPos = s0;
-                        s0 = peg$f23();
+                        s0 = peg$f24();
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -1674,22 +1731,22 @@
                   }
                   if (s0 === peg$FAILED) {
                     s0 = peg$currPos;
-                    if (input.substr(peg$currPos, 8) === peg$c30) {
-                      s1 = peg$c30;
+                    if (input.substr(peg$currPos, 8) === peg$c31) {
+                      s1 = peg$c31;
                       peg$currPos += 8;
                     } else {
                       s1 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e30); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e31); }
                     }
                     if (s1 !== peg$FAILED) {
                       s2 = peg$parse__();
                       if (s2 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 5) === peg$c33) {
-                          s3 = peg$c33;
+                        if (input.substr(peg$currPos, 5) === peg$c34) {
+                          s3 = peg$c34;
                           peg$currPos += 5;
                         } else {
                           s3 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e33); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e34); }
                         }
                         if (s3 !== peg$FAILED) {
                           s4 = peg$parse__();
@@ -1698,16 +1755,16 @@
                             if (s5 !== peg$FAILED) {
                               s6 = peg$parse__();
                               if (s6 !== peg$FAILED) {
-                                if (input.substr(peg$currPos, 7) === peg$c34) {
-                                  s7 = peg$c34;
+                                if (input.substr(peg$currPos, 7) === peg$c35) {
+                                  s7 = peg$c35;
                                   peg$currPos += 7;
                                 } else {
                                   s7 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e34); }
+                                  if (peg$silentFails === 0) { peg$fail(peg$e35); }
                                 }
                                 if (s7 !== peg$FAILED) {
                                   peg$savedPos = s0;
-                                  s0 = peg$f24(s5);
+                                  s0 = peg$f25(s5);
                                 } else {
                                   peg$currPos = s0;
                                   s0 = peg$FAILED;
@@ -1738,12 +1795,12 @@
                     }
                     if (s0 === peg$FAILED) {
                       s0 = peg$currPos;
-                      if (input.substr(peg$currPos, 4) === peg$c35) {
-                        s1 = peg$c35;
+                      if (input.substr(peg$currPos, 4) === peg$c36) {
+                        s1 = peg$c36;
                         peg$currPos += 4;
                       } else {
                         s1 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e36); }
                       }
                       if (s1 !== peg$FAILED) {
                         s2 = peg$parse__();
@@ -1752,12 +1809,12 @@
                           if (s3 !== peg$FAILED) {
                             s4 = peg$parse__();
                             if (s4 !== peg$FAILED) {
-                              if (input.substr(peg$currPos, 2) === peg$c36) {
-                                s5 = peg$c36;
+                              if (input.substr(peg$currPos, 2) === peg$c37) {
+                                s5 = peg$c37;
                                 peg$currPos += 2;
                               } else {
                                 s5 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                                if (peg$silentFails === 0) { peg$fail(peg$e37); }
                               }
                               if (s5 !== peg$FAILED) {
                                 s6 = peg$parse__();
@@ -1765,7 +1822,7 @@
                                   s7 = peg$parseNumber();
                                   if (s7 !== peg$FAILED) {
                                     peg$savedPos = s0;
-                                    s0 = peg$f25(s3, s7);
+                                    s0 = peg$f26(s3, s7);
                                   } else {
                                     peg$currPos = s0;
                                     s0 = peg$FAILED;
@@ -1796,12 +1853,12 @@
                       }
                       if (s0 === peg$FAILED) {
                         s0 = peg$currPos;
-                        if (input.substr(peg$currPos, 7) === peg$c37) {
-                          s1 = peg$c37;
+                        if (input.substr(peg$currPos, 7) === peg$c38) {
+                          s1 = peg$c38;
                           peg$currPos += 7;
                         } else {
                           s1 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e37); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e38); }
                         }
                         if (s1 !== peg$FAILED) {
                           s2 = peg$parse__();
@@ -1809,7 +1866,7 @@
                             s3 = peg$parseName();
                             if (s3 !== peg$FAILED) {
                               peg$savedPos = s0;
-                              s0 = peg$f26(s3);
+                              s0 = peg$f27(s3);
                             } else {
                               peg$currPos = s0;
                               s0 = peg$FAILED;
@@ -1824,12 +1881,12 @@
                         }
                         if (s0 === peg$FAILED) {
                           s0 = peg$currPos;
-                          if (input.substr(peg$currPos, 9) === peg$c38) {
-                            s1 = peg$c38;
+                          if (input.substr(peg$currPos, 9) === peg$c39) {
+                            s1 = peg$c39;
                             peg$currPos += 9;
                           } else {
                             s1 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e38); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e39); }
                           }
                           if (s1 !== peg$FAILED) {
                             s2 = peg$parse__();
@@ -1837,7 +1894,7 @@
                               s3 = peg$parseName();
                               if (s3 !== peg$FAILED) {
                                 peg$savedPos = s0;
-                                s0 = peg$f27(s3);
+                                s0 = peg$f28(s3);
                               } else {
                                 peg$currPos = s0;
                                 s0 = peg$FAILED;
@@ -1852,12 +1909,12 @@
                           }
                           if (s0 === peg$FAILED) {
                             s0 = peg$currPos;
-                            if (input.substr(peg$currPos, 5) === peg$c39) {
-                              s1 = peg$c39;
+                            if (input.substr(peg$currPos, 5) === peg$c40) {
+                              s1 = peg$c40;
                               peg$currPos += 5;
                             } else {
                               s1 = peg$FAILED;
-                              if (peg$silentFails === 0) { peg$fail(peg$e39); }
+                              if (peg$silentFails === 0) { peg$fail(peg$e40); }
                             }
                             if (s1 !== peg$FAILED) {
                               s2 = peg$parse__();
@@ -1865,7 +1922,7 @@
                                 s3 = peg$parseName();
                                 if (s3 !== peg$FAILED) {
                                   peg$savedPos = s0;
-                                  s0 = peg$f28(s3);
+                                  s0 = peg$f29(s3);
                                 } else {
                                   peg$currPos = s0;
                                   s0 = peg$FAILED;
@@ -1880,12 +1937,12 @@
                             }
                             if (s0 === peg$FAILED) {
                               s0 = peg$currPos;
-                              if (input.substr(peg$currPos, 5) === peg$c40) {
-                                s1 = peg$c40;
+                              if (input.substr(peg$currPos, 5) === peg$c41) {
+                                s1 = peg$c41;
                                 peg$currPos += 5;
                               } else {
                                 s1 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                                if (peg$silentFails === 0) { peg$fail(peg$e41); }
                               }
                               if (s1 !== peg$FAILED) {
                                 s2 = peg$parse__();
@@ -1893,7 +1950,7 @@
                                   s3 = peg$parseName();
                                   if (s3 !== peg$FAILED) {
                                     peg$savedPos = s0;
-                                    s0 = peg$f29(s3);
+                                    s0 = peg$f30(s3);
                                   } else {
                                     peg$currPos = s0;
                                     s0 = peg$FAILED;
@@ -1908,22 +1965,22 @@
                               }
                               if (s0 === peg$FAILED) {
                                 s0 = peg$currPos;
-                                if (input.substr(peg$currPos, 5) === peg$c19) {
-                                  s1 = peg$c19;
+                                if (input.substr(peg$currPos, 5) === peg$c20) {
+                                  s1 = peg$c20;
                                   peg$currPos += 5;
                                 } else {
                                   s1 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e19); }
+                                  if (peg$silentFails === 0) { peg$fail(peg$e20); }
                                 }
                                 if (s1 !== peg$FAILED) {
                                   s2 = peg$parse__();
                                   if (s2 !== peg$FAILED) {
-                                    if (input.substr(peg$currPos, 7) === peg$c41) {
-                                      s3 = peg$c41;
+                                    if (input.substr(peg$currPos, 7) === peg$c42) {
+                                      s3 = peg$c42;
                                       peg$currPos += 7;
                                     } else {
                                       s3 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e42); }
                                     }
                                     if (s3 !== peg$FAILED) {
                                       s4 = peg$parse__();
@@ -1931,7 +1988,7 @@
                                         s5 = peg$parseName();
                                         if (s5 !== peg$FAILED) {
                                           peg$savedPos = s0;
-                                          s0 = peg$f30(s5);
+                                          s0 = peg$f31(s5);
                                         } else {
                                           peg$currPos = s0;
                                           s0 = peg$FAILED;
@@ -1954,12 +2011,12 @@
                                 }
                                 if (s0 === peg$FAILED) {
                                   s0 = peg$currPos;
-                                  if (input.substr(peg$currPos, 7) === peg$c41) {
-                                    s1 = peg$c41;
+                                  if (input.substr(peg$currPos, 7) === peg$c42) {
+                                    s1 = peg$c42;
                                     peg$currPos += 7;
                                   } else {
                                     s1 = peg$FAILED;
-                                    if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                    if (peg$silentFails === 0) { peg$fail(peg$e42); }
                                   }
                                   if (s1 !== peg$FAILED) {
                                     s2 = peg$parse__();
@@ -1968,12 +2025,12 @@
                                       if (s3 !== peg$FAILED) {
                                         s4 = peg$parse__();
                                         if (s4 !== peg$FAILED) {
-                                          if (input.substr(peg$currPos, 5) === peg$c42) {
-                                            s5 = peg$c42;
+                                          if (input.substr(peg$currPos, 5) === peg$c43) {
+                                            s5 = peg$c43;
                                             peg$currPos += 5;
                                           } else {
                                             s5 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e43); }
                                           }
                                           if (s5 !== peg$FAILED) {
                                             s6 = peg$parse__();
@@ -1983,7 +2040,7 @@
                                                 s8 = peg$parseBadTail();
                                                 if (s8 !== peg$FAILED) {
                                                   peg$savedPos = s0;
-                                                  s0 = peg$f31(s3, s7, s8);
+                                                  s0 = peg$f32(s3, s7, s8);
                                                 } else {
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
@@ -2018,12 +2075,12 @@
                                   }
                                   if (s0 === peg$FAILED) {
                                     s0 = peg$currPos;
-                                    if (input.substr(peg$currPos, 7) === peg$c41) {
-                                      s1 = peg$c41;
+                                    if (input.substr(peg$currPos, 7) === peg$c42) {
+                                      s1 = peg$c42;
                                       peg$currPos += 7;
                                     } else {
                                       s1 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e42); }
                                     }
                                     if (s1 !== peg$FAILED) {
                                       s2 = peg$parse__();
@@ -2032,12 +2089,12 @@
                                         if (s3 !== peg$FAILED) {
                                           s4 = peg$parse__();
                                           if (s4 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 5) === peg$c43) {
-                                              s5 = peg$c43;
+                                            if (input.substr(peg$currPos, 5) === peg$c44) {
+                                              s5 = peg$c44;
                                               peg$currPos += 5;
                                             } else {
                                               s5 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e43); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e44); }
                                             }
                                             if (s5 !== peg$FAILED) {
                                               s6 = peg$parse__();
@@ -2047,7 +2104,7 @@
                                                   s8 = peg$parseBadTail();
                                                   if (s8 !== peg$FAILED) {
                                                     peg$savedPos = s0;
-                                                    s0 = peg$f32(s3, s7, s8);
+                                                    s0 = peg$f33(s3, s7, s8);
                                                   } else {
                                                     peg$currPos = s0;
                                                     s0 = peg$FAILED;
@@ -2082,12 +2139,12 @@
                                     }
                                     if (s0 === peg$FAILED) {
                                       s0 = peg$currPos;
-                                      if (input.substr(peg$currPos, 4) === peg$c44) {
-                                        s1 = peg$c44;
+                                      if (input.substr(peg$currPos, 4) === peg$c45) {
+                                        s1 = peg$c45;
                                         peg$currPos += 4;
                                       } else {
                                         s1 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e45); }
                                       }
                                       if (s1 !== peg$FAILED) {
                                         s2 = peg$parse__();
@@ -2106,12 +2163,12 @@
                                               if (s5 !== peg$FAILED) {
                                                 s6 = peg$parse__();
                                                 if (s6 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 6) === peg$c45) {
-                                                    s7 = peg$c45;
+                                                  if (input.substr(peg$currPos, 6) === peg$c46) {
+                                                    s7 = peg$c46;
                                                     peg$currPos += 6;
                                                   } else {
                                                     s7 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e46); }
                                                   }
                                                   if (s7 !== peg$FAILED) {
                                                     s8 = peg$parse__();
@@ -2119,7 +2176,7 @@
                                                       s9 = peg$parseDuration();
                                                       if (s9 !== peg$FAILED) {
                                                         peg$savedPos = s0;
-                                                        s0 = peg$f33(s5, s9);
+                                                        s0 = peg$f34(s5, s9);
                                                       } else {
                                                         peg$currPos = s0;
                                                         s0 = peg$FAILED;
@@ -2158,26 +2215,26 @@
                                       }
                                       if (s0 === peg$FAILED) {
                                         s0 = peg$currPos;
-                                        if (input.substr(peg$currPos, 6) === peg$c46) {
-                                          s1 = peg$c46;
+                                        if (input.substr(peg$currPos, 6) === peg$c47) {
+                                          s1 = peg$c47;
                                           peg$currPos += 6;
                                         } else {
                                           s1 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e46); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e47); }
                                         }
                                         if (s1 !== peg$FAILED) {
                                           s2 = peg$parse__();
                                           if (s2 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 5) === peg$c47) {
-                                              s3 = peg$c47;
+                                            if (input.substr(peg$currPos, 5) === peg$c48) {
+                                              s3 = peg$c48;
                                               peg$currPos += 5;
                                             } else {
                                               s3 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e47); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                             }
                                             if (s3 !== peg$FAILED) {
                                               peg$savedPos = s0;
-                                              s0 = peg$f34();
+                                              s0 = peg$f35();
                                             } else {
                                               peg$currPos = s0;
                                               s0 = peg$FAILED;
@@ -2192,26 +2249,26 @@
                                         }
                                         if (s0 === peg$FAILED) {
                                           s0 = peg$currPos;
-                                          if (input.substr(peg$currPos, 7) === peg$c48) {
-                                            s1 = peg$c48;
+                                          if (input.substr(peg$currPos, 7) === peg$c49) {
+                                            s1 = peg$c49;
                                             peg$currPos += 7;
                                           } else {
                                             s1 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e49); }
                                           }
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 5) === peg$c47) {
-                                                s3 = peg$c47;
+                                              if (input.substr(peg$currPos, 5) === peg$c48) {
+                                                s3 = peg$c48;
                                                 peg$currPos += 5;
                                               } else {
                                                 s3 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e47); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                               }
                                               if (s3 !== peg$FAILED) {
                                                 peg$savedPos = s0;
-                                                s0 = peg$f35();
+                                                s0 = peg$f36();
                                               } else {
                                                 peg$currPos = s0;
                                                 s0 = peg$FAILED;
@@ -2226,26 +2283,26 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 9) === peg$c49) {
-                                              s1 = peg$c49;
+                                            if (input.substr(peg$currPos, 9) === peg$c50) {
+                                              s1 = peg$c50;
                                               peg$currPos += 9;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e49); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e50); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 4) === peg$c50) {
-                                                  s3 = peg$c50;
+                                                if (input.substr(peg$currPos, 4) === peg$c51) {
+                                                  s3 = peg$c51;
                                                   peg$currPos += 4;
                                                 } else {
                                                   s3 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e50); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e51); }
                                                 }
                                                 if (s3 !== peg$FAILED) {
                                                   peg$savedPos = s0;
-                                                  s0 = peg$f36();
+                                                  s0 = peg$f37();
                                                 } else {
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
@@ -2288,12 +2345,12 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 5) === peg$c51) {
-        s2 = peg$c51;
+      if (input.substr(peg$currPos, 5) === peg$c52) {
+        s2 = peg$c52;
         peg$currPos += 5;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e51); }
+        if (peg$silentFails === 0) { peg$fail(peg$e52); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
@@ -2302,16 +2359,16 @@
           if (s4 !== peg$FAILED) {
             s5 = peg$parse__();
             if (s5 !== peg$FAILED) {
-              if (input.substr(peg$currPos, 5) === peg$c52) {
-                s6 = peg$c52;
+              if (input.substr(peg$currPos, 5) === peg$c53) {
+                s6 = peg$c53;
                 peg$currPos += 5;
               } else {
                 s6 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e52); }
+                if (peg$silentFails === 0) { peg$fail(peg$e53); }
               }
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f37(s4);
+                s0 = peg$f38(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2350,12 +2407,12 @@
         if (s2 !== peg$FAILED) {
           s3 = peg$parse__();
           if (s3 !== peg$FAILED) {
-            if (input.substr(peg$currPos, 5) === peg$c53) {
-              s4 = peg$c53;
+            if (input.substr(peg$currPos, 5) === peg$c54) {
+              s4 = peg$c54;
               peg$currPos += 5;
             } else {
               s4 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e53); }
+              if (peg$silentFails === 0) { peg$fail(peg$e54); }
             }
             if (s4 !== peg$FAILED) {
               s5 = peg$parse__();
@@ -2363,7 +2420,7 @@
                 s6 = peg$parseInteger();
                 if (s6 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f38(s6);
+                  s0 = peg$f39(s6);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -2392,12 +2449,12 @@
         s0 = peg$currPos;
         s1 = peg$parse__();
         if (s1 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 2) === peg$c54) {
-            s2 = peg$c54;
+          if (input.substr(peg$currPos, 2) === peg$c55) {
+            s2 = peg$c55;
             peg$currPos += 2;
           } else {
             s2 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e54); }
+            if (peg$silentFails === 0) { peg$fail(peg$e55); }
           }
           if (s2 !== peg$FAILED) {
             s3 = peg$parse__();
@@ -2405,7 +2462,7 @@
               s4 = peg$parseText();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f39(s4);
+                s0 = peg$f40(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2426,7 +2483,7 @@
           s0 = peg$currPos;
           s1 = '';
           peg$savedPos = s0;
-          s1 = peg$f40();
+          s1 = peg$f41();
           s0 = s1;
         }
       }
@@ -2439,12 +2496,12 @@
     let s0, s1, s2, s3, s4, s5, s6, s7, s8;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 6) === peg$c55) {
-      s1 = peg$c55;
+    if (input.substr(peg$currPos, 6) === peg$c56) {
+      s1 = peg$c56;
       peg$currPos += 6;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e55); }
+      if (peg$silentFails === 0) { peg$fail(peg$e56); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
@@ -2467,7 +2524,7 @@
             }
             if (s8 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f41(s3, s4, s6, s8);
+              s0 = peg$f42(s3, s4, s6, s8);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -2504,7 +2561,7 @@
       s5 = peg$parseQualifiedWord();
       if (s5 !== peg$FAILED) {
         peg$savedPos = s3;
-        s3 = peg$f42(s1, s5);
+        s3 = peg$f43(s1, s5);
       } else {
         peg$currPos = s3;
         s3 = peg$FAILED;
@@ -2516,14 +2573,14 @@
         s5 = peg$parseQualifiedWord();
         if (s5 !== peg$FAILED) {
           peg$savedPos = s3;
-          s3 = peg$f42(s1, s5);
+          s3 = peg$f43(s1, s5);
         } else {
           peg$currPos = s3;
           s3 = peg$FAILED;
         }
       }
       peg$savedPos = s0;
-      s0 = peg$f43(s1, s2);
+      s0 = peg$f44(s1, s2);
     } else {
       peg$currPos = s0;
       s0 = peg$FAILED;
@@ -2539,12 +2596,12 @@
     s1 = peg$currPos;
     peg$silentFails++;
     s2 = peg$currPos;
-    if (input.substr(peg$currPos, 4) === peg$c56) {
-      s3 = peg$c56;
+    if (input.substr(peg$currPos, 4) === peg$c57) {
+      s3 = peg$c57;
       peg$currPos += 4;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e56); }
+      if (peg$silentFails === 0) { peg$fail(peg$e57); }
     }
     if (s3 !== peg$FAILED) {
       s4 = peg$parse__();
@@ -2576,12 +2633,12 @@
       s2 = peg$currPos;
       peg$silentFails++;
       s3 = peg$currPos;
-      if (input.substr(peg$currPos, 7) === peg$c41) {
-        s4 = peg$c41;
+      if (input.substr(peg$currPos, 7) === peg$c42) {
+        s4 = peg$c42;
         peg$currPos += 7;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e41); }
+        if (peg$silentFails === 0) { peg$fail(peg$e42); }
       }
       if (s4 !== peg$FAILED) {
         s5 = peg$parse__();
@@ -2607,12 +2664,12 @@
         s3 = peg$currPos;
         peg$silentFails++;
         s4 = peg$currPos;
-        if (input.substr(peg$currPos, 8) === peg$c57) {
-          s5 = peg$c57;
+        if (input.substr(peg$currPos, 8) === peg$c58) {
+          s5 = peg$c58;
           peg$currPos += 8;
         } else {
           s5 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e57); }
+          if (peg$silentFails === 0) { peg$fail(peg$e58); }
         }
         if (s5 !== peg$FAILED) {
           s6 = peg$parse__();
@@ -2638,12 +2695,12 @@
           s4 = peg$currPos;
           peg$silentFails++;
           s5 = peg$currPos;
-          if (input.substr(peg$currPos, 5) === peg$c58) {
-            s6 = peg$c58;
+          if (input.substr(peg$currPos, 5) === peg$c59) {
+            s6 = peg$c59;
             peg$currPos += 5;
           } else {
             s6 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e58); }
+            if (peg$silentFails === 0) { peg$fail(peg$e59); }
           }
           if (s6 !== peg$FAILED) {
             s7 = peg$parse__();
@@ -2669,12 +2726,12 @@
             s5 = peg$currPos;
             peg$silentFails++;
             s6 = peg$currPos;
-            if (input.substr(peg$currPos, 5) === peg$c59) {
-              s7 = peg$c59;
+            if (input.substr(peg$currPos, 5) === peg$c60) {
+              s7 = peg$c60;
               peg$currPos += 5;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e59); }
+              if (peg$silentFails === 0) { peg$fail(peg$e60); }
             }
             if (s7 !== peg$FAILED) {
               s8 = peg$parse__();
@@ -2700,7 +2757,7 @@
               s6 = peg$parseWord();
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f44(s6);
+                s0 = peg$f45(s6);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2735,12 +2792,12 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 4) === peg$c56) {
-        s2 = peg$c56;
+      if (input.substr(peg$currPos, 4) === peg$c57) {
+        s2 = peg$c57;
         peg$currPos += 4;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e56); }
+        if (peg$silentFails === 0) { peg$fail(peg$e57); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
@@ -2748,7 +2805,7 @@
           s4 = peg$parseInteger();
           if (s4 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f45(s4);
+            s0 = peg$f46(s4);
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -2769,12 +2826,12 @@
       s0 = peg$currPos;
       s1 = peg$parse__();
       if (s1 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 7) === peg$c41) {
-          s2 = peg$c41;
+        if (input.substr(peg$currPos, 7) === peg$c42) {
+          s2 = peg$c42;
           peg$currPos += 7;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e41); }
+          if (peg$silentFails === 0) { peg$fail(peg$e42); }
         }
         if (s2 !== peg$FAILED) {
           s3 = peg$parse__();
@@ -2782,7 +2839,7 @@
             s4 = peg$parseName();
             if (s4 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f46(s4);
+              s0 = peg$f47(s4);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -2803,12 +2860,12 @@
         s0 = peg$currPos;
         s1 = peg$parse__();
         if (s1 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 8) === peg$c57) {
-            s2 = peg$c57;
+          if (input.substr(peg$currPos, 8) === peg$c58) {
+            s2 = peg$c58;
             peg$currPos += 8;
           } else {
             s2 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e57); }
+            if (peg$silentFails === 0) { peg$fail(peg$e58); }
           }
           if (s2 !== peg$FAILED) {
             s3 = peg$parse__();
@@ -2816,7 +2873,7 @@
               s4 = peg$parseName();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f47(s4);
+                s0 = peg$f48(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2837,12 +2894,12 @@
           s0 = peg$currPos;
           s1 = peg$parse__();
           if (s1 !== peg$FAILED) {
-            if (input.substr(peg$currPos, 5) === peg$c58) {
-              s2 = peg$c58;
+            if (input.substr(peg$currPos, 5) === peg$c59) {
+              s2 = peg$c59;
               peg$currPos += 5;
             } else {
               s2 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e58); }
+              if (peg$silentFails === 0) { peg$fail(peg$e59); }
             }
             if (s2 !== peg$FAILED) {
               s3 = peg$parse__();
@@ -2850,7 +2907,7 @@
                 s4 = peg$parseDuration();
                 if (s4 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f48(s4);
+                  s0 = peg$f49(s4);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -2871,12 +2928,12 @@
             s0 = peg$currPos;
             s1 = peg$parse__();
             if (s1 !== peg$FAILED) {
-              if (input.substr(peg$currPos, 5) === peg$c59) {
-                s2 = peg$c59;
+              if (input.substr(peg$currPos, 5) === peg$c60) {
+                s2 = peg$c60;
                 peg$currPos += 5;
               } else {
                 s2 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e59); }
+                if (peg$silentFails === 0) { peg$fail(peg$e60); }
               }
               if (s2 !== peg$FAILED) {
                 s3 = peg$parse__();
@@ -2884,7 +2941,7 @@
                   s4 = peg$parseDuration();
                   if (s4 !== peg$FAILED) {
                     peg$savedPos = s0;
-                    s0 = peg$f49(s4);
+                    s0 = peg$f50(s4);
                   } else {
                     peg$currPos = s0;
                     s0 = peg$FAILED;
@@ -2912,20 +2969,20 @@
   function peg$parseOperator() {
     let s0;
 
-    if (input.substr(peg$currPos, 2) === peg$c60) {
-      s0 = peg$c60;
+    if (input.substr(peg$currPos, 2) === peg$c61) {
+      s0 = peg$c61;
       peg$currPos += 2;
     } else {
       s0 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e60); }
+      if (peg$silentFails === 0) { peg$fail(peg$e61); }
     }
     if (s0 === peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c61) {
-        s0 = peg$c61;
+      if (input.substr(peg$currPos, 2) === peg$c62) {
+        s0 = peg$c62;
         peg$currPos += 2;
       } else {
         s0 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e61); }
+        if (peg$silentFails === 0) { peg$fail(peg$e62); }
       }
       if (s0 === peg$FAILED) {
         if (input.charCodeAt(peg$currPos) === 61) {
@@ -2948,12 +3005,12 @@
     s0 = peg$currPos;
     s1 = peg$parseNumber();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c62) {
-        s2 = peg$c62;
+      if (input.substr(peg$currPos, 2) === peg$c63) {
+        s2 = peg$c63;
         peg$currPos += 2;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e63); }
+        if (peg$silentFails === 0) { peg$fail(peg$e64); }
       }
       if (s2 === peg$FAILED) {
         s2 = input.charAt(peg$currPos);
@@ -2961,7 +3018,7 @@
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e64); }
+          if (peg$silentFails === 0) { peg$fail(peg$e65); }
         }
       }
       if (s2 !== peg$FAILED) {
@@ -2977,7 +3034,7 @@
         }
         if (s3 !== peg$FAILED) {
           peg$savedPos = s0;
-          s0 = peg$f50(s1, s2);
+          s0 = peg$f51(s1, s2);
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -2993,7 +3050,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e62); }
+      if (peg$silentFails === 0) { peg$fail(peg$e63); }
     }
 
     return s0;
@@ -3011,7 +3068,7 @@
       peg$currPos++;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e66); }
+      if (peg$silentFails === 0) { peg$fail(peg$e67); }
     }
     if (s3 !== peg$FAILED) {
       while (s3 !== peg$FAILED) {
@@ -3021,7 +3078,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e66); }
+          if (peg$silentFails === 0) { peg$fail(peg$e67); }
         }
       }
     } else {
@@ -3034,13 +3091,13 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f51(s1);
+      s1 = peg$f52(s1);
     }
     s0 = s1;
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e65); }
+      if (peg$silentFails === 0) { peg$fail(peg$e66); }
     }
 
     return s0;
@@ -3059,7 +3116,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e66); }
+      if (peg$silentFails === 0) { peg$fail(peg$e67); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -3069,7 +3126,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e66); }
+          if (peg$silentFails === 0) { peg$fail(peg$e67); }
         }
       }
     } else {
@@ -3078,11 +3135,11 @@
     if (s3 !== peg$FAILED) {
       s4 = peg$currPos;
       if (input.charCodeAt(peg$currPos) === 46) {
-        s5 = peg$c63;
+        s5 = peg$c64;
         peg$currPos++;
       } else {
         s5 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e68); }
+        if (peg$silentFails === 0) { peg$fail(peg$e69); }
       }
       if (s5 !== peg$FAILED) {
         s6 = [];
@@ -3091,7 +3148,7 @@
           peg$currPos++;
         } else {
           s7 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e66); }
+          if (peg$silentFails === 0) { peg$fail(peg$e67); }
         }
         if (s7 !== peg$FAILED) {
           while (s7 !== peg$FAILED) {
@@ -3101,7 +3158,7 @@
               peg$currPos++;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e66); }
+              if (peg$silentFails === 0) { peg$fail(peg$e67); }
             }
           }
         } else {
@@ -3134,13 +3191,13 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f52(s1);
+      s1 = peg$f53(s1);
     }
     s0 = s1;
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e67); }
+      if (peg$silentFails === 0) { peg$fail(peg$e68); }
     }
 
     return s0;
@@ -3152,11 +3209,11 @@
     peg$silentFails++;
     s0 = peg$currPos;
     if (input.charCodeAt(peg$currPos) === 34) {
-      s1 = peg$c64;
+      s1 = peg$c65;
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e70); }
+      if (peg$silentFails === 0) { peg$fail(peg$e71); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$currPos;
@@ -3166,7 +3223,7 @@
         peg$currPos++;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e71); }
+        if (peg$silentFails === 0) { peg$fail(peg$e72); }
       }
       while (s4 !== peg$FAILED) {
         s3.push(s4);
@@ -3175,20 +3232,20 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e71); }
+          if (peg$silentFails === 0) { peg$fail(peg$e72); }
         }
       }
       s2 = input.substring(s2, peg$currPos);
       if (input.charCodeAt(peg$currPos) === 34) {
-        s3 = peg$c64;
+        s3 = peg$c65;
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e70); }
+        if (peg$silentFails === 0) { peg$fail(peg$e71); }
       }
       if (s3 !== peg$FAILED) {
         peg$savedPos = s0;
-        s0 = peg$f53(s2);
+        s0 = peg$f54(s2);
       } else {
         peg$currPos = s0;
         s0 = peg$FAILED;
@@ -3200,7 +3257,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e69); }
+      if (peg$silentFails === 0) { peg$fail(peg$e70); }
     }
 
     return s0;
@@ -3217,7 +3274,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e73); }
+      if (peg$silentFails === 0) { peg$fail(peg$e74); }
     }
     if (s2 !== peg$FAILED) {
       s3 = [];
@@ -3240,7 +3297,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e72); }
+      if (peg$silentFails === 0) { peg$fail(peg$e73); }
     }
 
     return s0;
@@ -3257,7 +3314,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e75); }
+      if (peg$silentFails === 0) { peg$fail(peg$e76); }
     }
     if (s2 !== peg$FAILED) {
       s3 = [];
@@ -3266,7 +3323,7 @@
         peg$currPos++;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e76); }
+        if (peg$silentFails === 0) { peg$fail(peg$e77); }
       }
       while (s4 !== peg$FAILED) {
         s3.push(s4);
@@ -3275,7 +3332,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e76); }
+          if (peg$silentFails === 0) { peg$fail(peg$e77); }
         }
       }
       s2 = [s2, s3];
@@ -3292,7 +3349,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e74); }
+      if (peg$silentFails === 0) { peg$fail(peg$e75); }
     }
 
     return s0;
@@ -3306,7 +3363,7 @@
       peg$currPos++;
     } else {
       s0 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e77); }
+      if (peg$silentFails === 0) { peg$fail(peg$e78); }
     }
 
     return s0;
@@ -3317,11 +3374,11 @@
 
     s0 = peg$currPos;
     if (input.charCodeAt(peg$currPos) === 35) {
-      s1 = peg$c65;
+      s1 = peg$c66;
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e78); }
+      if (peg$silentFails === 0) { peg$fail(peg$e79); }
     }
     if (s1 !== peg$FAILED) {
       s2 = [];
@@ -3330,7 +3387,7 @@
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e79); }
+        if (peg$silentFails === 0) { peg$fail(peg$e80); }
       }
       while (s3 !== peg$FAILED) {
         s2.push(s3);
@@ -3339,7 +3396,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e79); }
+          if (peg$silentFails === 0) { peg$fail(peg$e80); }
         }
       }
       s1 = [s1, s2];
@@ -3356,11 +3413,11 @@
     let s0;
 
     if (input.charCodeAt(peg$currPos) === 10) {
-      s0 = peg$c66;
+      s0 = peg$c67;
       peg$currPos++;
     } else {
       s0 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e80); }
+      if (peg$silentFails === 0) { peg$fail(peg$e81); }
     }
 
     return s0;
@@ -3375,7 +3432,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e81); }
+      if (peg$silentFails === 0) { peg$fail(peg$e82); }
     }
     while (s1 !== peg$FAILED) {
       s0.push(s1);
@@ -3384,7 +3441,7 @@
         peg$currPos++;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e81); }
+        if (peg$silentFails === 0) { peg$fail(peg$e82); }
       }
     }
 
@@ -3400,7 +3457,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e81); }
+      if (peg$silentFails === 0) { peg$fail(peg$e82); }
     }
     if (s1 !== peg$FAILED) {
       while (s1 !== peg$FAILED) {
@@ -3410,7 +3467,7 @@
           peg$currPos++;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e81); }
+          if (peg$silentFails === 0) { peg$fail(peg$e82); }
         }
       }
     } else {
--- a/packages/ryeworks-lab/src/scenarios/metrics.ts
+++ b/packages/ryeworks-lab/src/scenarios/metrics.ts
@@ -142,6 +142,20 @@
   return count;
 }
 
+/** Counts dispatches to a version by VMs that had heard its verdict. */
+function countDispatchesAfterHearing(harness: ScenarioHarness): number {
+  const {ledger, platform} = harness;
+  let count = 0;
+  for (const move of platform.getContent('moves').moves) {
+    const heard = ledger.verdictMs.get(move.move);
+    for (const one of ledger.dispatches) {
+      const heardMs = heard?.get(one.vm) ?? Infinity;
+      if (one.version === move.toVersion && one.atMs > heardMs) count += 1;
+    }
+  }
+  return count;
+}
+
 /** Counts the moves in a phase. */
 function countMoves(harness: ScenarioHarness, phase: string): number {
   const {moves} = harness.platform.getContent('moves');
@@ -212,6 +226,7 @@
   'in-force delay': getInForceDelayMs,
   'reverted versions': harness => harness.ledger.revertedVersions,
   'dispatches after verdict': countDispatchesAfterVerdict,
+  'dispatches after hearing': countDispatchesAfterHearing,
   'withdrawn moves': harness => countMoves(harness, 'withdrawn'),
   'done moves': harness => countMoves(harness, 'done'),
   'lost updates': harness => harness.callers.lostUpdates,
--- a/packages/ryeworks-lab/src/scenarios/runScenario.ts
+++ b/packages/ryeworks-lab/src/scenarios/runScenario.ts
@@ -107,7 +107,8 @@
   const harness = createHarness(statements, seed);
   const {events, callers} = harness;
   for (const load of getStatements(statements, 'load')) {
-    const kind = harness.findCallKind(load.call);
+    const usual = harness.findCallKind(load.call);
+    const kind = {...usual, deadlineMs: load.deadlineMs ?? usual.deadlineMs};
     const {isRetrying, marksAttempts, zone} = load;
     events.schedule(load.fromMs, () =>
       callers.startLoad(kind, load.rate, load.toMs, {
--- a/packages/ryeworks-lab/src/scenarios/scenario.peggy
+++ b/packages/ryeworks-lab/src/scenarios/scenario.peggy
@@ -27,8 +27,8 @@
 
 Load
   = "from" __ fromMs:Duration __ "to" __ toMs:Duration __ "call" __ call:Text
-    __ rate:Number __ "per" __ "second" zone:(__ "in" __ zone:Name { return zone; })? behavior:Behavior {
-      return {kind: 'load', fromMs, toMs, call, rate, zone: zone ?? '', ...behavior};
+    __ rate:Number __ "per" __ "second" zone:(__ "in" __ zone:Name { return zone; })? deadlineMs:(__ "due" __ "in" __ due:Duration { return due; })? behavior:Behavior {
+      return {kind: 'load', fromMs, toMs, call, rate, zone: zone ?? '', deadlineMs, ...behavior};
     }
 
 Behavior
--- a/packages/ryeworks-lab/src/scenarios/scenarioStatements.ts
+++ b/packages/ryeworks-lab/src/scenarios/scenarioStatements.ts
@@ -46,6 +46,8 @@
       readonly toMs: number;
       readonly call: string;
       readonly rate: number;
+      /** Deadline other than the kind's own, in ms. */
+      readonly deadlineMs: number | null;
     } & CallerBehavior)
   | {
       readonly kind: 'fault';
--- a/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
@@ -54,6 +54,7 @@
   nowMs: number,
 ): Effect[] {
   markDispatched(state, request, endpoint, nowMs);
+  request.resumes += 1;
   const {requestId} = request;
   return [
     {kind: 'resume', requestId, endpoint, streamId},
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -153,6 +153,18 @@
   return effects;
 }
 
+/**
+ * Classifies a failure by the whole call: when a stream cannot even be picked
+ * up over a new connection, its request had been sent before all the same.
+ */
+function classifyFailure(
+  request: ActiveRequest,
+  failure: CallFailure,
+): CallFailure {
+  const wasSent = request.resumes > 0;
+  return wasSent && failure === callFailure.notSent ? callFailure.cut : failure;
+}
+
 /** Resumes, attempts again or ends a request whose call failed. */
 export function handleEndpointFailed(
   state: NodeState,
@@ -161,7 +173,7 @@
 ): Effect[] {
   const request = findDispatched(state, input.requestId);
   if (request === undefined) return [];
-  const {failure} = input;
+  const failure = classifyFailure(request, input.failure);
   if (failure === callFailure.cut) {
     const resumed = resumeStream(state, request, 'cut', nowMs);
     if (resumed !== undefined) return resumed;
