--- a/packages/ryeworks-scheduler/src/handleInput.ts
+++ b/packages/ryeworks-scheduler/src/handleInput.ts
@@ -5,6 +5,7 @@
 import {handlePeerMessage} from './handlePeerMessage.js';
 import {handleTimerDue} from './handleTimerDue.js';
 import {Input, InputOf} from './input.js';
+import {detectPause} from './membership/probeMember.js';
 import {handleVmsListed} from './membership/handleVmsListed.js';
 import {handlePlatformAnswered} from './moves/leadMoves.js';
 import {NodeState} from './nodeState.js';
@@ -58,7 +59,10 @@
   nowMs: number,
 ): Effect[] {
   const effects: Effect[] = [];
-  const pending = applyInput(state, input, nowMs);
+  const pending = [
+    ...detectPause(state, nowMs),
+    ...applyInput(state, input, nowMs),
+  ];
   for (let index = 0; index < pending.length; index++) {
     const effect = pending[index];
     if (effect.kind !== 'sendPeer' || effect.to !== state.options.vm) {
--- a/packages/ryeworks-scheduler/src/membership/probeMember.ts
+++ b/packages/ryeworks-scheduler/src/membership/probeMember.ts
@@ -77,13 +77,17 @@
   return [createSendPeer(state, target.vm, ping)];
 }
 
-/** Notices that this process was paused and starts afresh as an owner. */
-function detectPause(state: NodeState, nowMs: number): Effect[] {
+/**
+ * Notices that this process was paused and starts afresh as an owner. Runs
+ * before any input, since what was sent meanwhile comes before the timers.
+ */
+export function detectPause(state: NodeState, nowMs: number): Effect[] {
   const {membership, options} = state;
   const elapsedMs = nowMs - membership.lastProbeAtMs;
   const isFirst = membership.lastProbeAtMs === 0;
+  const isShort = elapsedMs < options.probePeriodMs * pausedPeriods;
+  if (isFirst || isShort) return [];
   membership.lastProbeAtMs = nowMs;
-  if (isFirst || elapsedMs < options.probePeriodMs * pausedPeriods) return [];
   const self = membership.members.get(options.vm)!;
   announceSelf(state, self.status);
   return [
@@ -148,7 +152,8 @@
 ): Effect[] {
   const {options, timers} = state;
   timers.set('probe', '', nowMs + options.probePeriodMs);
-  const effects = detectPause(state, nowMs);
+  state.membership.lastProbeAtMs = nowMs;
+  const effects: Effect[] = [];
   forgetMembers(state, nowMs);
   effects.push(...updateWatching(state));
   const target = pickProbeTarget(state);
--- a/packages/ryeworks-scheduler/src/requests/askForGrant.ts
+++ b/packages/ryeworks-scheduler/src/requests/askForGrant.ts
@@ -4,11 +4,14 @@
 import {createCount, Effect} from '../effect.js';
 import {getReachableZones, rankOwners} from '../membership/membershipState.js';
 import {createSendPeer} from '../membership/sendPeer.js';
+import {getServiceVersions} from '../moves/decideVersion.js';
 import {NodeState} from '../nodeState.js';
 import {GrantAsk} from '../peerMessage.js';
 import {EndOutcome, endRequest} from './endRequest.js';
 import {ActiveRequest} from './requestsState.js';
 
+/** Share of a move up to which its requests go to one cell first. */
+const longestTrialShare = 0.05;
 /** Cells that are asked for an early grant before a wait is accepted. */
 const maxSoonCells = 4;
 /** Part of the first-token target that an early grant may wait. */
@@ -16,6 +19,23 @@
 /** Owners of a cell that are asked in turn when one stays silent. */
 const maxAskRank = 2;
 
+/**
+ * Returns the key by which a move's early requests prefer one cell; undefined
+ * for all others. Few requests then show what comes only after many calls or
+ * under load.
+ */
+function findTrialKey(
+  state: NodeState,
+  request: ActiveRequest,
+): string | undefined {
+  const {move} = getServiceVersions(state, request.service.service);
+  const isTrial =
+    move !== undefined &&
+    move.toVersion === request.version &&
+    move.share <= longestTrialShare;
+  return isTrial ? move.move : undefined;
+}
+
 /**
  * Lists the cells that can serve a request: those of the own zone first, and
  * in each zone the one that the prompt's prefix prefers.
@@ -33,6 +53,8 @@
     const isOwn = cell.availabilityZone === options.availabilityZone;
     (isOwn ? own : other).push(cellKey);
   }
+  const trialKey = findTrialKey(state, request);
+  if (trialKey !== undefined) return rankByKey(trialKey, [...own, ...other]);
   const prefix = `${request.prefixHash}`;
   return [...rankByKey(prefix, own), ...rankByKey(prefix, other)];
 }
--- a/packages/ryeworks-scheduler/src/requests/handleCallerGone.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleCallerGone.ts
@@ -16,7 +16,6 @@
   if (request === undefined) return [];
   const isDispatched = request.phase === 'dispatched';
   if (isDispatched && request.claimKey !== '') return [];
-  const ran = isDispatched ? ('unknown' as const) : ('not-run' as const);
-  const outcome = {error: 'callerGone' as const, reason: 'caller_gone', ran};
+  const outcome = {error: 'callerGone' as const, reason: 'caller_gone'};
   return endRequest(state, request, outcome, nowMs);
 }
