--- a/packages/ryeworks-platform/src/createHttpPlatform.ts
+++ b/packages/ryeworks-platform/src/createHttpPlatform.ts
@@ -3,6 +3,7 @@
   PlatformError,
   VersionConflictError,
 } from '@ryeworks/types';
+import {isUnsentError} from '@ryeworks/utils';
 import {Agent, Dispatcher, request} from 'undici';
 import {ObjectKind, PlatformObjectList, PlatformPort} from './platformPort.js';
 
@@ -32,24 +33,11 @@
   readonly body: unknown;
 }
 
-const unsentCodes: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Statuses that prove that a write did not take effect. */
 const refusedStatuses: ReadonlySet<number> = new Set([
   400, 401, 403, 404, 413, 429, 503,
 ]);
 
-/** Tells whether a call failed before anything was sent. */
-function isUnsent(error: unknown): boolean {
-  const code = (error as {code?: string}).code ?? '';
-  return unsentCodes.has(code);
-}
-
 /** Creates the platform port over the HTTP object API. */
 export function createHttpPlatform(options: HttpPlatformOptions): PlatformPort {
   // A connection per call: one that went silent is never used again.
@@ -71,7 +59,7 @@
       const text = await answer.body.text();
       return {status: answer.statusCode, body: JSON.parse(text || 'null')};
     } catch (error) {
-      const ErrorClass = isUnsent(error)
+      const ErrorClass = isUnsentError(error)
         ? PlatformError
         : PlatformAnswerLostError;
       throw new ErrorClass(`platform ${one.method} ${one.path} failed`, {
--- /dev/null
+++ b/packages/ryeworks-utils/src/isUnsentError.ts
@@ -0,0 +1,13 @@
+/** Codes of errors that come before a connection is open. */
+const unsentCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Tells whether an HTTP call failed before anything of it was sent. */
+export function isUnsentError(error: unknown): boolean {
+  const code = (error as {code?: string}).code ?? '';
+  return unsentCodes.has(code);
+}
--- a/packages/ryeworksd/src/callers/createCallerServer.ts
+++ b/packages/ryeworksd/src/callers/createCallerServer.ts
@@ -141,21 +141,40 @@
   });
 }
 
-/** Reads a completion call. */
-function handleCompletionCall(
+/** Who makes a call, and what its headers say. */
+interface ReadCaller {
+  readonly customer: string;
+  readonly headers: CallHeaders;
+}
+
+/** Reads who makes a call; undefined when the call was refused. */
+function readCaller(
   context: CallerServerContext,
   request: FastifyRequest,
   reply: FastifyReply,
-): FastifyReply | void {
+): ReadCaller | undefined {
   const customer = authenticateCaller(context, request);
   if (customer === undefined) {
-    return sendRefusal(context, request, reply, 'unauthenticated');
+    sendRefusal(context, request, reply, 'unauthenticated');
+    return undefined;
   }
   const wallClockMs = context.clock.readWallClockMs();
   const headers = readCallHeaders(request.headers, wallClockMs);
   if (typeof headers === 'string') {
-    return sendRefusal(context, request, reply, 'malformedRequest', headers);
+    sendRefusal(context, request, reply, 'malformedRequest', headers);
+    return undefined;
   }
+  return {customer, headers};
+}
+
+/** Reads a completion call. */
+function handleCompletionCall(
+  context: CallerServerContext,
+  request: FastifyRequest,
+  reply: FastifyReply,
+): FastifyReply | void {
+  const caller = readCaller(context, request, reply);
+  if (caller === undefined) return reply;
   let parsed: unknown;
   try {
     parsed = JSON.parse(getBody(request).toString('utf8'));
@@ -168,11 +187,10 @@
     return sendRefusal(context, request, reply, 'malformedRequest', completion);
   }
   return scheduleCall(context, request, reply, {
-    customer,
+    ...caller,
     service: completion.model,
     method: 'POST',
     path: completionsPath,
-    headers,
     completion,
   });
 }
@@ -183,19 +201,12 @@
   request: FastifyRequest,
   reply: FastifyReply,
 ): FastifyReply | void {
-  const customer = authenticateCaller(context, request);
-  if (customer === undefined) {
-    return sendRefusal(context, request, reply, 'unauthenticated');
-  }
-  const wallClockMs = context.clock.readWallClockMs();
-  const headers = readCallHeaders(request.headers, wallClockMs);
-  if (typeof headers === 'string') {
-    return sendRefusal(context, request, reply, 'malformedRequest', headers);
-  }
+  const caller = readCaller(context, request, reply);
+  if (caller === undefined) return reply;
   const {service} = request.params as {service: string};
   const path = request.url.slice(`/services/${service}`.length);
   const {method} = request;
-  const call = {customer, service, method, path, headers};
+  const call = {...caller, service, method, path};
   return scheduleCall(context, request, reply, call);
 }
 
--- a/packages/ryeworksd/src/endpoints/endpointClient.ts
+++ b/packages/ryeworksd/src/endpoints/endpointClient.ts
@@ -1,5 +1,6 @@
 import {CallFailure, Dispatch, Resume} from '@ryeworks/scheduler';
 import {Endpoint} from '@ryeworks/types';
+import {isUnsentError} from '@ryeworks/utils';
 import {Agent, Dispatcher, request} from 'undici';
 import {OpenRequest, OpenRequests} from '../answers/openRequests.js';
 import {Clock} from '../core/clock.js';
@@ -11,13 +12,6 @@
 /** Time between two progress reports of one call to the scheduler, in ms. */
 const progressIntervalMs = 250;
 
-const unsentCodes: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** One call to an endpoint under way. */
 interface OpenCall {
   readonly abort: AbortController;
@@ -168,9 +162,8 @@
       }
       await this.passStream(open, call, response);
     } catch (error) {
-      const code = (error as {code?: string}).code ?? '';
       if (!isCurrent()) return;
-      this.reportFailure(open, call, unsentCodes.has(code) ? 'notSent' : 'cut');
+      this.reportFailure(open, call, isUnsentError(error) ? 'notSent' : 'cut');
     }
   }
 
