--- a/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
@@ -149,3 +149,26 @@
   const runs = await deployment.readRuns();
   t.equal(runs.get(`key:${call.key}`), 1, 'the call ran once');
 });
+
+t.test('an endpoint that leaves gets no new work', async t => {
+  const deployment = await startDeployment(t);
+  const [leaving] = deployment.endpoints.filter(one => one.kind === 'model');
+  const {endpoint} = leaving;
+  const version = await deployment.platform.putObject(
+    'endpoint',
+    endpoint,
+    {...leaving, state: 'leaving'},
+    undefined,
+  );
+  await waitUntil('every VM knows that it leaves', async () => {
+    const statuses = await Promise.all(
+      deployment.vms.map(vm => deployment.readStatus(vm)),
+    );
+    return statuses.every(one => one.documents['endpoints'] >= version);
+  });
+  const before = await deployment.readRunsOf(endpoint);
+  const calls = await runLoadDuring(deployment, async () => {});
+  await checkPromises(t, deployment, calls);
+  const after = await deployment.readRunsOf(endpoint);
+  t.equal(after.size, before.size, 'nothing new ran there');
+});
--- a/packages/ryeworks-lab/src/bin/measure.ts
+++ b/packages/ryeworks-lab/src/bin/measure.ts
@@ -3,6 +3,7 @@
 import {mkdir} from 'node:fs/promises';
 import {writeCapacityPage} from '../measure/capacity/capacityPage.js';
 import {runCapacity} from '../measure/capacity/runCapacity.js';
+import {runEntry} from '../measure/entry.js';
 import {runMoves} from '../measure/runMoves.js';
 import {runOverload} from '../measure/runOverload.js';
 
@@ -13,6 +14,7 @@
   overload: runOverload,
   capacity: runCapacity,
   moves: runMoves,
+  entry: runEntry,
   'capacity-page': async () => {
     writeCapacityPage();
     return true;
--- a/packages/ryeworks-lab/src/deployment/deployment.ts
+++ b/packages/ryeworks-lab/src/deployment/deployment.ts
@@ -155,13 +155,18 @@
     await answer.body.dump();
   }
 
+  /** Reads how often each key ran at one endpoint. */
+  async readRunsOf(endpoint: string): Promise<Map<string, number>> {
+    const answer = await request(`${this.directUrls.get(endpoint)}/runs`);
+    const runs = (await answer.body.json()) as Record<string, number>;
+    return new Map(Object.entries(runs));
+  }
+
   /** Reads how often each key ran, summed over all endpoints. */
   async readRuns(): Promise<Map<string, number>> {
     const sums = new Map<string, number>();
-    for (const url of this.directUrls.values()) {
-      const answer = await request(`${url}/runs`);
-      const runs = (await answer.body.json()) as Record<string, number>;
-      for (const [key, count] of Object.entries(runs)) {
+    for (const endpoint of this.directUrls.keys()) {
+      for (const [key, count] of await this.readRunsOf(endpoint)) {
         sums.set(key, (sums.get(key) ?? 0) + count);
       }
     }
--- /dev/null
+++ b/packages/ryeworks-lab/src/measure/entry.ts
@@ -0,0 +1,98 @@
+import {writeFile} from 'node:fs/promises';
+import {Deployment} from '../deployment/deployment.js';
+import {desatorosPlan} from '../deployment/deploymentPlan.js';
+import {createTable} from '../report/createTable.js';
+import {getPercentile} from '../report/summarizeCalls.js';
+import {Agent, request} from 'undici';
+
+const windowMs = 5000;
+const path = '/jobs/7';
+
+/** Speed of one way to a back end. */
+interface WaySpeed {
+  readonly way: string;
+  readonly concurrency: number;
+  readonly callsPerSecond: number;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+}
+
+/** Makes calls one after the other until a time; returns their lengths. */
+async function runCaller(
+  url: string,
+  headers: Record<string, string>,
+  agent: Agent,
+  endMs: number,
+): Promise<number[]> {
+  const times: number[] = [];
+  while (performance.now() < endMs) {
+    const startMs = performance.now();
+    const answer = await request(url, {headers, dispatcher: agent});
+    await answer.body.dump();
+    if (answer.statusCode === 200) times.push(performance.now() - startMs);
+  }
+  return times;
+}
+
+/** Measures calls a second and their latency on one way. */
+async function measureWay(
+  way: string,
+  url: string,
+  headers: Record<string, string>,
+  concurrency: number,
+): Promise<WaySpeed> {
+  const agent = new Agent({connections: concurrency});
+  const endMs = performance.now() + windowMs;
+  const callers = Array.from({length: concurrency}, () =>
+    runCaller(url, headers, agent, endMs),
+  );
+  const times = (await Promise.all(callers)).flat();
+  await agent.close();
+  return {
+    way,
+    concurrency,
+    callsPerSecond: times.length / (windowMs / 1000),
+    p50Ms: getPercentile(times, 50),
+    p95Ms: getPercentile(times, 95),
+  };
+}
+
+/** Compares calls through one entry VM with calls to the back end itself. */
+export async function runEntry(directory: string): Promise<boolean> {
+  const plan = {
+    ...desatorosPlan,
+    availabilityZones: ['lima-1'],
+    vmsPerZone: 1,
+  };
+  const deployment = await Deployment.start(plan);
+  try {
+    const service = deployment.endpoints.find(one => one.kind === 'plain')!;
+    await deployment.control(service.address, {callMs: 0});
+    const direct = service.address + path;
+    const [vm] = deployment.vms;
+    const through = `${vm.callerUrl}/services/${service.service}${path}`;
+    const authorization = `Bearer ${plan.customers[0].apiKey}`;
+    const rows: WaySpeed[] = [];
+    for (const concurrency of [1, 16]) {
+      rows.push(await measureWay('direct', direct, {}, concurrency));
+      const headers = {authorization};
+      rows.push(
+        await measureWay('through an entry VM', through, headers, concurrency),
+      );
+    }
+    const head = ['way', 'callers', 'calls/s', 'p50 ms', 'p95 ms'];
+    const cells = rows.map(row => [
+      row.way,
+      row.concurrency,
+      row.callsPerSecond.toFixed(0),
+      row.p50Ms.toFixed(2),
+      row.p95Ms.toFixed(2),
+    ]);
+    console.log(createTable(head, cells));
+    const json = JSON.stringify(rows, null, 1);
+    await writeFile(`${directory}/entry.json`, `${json}\n`);
+    return true;
+  } finally {
+    await deployment.stop();
+  }
+}
