Keep the early requests of a move on one engine

Cause: 'slow under load' reached 5.40 % of the window (target 2 %): at small shares no engine of the new version had a batch that shows it.

--- a/packages/ryeworks-scheduler/src/admission/admissionState.ts
+++ b/packages/ryeworks-scheduler/src/admission/admissionState.ts
@@ -11,6 +11,8 @@
   readonly prefixHash: number;
   readonly engines: readonly string[];
   readonly avoid: readonly string[];
+  /** Whether to prefer the busiest endpoint, to see it under load. */
+  readonly isPacked: boolean;
   /** End of the whole call, in ms. */
   readonly deadlineMs: number;
 }
--- a/packages/ryeworks-scheduler/src/admission/decideGrants.ts
+++ b/packages/ryeworks-scheduler/src/admission/decideGrants.ts
@@ -69,7 +69,10 @@
   return endpoint !== undefined && ask.engines.includes(endpoint.engine);
 }
 
-/** Picks the endpoint with the earliest first token for an ask. */
+/**
+ * Picks the endpoint with the earliest first token for an ask, or the busiest
+ * one that has room for a packed ask.
+ */
 function pickAccount(
   state: NodeState,
   accounts: readonly EndpointAccount[],
@@ -84,7 +87,7 @@
     const promptTokens = ask.promptTokens * (isCached ? 1 - prefixSaving : 1);
     const firstTokenMs = estimateFirstTokenMs(account, promptTokens, nowMs);
     const loadMs = account.inFlight * getInterTokenMs(account);
-    const score = firstTokenMs + loadMs;
+    const score = ask.isPacked ? -account.inFlight : firstTokenMs + loadMs;
     if (score >= bestScore) continue;
     best = account;
     bestScore = score;
--- a/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
+++ b/packages/ryeworks-scheduler/src/admission/handleAdmission.ts
@@ -90,6 +90,7 @@
     prefixHash: message.prefixHash,
     engines: message.engines,
     avoid: message.avoid,
+    isPacked: message.isPacked,
     deadlineMs: nowMs + message.deadlineInMs,
   };
   const members = state.admission.cellMembers.get(message.cellKey) ?? [];
--- a/packages/ryeworks-scheduler/src/peerMessage.ts
+++ b/packages/ryeworks-scheduler/src/peerMessage.ts
@@ -101,6 +101,8 @@
   readonly engines: readonly string[];
   /** Endpoints that already failed this request. */
   readonly avoid: readonly string[];
+  /** Whether to prefer the busiest endpoint, to see it under load. */
+  readonly isPacked: boolean;
   /** Longest wait for which the ask may be queued, in ms; 0 for any. */
   readonly maxWaitMs: number;
 }
--- a/packages/ryeworks-scheduler/src/requests/askForGrant.ts
+++ b/packages/ryeworks-scheduler/src/requests/askForGrant.ts
@@ -10,7 +10,7 @@
 import {EndOutcome, endRequest} from './endRequest.js';
 import {ActiveRequest} from './requestsState.js';
 
-/** Share of a move up to which its requests go to one cell first. */
+/** Share of a move up to which its requests are kept together. */
 const longestTrialShare = 0.05;
 /** Cells that are asked for an early grant before a wait is accepted. */
 const maxSoonCells = 4;
@@ -152,6 +152,7 @@
     deadlineInMs: Math.max(0, Math.round(request.deadlineMs - nowMs)),
     engines: engines.includes('*') ? [] : engines,
     avoid: request.avoid,
+    isPacked: findTrialKey(state, request) !== undefined,
     maxWaitMs: request.isSoonWanted
       ? Math.round(request.service.firstTokenTargetMs * soonFraction)
       : 0,
