--- a/packages/ryeworks-lab/src/deployment/deployment.ts
+++ b/packages/ryeworks-lab/src/deployment/deployment.ts
@@ -45,6 +45,8 @@
   readonly hasPlatformProxy?: boolean;
   /** Puts a fault proxy before each model engine. */
   readonly hasEngineProxies?: boolean;
+  /** Arguments of Node for the entry processes. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** Key of the operators' status pages. */
@@ -139,7 +141,9 @@
       peerAddress: `${host}:${peerPort}`,
     };
     await this.platform.putObject('vm', name, record, 0);
-    this.processes.start(name, ryeworksdProgram, ['--config', file]);
+    const args = ['--config', file];
+    const {nodeArgs} = this.options;
+    this.processes.start(name, ryeworksdProgram, args, nodeArgs);
     await waitUntilReady(`${vm.callerUrl}/readyz`);
     this.vms.push(vm);
     return vm;
--- a/packages/ryeworks-lab/src/measure/entry.ts
+++ b/packages/ryeworks-lab/src/measure/entry.ts
@@ -2,10 +2,14 @@
 import {Deployment} from '../deployment/deployment.js';
 import {desatorosPlan} from '../deployment/deploymentPlan.js';
 import {createTable} from '../report/createTable.js';
+import {createCall, makeCall} from '../load/makeCall.js';
+import {createLineFit, LineFit} from './capacity/createLineFit.js';
 import {getPercentile} from '../report/summarizeCalls.js';
 import {Agent, request} from 'undici';
 
 const windowMs = 5000;
+/** Time for streams to open, in ms. */
+const openMs = 1500;
 const path = '/jobs/7';
 
 /** Speed of one way to a back end. */
@@ -57,6 +61,34 @@
   };
 }
 
+/** Measures the live heap of an entry VM for each open stream, in bytes. */
+async function measureOpenStreams(): Promise<LineFit> {
+  const plan = {
+    ...desatorosPlan,
+    availabilityZones: ['lima-1'],
+    vmsPerZone: 1,
+    modelService: {...desatorosPlan.modelService, initialConcurrency: 400},
+  };
+  const nodeArgs = ['--expose-gc'];
+  const points: [number, number][] = [];
+  for (const streams of [0, 50, 100, 200]) {
+    const deployment = await Deployment.start(plan, {nodeArgs});
+    const [vm] = deployment.vms;
+    const kind = {...plan.calls[0], deadlineMs: 60_000};
+    const sizes = {promptTokens: 10, outputTokens: 1000};
+    const call = createCall(kind, plan.customers[0].apiKey, sizes);
+    const calls = Array.from({length: streams}, () =>
+      makeCall(vm.callerUrl, {...call, key: ''}),
+    );
+    await new Promise(resolve => setTimeout(resolve, openMs));
+    const {activeRequests, process} = await deployment.readStatus(vm);
+    points.push([activeRequests, process.heapUsedBytes]);
+    await deployment.stop();
+    await Promise.all(calls);
+  }
+  return createLineFit(points);
+}
+
 /** Compares calls through one entry VM with calls to the back end itself. */
 export async function runEntry(directory: string): Promise<boolean> {
   const plan = {
@@ -89,7 +121,13 @@
       row.p95Ms.toFixed(2),
     ]);
     console.log(createTable(head, cells));
-    const json = JSON.stringify(rows, null, 1);
+    const stream = await measureOpenStreams();
+    console.log(
+      `open stream: ${stream.slope.toFixed(0)} bytes of live heap ` +
+        `(worst error ${(stream.error * 100).toFixed(1)} %), points ` +
+        stream.points.map(([x, y]) => `${x}: ${y}`).join('; '),
+    );
+    const json = JSON.stringify({rows, stream}, null, 1);
     await writeFile(`${directory}/entry.json`, `${json}\n`);
     return true;
   } finally {
--- a/packages/ryeworksd/src/callers/addStatusRoutes.ts
+++ b/packages/ryeworksd/src/callers/addStatusRoutes.ts
@@ -13,8 +13,12 @@
   return given.length === wanted.length && timingSafeEqual(given, wanted);
 }
 
-/** Reads what this process has used so far. */
+/**
+ * Reads what this process has used so far. Collects garbage first when the
+ * process was started with --expose-gc, as measurements do.
+ */
 function readProcessUsage({peerServer}: CallerServerContext): object {
+  (globalThis as {gc?: () => void}).gc?.();
   const {user, system} = process.cpuUsage();
   const {rss, heapUsed} = process.memoryUsage();
   return {
