Start a new attempt through its one function when a grant is unusable

Cause: reading the change again: the branch for a withdrawn version or a leaving endpoint chose the version, counted the attempt, cleared what cells had said and asked, word for word what startAttempt does (and without its choice of the routing policy). Two exports of the types package had no user. Change: call startAttempt; remove the two exports. Checks: build, format, lint, 10 of 10 test files.

--- a/packages/ryeworks-scheduler/src/requests/handleGrants.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleGrants.ts
@@ -1,14 +1,15 @@
 import {endpointState} from '@ryeworks/types';
 import {createCount, Effect} from '../effect.js';
 import {createSendPeer} from '../membership/sendPeer.js';
-import {decideVersion, isWithdrawnVersion} from '../moves/decideVersion.js';
+import {isWithdrawnVersion} from '../moves/decideVersion.js';
 import {NodeState} from '../nodeState.js';
 import {GrantOffer, GrantQueued, GrantRefusal} from '../peerMessage.js';
-import {askForGrant, askNextCell} from './askForGrant.js';
+import {askNextCell} from './askForGrant.js';
 import {dispatchRequest} from './dispatchRequest.js';
 import {EndOutcome, endRequest, returnGrant} from './endRequest.js';
 import {expireRequest} from './handleRequestReceived.js';
 import {ActiveRequest} from './requestsState.js';
+import {startAttempt} from './startAttempt.js';
 
 /** Time after which a waiting ask is repeated, in ms. */
 const queuedRepeatMs = 1000;
@@ -85,11 +86,7 @@
   const {service} = request.service;
   if (!isUsable || isWithdrawnVersion(state, service, endpoint.version)) {
     const effects = returnGrant(state, request, 'unused', 0, nowMs);
-    request.version = decideVersion(state, request);
-    request.attempts += 1;
-    request.refusedCells.clear();
-    request.cellWaits.clear();
-    return [...effects, ...askForGrant(state, request, nowMs)];
+    return [...effects, ...startAttempt(state, request.requestId, nowMs)];
   }
   return dispatchRequest(state, request, endpoint, nowMs);
 }
--- a/packages/ryeworks-types/src/documents.ts
+++ b/packages/ryeworks-types/src/documents.ts
@@ -21,11 +21,3 @@
   'endpoints',
   'moves',
 ];
-
-/** One version of a document. */
-export interface VersionedDocument<N extends DocumentName = DocumentName> {
-  readonly name: N;
-  /** Version that the platform gave; grows with each accepted change. */
-  readonly version: number;
-  readonly content: DocumentContents[N];
-}
--- a/packages/ryeworks-types/src/errorKind.ts
+++ b/packages/ryeworks-types/src/errorKind.ts
@@ -117,6 +117,3 @@
 
 /** One of the closed list of error kinds. */
 export type ErrorKind = keyof typeof errorAnswers;
-
-/** Every error kind. */
-export const errorKinds = Object.keys(errorAnswers) as ErrorKind[];
