--- a/packages/ryeworks-dispatch/src/admission/decideRefill.ts
+++ b/packages/ryeworks-dispatch/src/admission/decideRefill.ts
@@ -6,7 +6,7 @@
 import {admitWaiting} from './admitWaiting.js';
 import {countCalls, isUsable} from './pickEndpoint.js';
 
-/** Lead in waiting that makes a peer's request of one tier go first, in ms. */
+/** Lead in waiting that makes a peer's request of one rank go first, in ms. */
 const waitedLeadMs = 150;
 
 /** A peer whose most urgent request waits for a service. */
@@ -17,7 +17,7 @@
 
 /** Tells whether one head goes before another. */
 function isMoreUrgent(head: QueueHead, other: QueueHead): boolean {
-  if (head.tier !== other.tier) return head.tier < other.tier;
+  if (head.rank !== other.rank) return head.rank < other.rank;
   return head.waitedMs > other.waitedMs + waitedLeadMs;
 }
 
@@ -34,8 +34,8 @@
     if (head === undefined || head.count <= 0) continue;
     const isFirst =
       best === undefined ||
-      head.tier < best.head.tier ||
-      (head.tier === best.head.tier && head.waitedMs > best.head.waitedMs);
+      head.rank < best.head.rank ||
+      (head.rank === best.head.rank && head.waitedMs > best.head.waitedMs);
     if (isFirst) best = {peer, head};
   }
   return best;
@@ -51,7 +51,7 @@
   if (queue.length === 0) return undefined;
   const [first] = queue;
   const waitedMs = Math.round(nowMs - first.receivedAtMs);
-  return {tier: first.tier, waitedMs, count: queue.length};
+  return {rank: first.rank, waitedMs, count: queue.length};
 }
 
 /** Offers a slot to a peer and counts it as taken until its next digest. */
--- a/packages/ryeworks-dispatch/src/admission/refuseOrWait.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrWait.ts
@@ -20,14 +20,14 @@
   return request.route.latencyTargetMs * patienceFraction;
 }
 
-/** Estimates how long a new request of a tier waits, in ms. */
+/** Estimates how long a new request of a rank waits, in ms. */
 export function estimateWaitMs(
   state: DispatchState,
   service: string,
-  tier: number,
+  rank: number,
   nowMs: number,
 ): number {
-  const ahead = countAhead(getQueue(state, service), tier);
+  const ahead = countAhead(getQueue(state, service), rank);
   if (ahead < fewAhead) return 0;
   const perSecond = getDispatchRate(state, service).getPerSecond(nowMs);
   return perSecond === 0 ? longestRetryMs : (ahead / perSecond) * 1000;
@@ -42,8 +42,8 @@
   request: ActiveRequest,
   nowMs: number,
 ): number {
-  const {service, tier} = request;
-  const waitMs = estimateWaitMs(state, service, tier, nowMs);
+  const {rank, service} = request;
+  const waitMs = estimateWaitMs(state, service, rank, nowMs);
   const spread = 0.75 + state.random.next() / 2;
   const wantedMs = Math.max(leastRetryMs, waitMs) * spread;
   return Math.min(longestRetryMs, wantedMs);
@@ -55,8 +55,8 @@
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
-  const {service, tier} = request;
-  const waitMs = estimateWaitMs(state, service, tier, nowMs);
+  const {rank, service} = request;
+  const waitMs = estimateWaitMs(state, service, rank, nowMs);
   const waitedMs = nowMs - request.receivedAtMs;
   if (waitedMs + waitMs > getPatienceMs(request)) {
     const retryAfterMs = getRetryAfterMs(state, request, nowMs);
--- a/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
@@ -3,9 +3,9 @@
 /** Requests that wait for an endpoint of one service, most urgent first. */
 export type WaitingQueue = ActiveRequest[];
 
-/** Orders requests by tier, then by the time they came. */
+/** Orders requests by rank, then by the time they came. */
 export function compareUrgency(a: ActiveRequest, b: ActiveRequest): number {
-  return a.tier - b.tier || a.receivedAtMs - b.receivedAtMs;
+  return a.rank - b.rank || a.receivedAtMs - b.receivedAtMs;
 }
 
 /** Puts a request at its place. */
@@ -27,11 +27,11 @@
   if (index >= 0) queue.splice(index, 1);
 }
 
-/** Counts the requests that go before a new one of a tier. */
-export function countAhead(queue: WaitingQueue, tier: number): number {
+/** Counts the requests that go before a new one of a rank. */
+export function countAhead(queue: WaitingQueue, rank: number): number {
   let count = 0;
   for (const request of queue) {
-    if (request.tier > tier) break;
+    if (request.rank > rank) break;
     count += 1;
   }
   return count;
--- a/packages/ryeworks-dispatch/src/dispatchOptions.ts
+++ b/packages/ryeworks-dispatch/src/dispatchOptions.ts
@@ -1,3 +1,4 @@
+import {LimitBounds} from './limits/customerWindows.js';
 import {RetryBounds} from './retries/retryBudget.js';
 
 /** Options of the decisions of one VM. */
@@ -12,6 +13,7 @@
   /** Seed of this VM's random choices. */
   readonly seed: number;
   readonly retryBounds: RetryBounds;
+  readonly limitBounds: LimitBounds;
   /** Part of a move's traffic that a version on trial may get. */
   readonly trialRatio: number;
   /** Requests that a version on trial may get beyond that, over all VMs. */
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -4,7 +4,7 @@
 import {createDesiredBook, DesiredBook} from './desired/desiredBook.js';
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointBook, EndpointBook} from './endpoints/endpointBook.js';
-import {CustomerBuckets} from './limits/customerBuckets.js';
+import {CustomerWindows} from './limits/customerWindows.js';
 import {createMoveBook, MoveBook} from './moves/moveBook.js';
 import {PeerBook} from './peers/peerBook.js';
 import {ActiveRequest} from './requests/activeRequest.js';
@@ -35,7 +35,9 @@
   readonly peers: PeerBook;
   /** `host:port` of peers to greet while none has been heard. */
   readonly seedAddresses: string[];
-  readonly buckets: CustomerBuckets;
+  readonly windows: CustomerWindows;
+  /** When this VM started, in ms. */
+  readonly startedAtMs: number;
   readonly requests: Map<string, ActiveRequest>;
   /** Waiting requests by service. */
   readonly queues: Map<string, WaitingQueue>;
@@ -55,7 +57,10 @@
 }
 
 /** Creates the state of a VM that starts now. */
-export function createDispatchState(options: DispatchOptions): DispatchState {
+export function createDispatchState(
+  options: DispatchOptions,
+  nowMs: number,
+): DispatchState {
   return {
     options,
     random: createRandomSource(options.seed),
@@ -64,7 +69,8 @@
     endpoints: createEndpointBook(),
     peers: new Map(),
     seedAddresses: [],
-    buckets: new Map(),
+    windows: new Map(),
+    startedAtMs: nowMs,
     requests: new Map(),
     queues: new Map(),
     dispatchRates: new Map(),
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -60,7 +60,21 @@
   const {desired} = input;
   const before = state.desired.desired?.version ?? -1;
   if (!applyDesiredState(state.desired, desired)) return [];
+  const limitLogs: Effect[] = [];
+  for (const {apiKeys, limit, name, tier} of desired.customers) {
+    limitLogs.push(
+      createLog('customer_applied', {
+        customer: name,
+        version: desired.version,
+        tier: tier ?? 'none',
+        keys: apiKeys.length,
+        unitsPerSecond: limit?.unitsPerSecond ?? 0,
+        burstUnits: limit?.burstUnits ?? 0,
+      }),
+    );
+  }
   return [
+    ...limitLogs,
     createCount('desired_state_applied'),
     createLog('desired_state_applied', {
       version: desired.version,
--- a/packages/ryeworks-dispatch/src/peers/peerBook.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerBook.ts
@@ -61,13 +61,13 @@
   return nowMs - peer.heardAtMs <= digestFreshMs;
 }
 
-/** Returns the part of all VMs whose state is known here, 0 to 1. */
-export function getKnownShare(book: PeerBook, nowMs: number): number {
-  let known = 1;
+/** Counts the other VMs whose state is known here. */
+export function countFreshPeers(book: PeerBook, nowMs: number): number {
+  let known = 0;
   for (const peer of book.values()) {
     if (isFresh(peer, nowMs)) known += 1;
   }
-  return known / (book.size + 1);
+  return known;
 }
 
 /** Returns how many calls other VMs have in flight at an endpoint. */
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -1,6 +1,7 @@
 /** The most urgent request that waits for a service. */
 export interface QueueHead {
-  readonly tier: number;
+  /** Its place among others; the least goes first. */
+  readonly rank: number;
   /** How long it has waited, in ms. */
   readonly waitedMs: number;
   /** Requests that wait. */
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -15,7 +15,10 @@
   readonly service: string;
   /** Empty on an anonymous route. */
   readonly customer: string;
+  /** Tier of its route; 0 is the highest. */
   readonly tier: number;
+  /** Place among others; the least goes first. */
+  readonly rank: number;
   readonly receivedAtMs: number;
   /** When the caller or the route gives it up, in ms. */
   readonly timeoutAtMs: number;
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -3,7 +3,7 @@
 import {removeWaiting} from '../admission/waitingQueue.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
-import {returnUnits} from '../limits/customerBuckets.js';
+import {returnUnits} from '../limits/customerWindows.js';
 import {ActiveRequest} from './activeRequest.js';
 
 /** How a request ended, for logs and counters. */
@@ -39,8 +39,9 @@
   state.requests.delete(requestId);
   state.timers.clear('requestTimeout', requestId);
   removeWaiting(getQueue(state, request.service), request);
-  const bucket = state.buckets.get(request.customer);
-  if (runs === 0 && bucket !== undefined) returnUnits(bucket, request.units);
+  if (runs === 0) {
+    returnUnits(state.windows, request.customer, request.units, nowMs);
+  }
   return [
     ...releaseCall(state, request, nowMs),
     createCount('requests_ended', {outcome, tier}),
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -5,9 +5,9 @@
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {RequestReceived} from '../input.js';
-import {refillBucket, takeUnits} from '../limits/customerBuckets.js';
+import {takeUnits} from '../limits/customerWindows.js';
 import {decideTrial} from '../moves/decideTrial.js';
-import {getKnownShare} from '../peers/peerBook.js';
+import {countFreshPeers} from '../peers/peerBook.js';
 import {highestTier} from '../tier.js';
 import {ActiveRequest} from './activeRequest.js';
 
@@ -15,6 +15,8 @@
 const notReadyRetryMs = 500;
 /** Least time to come back to a customer whose limit is used up, in ms. */
 const leastLimitRetryMs = 200;
+/** Ranks of the routes within one tier of customers. */
+const ranksPerTier = 1000;
 
 /** Refuses a request that was not taken in. */
 function refuseRequest(
@@ -62,12 +64,24 @@
 ): number {
   if (customer?.limit === undefined) return 0;
   const {limit, name} = customer;
-  const share = getKnownShare(state.peers, nowMs);
-  const bucket = refillBucket(state.buckets, name, limit, share, nowMs);
-  if (takeUnits(bucket, units)) return 0;
-  const missing = units - bucket.level;
-  const waitMs = (missing / Math.max(1, limit.unitsPerSecond)) * 1000;
-  return Math.max(leastLimitRetryMs, waitMs);
+  const knownPeers = countFreshPeers(state.peers, nowMs);
+  const share = {
+    bounds: state.options.limitBounds,
+    knownPeers,
+    knownShare: (knownPeers + 1) / (state.peers.size + 1),
+    startedAtMs: state.startedAtMs,
+  };
+  const waitMs = takeUnits(state.windows, name, limit, units, share, nowMs);
+  return waitMs === 0 ? 0 : Math.max(leastLimitRetryMs, waitMs);
+}
+
+/**
+ * Returns the place of a request among others: its customer's tier goes first,
+ * then the tier of its route.
+ */
+function getRank(customer: Customer | undefined, route: Route): number {
+  const customerTier = customer?.tier ?? highestTier;
+  return customerTier * ranksPerTier + route.tier;
 }
 
 /** Returns when a request is given up, in ms. */
@@ -95,7 +109,8 @@
     route,
     service,
     customer: customer?.name ?? '',
-    tier: customer?.tier ?? route.tier,
+    tier: route.tier,
+    rank: getRank(customer, route),
     receivedAtMs: input.receivedAtMs,
     timeoutAtMs: getTimeoutAtMs(route, input),
     promptTokens: input.promptTokens,
@@ -145,7 +160,7 @@
   getRetryBudget(state, service).recordRequest(bounds, nowMs);
   const {requestId, timeoutAtMs} = request;
   state.timers.set('requestTimeout', requestId, timeoutAtMs);
-  const tier = `${Math.max(highestTier, request.tier)}`;
+  const tier = `${request.tier}`;
   return [
     createCount('requests_received', {tier}),
     ...refuseOrWait(state, request, nowMs),
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -86,16 +86,18 @@
 /** Creates the state of the decision core. */
 function createState(settings: GatewaySettings, clock: Clock): DispatchState {
   const startedMs = clock.readWallClockMs();
-  return createDispatchState({
+  const options = {
     vm: settings.vm,
     peerAddress: formatAddress(settings.peerListen),
     availabilityZone: settings.availabilityZone,
     incarnation: startedMs,
     seed: getHash(`${settings.vm}/${startedMs}`),
     retryBounds: settings.retryBounds,
+    limitBounds: settings.limitBounds,
     trialRatio: settings.trialRatio,
     trialAllowance: settings.trialAllowance,
-  });
+  };
+  return createDispatchState(options, clock.readNowMs());
 }
 
 /** Creates the logger of a gateway. */
--- a/packages/ryeworks-gateway/src/gatewaySettings.ts
+++ b/packages/ryeworks-gateway/src/gatewaySettings.ts
@@ -1,4 +1,4 @@
-import {RetryBounds} from '@ryeworks/dispatch';
+import {LimitBounds, RetryBounds} from '@ryeworks/dispatch';
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -21,6 +21,7 @@
   /** `host:port` of peers to greet before any are known. */
   readonly seedPeers: readonly string[];
   readonly retryBounds: RetryBounds;
+  readonly limitBounds: LimitBounds;
   /** Part of a service's traffic that a version on trial may get. */
   readonly trialRatio: number;
   /** Requests that a version on trial may get beyond that, over all VMs. */
