--- a/packages/ryeworks-dispatch/src/limits/customerWindows.ts
+++ b/packages/ryeworks-dispatch/src/limits/customerWindows.ts
@@ -86,8 +86,8 @@
 /**
  * Returns the units that a customer may use in one window. VMs whose use is not
  * known are left an even part, so that all sides of a partition together stay
- * within the limit. A VM that has just started takes the limit as used up and
- * gains it back over one window, as it may have handed it out before.
+ * within the limit. A VM that has just started may have handed all of it out
+ * before: it gains the steady rate back over one window, without the burst.
  */
 export function getAllowedUnits(
   limit: CustomerLimit,
@@ -95,11 +95,12 @@
   nowMs: number,
 ): number {
   const {allowance, overrunRatio, windowMs} = share.bounds;
-  const stated = (limit.unitsPerSecond * windowMs) / 1000 + limit.burstUnits;
+  const steady = (limit.unitsPerSecond * windowMs) / 1000;
+  const age = (nowMs - share.startedAtMs) / windowMs;
+  if (age < 1) return steady * age * share.knownShare;
+  const stated = steady + limit.burstUnits;
   const tolerated = stated * overrunRatio + allowance;
-  const whole = stated + tolerated * usedTolerance;
-  const age = Math.min(1, (nowMs - share.startedAtMs) / windowMs);
-  return whole * share.knownShare * age;
+  return (stated + tolerated * usedTolerance) * share.knownShare;
 }
 
 /** Returns the time until enough use has left the window, in ms. */
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,7 +1,8 @@
 import {CallFailure, Input, StartCall} from '@ryeworks/dispatch';
-import {Dispatcher} from 'undici';
+import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {OpenRequest} from '../callers/openRequest.js';
 import {AnswerHead, WireFormat} from '../deploymentPort.js';
+import {connectEndpoint} from './connectEndpoint.js';
 import {EventSplitter} from './eventSplitter.js';
 
 /** Plain answers up to this size are held back until they are whole. */
@@ -24,9 +25,14 @@
 /** How the body of an answer is passed on. */
 type PassMode = 'unknown' | 'held' | 'bytes' | 'events';
 
-/** One call to an endpoint, from its start until its answer was passed on. */
-export class EndpointCall implements Dispatcher.DispatchHandler {
-  private controller: Dispatcher.DispatchController | undefined;
+/**
+ * One call to an endpoint, from its start until its answer was passed on. Built
+ * on `node:http` rather than undici, which takes an answer that breaks off as
+ * whole when the endpoint closes its connection after it.
+ */
+export class EndpointCall {
+  private request: ClientRequest | undefined;
+  private response: IncomingMessage | undefined;
   private head: AnswerHead | undefined;
   private mode: PassMode = 'unknown';
   private readonly splitter = new EventSplitter();
@@ -38,30 +44,56 @@
 
   constructor(private readonly parts: EndpointCallParts) {}
 
+  /** Sends the request. */
+  start(): void {
+    const {effect, open, wire} = this.parts;
+    const headers = wire.createEndpointHeaders(open.request.rawHeaders, {
+      endpointId: effect.endpoint.id,
+      customer: effect.customer,
+      timeLeftMs: effect.timeLeftMs,
+      lastEventId: open.lastEventId,
+    });
+    if (open.body.length > 0) {
+      headers.push('content-length', `${open.body.length}`);
+    }
+    const [host, port] = effect.endpoint.address.split(':');
+    const call = request({
+      path: open.request.url ?? '/',
+      method: open.request.method,
+      headers,
+      setHost: false,
+      createConnection: () => {
+        const socket = connectEndpoint(host, Number(port));
+        socket.once('connect', () => this.handleConnected());
+        return socket;
+      },
+    });
+    this.request = call;
+    call.on('error', (error: Error & {code?: string}) =>
+      this.fail(this.isSent ? 'cut' : 'notSent', error.code ?? error.message),
+    );
+    call.on('response', response => this.handleResponse(response));
+    call.end(open.body.length > 0 ? open.body : undefined);
+  }
+
   /** Breaks the call off; later events of it are left out. */
   cancel(): void {
     if (this.isOver) return;
     this.finish();
-    this.controller?.abort(new Error('cancelled'));
   }
 
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.controller = controller;
-    if (this.isOver) {
-      controller.abort(new Error('cancelled'));
-      return;
-    }
+  private handleConnected(): void {
+    if (this.isOver) return;
     this.isSent = true;
     this.submitEvent({kind: 'callSent'});
   }
 
-  onResponseStart(
-    _controller: Dispatcher.DispatchController,
-    status: number,
-    headers: AnswerHead['headers'],
-  ): void {
-    if (this.isOver || status < 200) return;
-    this.head = {status, headers};
+  private handleResponse(response: IncomingMessage): void {
+    if (this.isOver) return;
+    const status = response.statusCode ?? 0;
+    this.response = response;
+    this.head = {status, headers: response.headers};
+    response.on('error', error => this.fail('cut', error.message));
     const {effect, open, wire} = this.parts;
     const found = wire.classifyAnswer(this.head, open.facts.attemptId);
     if (found === 'refused' || found === 'wrongEndpoint') {
@@ -76,12 +108,12 @@
     const isStream = effect.isStream && status < 300;
     if (!isStream) this.mode = 'held';
     else this.mode = effect.isResumable ? 'events' : 'bytes';
+    response.on('data', (chunk: Buffer) => this.handleData(chunk));
+    response.on('end', () => this.handleEnd());
+    response.on('close', () => this.fail('cut', 'closed'));
   }
 
-  onResponseData(
-    _controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
+  private handleData(chunk: Buffer): void {
     if (this.isOver) return;
     if (this.mode === 'held') this.hold(chunk);
     else if (this.mode === 'events') this.passEvents(chunk);
@@ -89,10 +121,10 @@
     this.submitEvent({kind: 'callProgressed', events: this.events});
   }
 
-  onResponseEnd(): void {
+  private handleEnd(): void {
     if (this.isOver) return;
-    if (this.splitter.hasPart) {
-      this.fail('cut', 'ended_within_event');
+    if (this.response?.complete !== true || this.splitter.hasPart) {
+      this.fail('cut', 'ended_early');
       return;
     }
     const {open} = this.parts;
@@ -112,16 +144,9 @@
     this.submitEvent({kind: 'callDone', status});
   }
 
-  onResponseError(
-    _controller: Dispatcher.DispatchController,
-    error: Error,
-  ): void {
-    const code = (error as {code?: string}).code ?? error.name;
-    this.fail(this.isSent ? 'cut' : 'notSent', code);
-  }
-
   private finish(): void {
     this.isOver = true;
+    this.request?.destroy();
     this.parts.forget();
   }
 
@@ -140,7 +165,6 @@
     this.finish();
     const {effect, open, submit} = this.parts;
     const {callNumber, requestId} = effect;
-    this.controller?.abort(new Error(detail));
     const hasPassedAny = open.hasBegun;
     submit({
       kind: 'callFailed',
@@ -210,7 +234,7 @@
   private write(bytes: Buffer): void {
     const {open} = this.parts;
     if (open.write(bytes)) return;
-    this.controller?.pause();
-    open.waitForDrain(() => this.controller?.resume());
+    this.response?.pause();
+    open.waitForDrain(() => this.response?.resume());
   }
 }
--- a/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
@@ -1,8 +1,6 @@
 import {Input, StartCall} from '@ryeworks/dispatch';
-import {Agent, Dispatcher} from 'undici';
 import {OpenRequests} from '../callers/openRequest.js';
 import {WireFormat} from '../deploymentPort.js';
-import {connectEndpoint} from './connectEndpoint.js';
 import {EndpointCall} from './endpointCall.js';
 
 /** What the client of the endpoints needs. */
@@ -18,12 +16,6 @@
  * call can come in place of its own.
  */
 export class EndpointClient {
-  private readonly agent = new Agent({
-    pipelining: 0,
-    connect: connectEndpoint,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
   private readonly calls = new Map<string, EndpointCall>();
 
   constructor(private readonly parts: EndpointClientParts) {}
@@ -39,22 +31,7 @@
     };
     const call = new EndpointCall({effect, open, wire, submit, forget});
     this.calls.set(requestId, call);
-    const headers = wire.createEndpointHeaders(open.request.rawHeaders, {
-      endpointId: effect.endpoint.id,
-      customer: effect.customer,
-      timeLeftMs: effect.timeLeftMs,
-      lastEventId: open.lastEventId,
-    });
-    this.agent.dispatch(
-      {
-        origin: `http://${effect.endpoint.address}`,
-        path: open.request.url ?? '/',
-        method: open.request.method as Dispatcher.HttpMethod,
-        headers,
-        body: open.body.length > 0 ? open.body : undefined,
-      },
-      call,
-    );
+    call.start();
   }
 
   /** Breaks the call of a request off. */
@@ -63,8 +40,7 @@
   }
 
   /** Breaks off every call. */
-  async close(): Promise<void> {
+  close(): void {
     for (const call of [...this.calls.values()]) call.cancel();
-    await this.agent.destroy();
   }
 }
