Refuse at once what a stopping VM cannot finish

Change: streams are taken for 2.5 s after the signal, plain calls while they can finish; later ones get 503 and come back to another VM at once.

--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -25,6 +25,13 @@
   /** The moves are looked at. */
   | 'moves';
 
+/** A graceful stop. */
+export interface StopPlan {
+  readonly startedAtMs: number;
+  /** When the process is to have ended, in ms. */
+  readonly endAtMs: number;
+}
+
 /** Everything that one VM knows; nothing of it outlives the process. */
 export interface DispatchState {
   readonly options: DispatchOptions;
@@ -50,6 +57,8 @@
   isStoreReached: boolean;
   /** When the store last became reachable, in ms. */
   storeReachedAtMs: number;
+  /** The graceful stop under way; undefined: none. */
+  stop: StopPlan | undefined;
   digestSequence: number;
   /** The last digest's content, to send less often what did not change. */
   lastDigestText: string;
@@ -79,6 +88,7 @@
     hasListedEndpoints: false,
     isStoreReached: false,
     storeReachedAtMs: Number.NEGATIVE_INFINITY,
+    stop: undefined,
     digestSequence: 0,
     lastDigestText: '',
     lastDigestAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -9,7 +9,7 @@
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
 import {sweepWaiting} from './admission/refuseOrWait.js';
-import {DesiredStateRead, Input, InputOf} from './input.js';
+import {DesiredStateRead, Input, InputOf, StopRequested} from './input.js';
 import {handleMovesRead, movesPeriodMs, updateMoves} from './moves/handleMoves.js';
 import {
   handlePeerMessage,
@@ -85,6 +85,16 @@
   ];
 }
 
+/** Notes that the process is to stop. */
+function handleStopRequested(
+  state: DispatchState,
+  {endAtMs}: StopRequested,
+  nowMs: number,
+): Effect[] {
+  state.stop = {startedAtMs: nowMs, endAtMs};
+  return [createLog('stopping', {requests: state.requests.size})];
+}
+
 /** Runs every timer that is due. */
 function handleTimerDue(
   state: DispatchState,
@@ -116,6 +126,7 @@
   seedListed: handleSeedListed,
   movesRead: handleMovesRead,
   peerMessageReceived: handlePeerMessage,
+  stopRequested: handleStopRequested,
   timerDue: handleTimerDue,
 };
 
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -138,6 +138,13 @@
   readonly message: PeerMessage;
 }
 
+/** A graceful stop was asked for. */
+export interface StopRequested {
+  readonly kind: 'stopRequested';
+  /** When the process is to have ended, in ms. */
+  readonly endAtMs: number;
+}
+
 /** A timer is due. */
 export interface TimerDue {
   readonly kind: 'timerDue';
@@ -160,6 +167,7 @@
   | SeedListed
   | MovesRead
   | PeerMessageReceived
+  | StopRequested
   | TimerDue;
 
 /** The input of one kind. */
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -10,9 +10,12 @@
 import {countFreshPeers} from '../peers/peerBook.js';
 import {highestTier} from '../tier.js';
 import {ActiveRequest} from './activeRequest.js';
+import {canFinish} from './canFinish.js';
 
 /** Time to come back to a VM that does not know the desired state, in ms. */
 const notReadyRetryMs = 500;
+/** Time to come back, to another VM, from one that is stopping, in ms. */
+const stoppingRetryMs = 50;
 /** Least time to come back to a customer whose limit is used up, in ms. */
 const leastLimitRetryMs = 200;
 /** Ranks of the routes within one tier of customers. */
@@ -141,6 +144,9 @@
   }
   const route = findRoute(state.desired.routes, input.host, input.path);
   if (route === undefined) return refuseRequest(state, input, 'unknownService');
+  if (!canFinish(state.stop, route, nowMs)) {
+    return refuseRequest(state, input, 'notReady', stoppingRetryMs);
+  }
   const customer = state.desired.customersByKey.get(input.apiKey ?? '');
   if (customer === undefined && !route.isAnonymous) {
     return refuseRequest(state, input, 'unauthenticated');
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -233,9 +233,10 @@
  * Connections are closed with their last answer; idle ones once it is quiet.
  */
 async function finishRequests(parts: Parts): Promise<void> {
-  const {callerServer, clock, openRequests, settings} = parts;
+  const {callerServer, clock, loop, openRequests, settings} = parts;
   const startedMs = clock.readNowMs();
   const lastMs = startedMs + settings.stopGraceMs - stopMarginMs;
+  loop.submit({kind: 'stopRequested', endAtMs: lastMs});
   callerServer.startStopping();
   await sleep(Math.min(quietAfterMs, settings.stopGraceMs / 2));
   while (clock.readNowMs() < lastMs) {
@@ -286,7 +287,6 @@
   return {
     stop: async () => {
       stopFlag.isStopping = true;
-      logger.info('stopping', {open: parts.openRequests.size});
       await finishRequests(parts);
       logger.info('stopped', {open: parts.openRequests.size});
       await disposables.dispose();
