Hold limits by buckets that survive a restart and a partition

Change: buckets at the stated rate plus half of the tolerated overrun; parts by known VMs. Endpoints rest at the first connection that fails.

--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -114,21 +114,18 @@
 }
 
 /** Creates the state of one VM. */
-export function createState(vm = 'vm-1', nowMs = 0): DispatchState {
-  return createDispatchState(
-    {
-      vm,
-      peerAddress: `${vm}:7600`,
-      availabilityZone: 'zone-a',
-      incarnation: 1,
-      seed: 7,
-      retryBounds: {ratio: 0.2, windowMs: 10_000, allowance: 50},
-      limitBounds: {windowMs: 8000, overrunRatio: 0.1, allowance: 1000},
-      trialRatio: 0.1,
-      trialAllowance: 50,
-    },
-    nowMs,
-  );
+export function createState(vm = 'vm-1'): DispatchState {
+  return createDispatchState({
+    vm,
+    peerAddress: `${vm}:7600`,
+    availabilityZone: 'zone-a',
+    incarnation: 1,
+    seed: 7,
+    retryBounds: {ratio: 0.2, windowMs: 10_000, allowance: 50},
+    limitBounds: {windowMs: 8000, overrunRatio: 0.1, allowance: 1000},
+    trialRatio: 0.1,
+    trialAllowance: 50,
+  });
 }
 
 /** Creates a VM that serves the fixture deployment. */
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -5,7 +5,7 @@
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointBook, EndpointBook} from './endpoints/endpointBook.js';
 import {RequestReceived} from './input.js';
-import {CustomerWindows} from './limits/customerWindows.js';
+import {CustomerBuckets} from './limits/customerBuckets.js';
 import {createMoveBook, MoveBook} from './moves/moveBook.js';
 import {PeerBook} from './peers/peerBook.js';
 import {ActiveRequest} from './requests/activeRequest.js';
@@ -45,9 +45,7 @@
   readonly peers: PeerBook;
   /** `host:port` of peers to greet while none has been heard. */
   readonly seedAddresses: string[];
-  readonly windows: CustomerWindows;
-  /** When this VM started, in ms. */
-  readonly startedAtMs: number;
+  readonly buckets: CustomerBuckets;
   readonly requests: Map<string, ActiveRequest>;
   /** Waiting requests by service. */
   readonly queues: Map<string, WaitingQueue>;
@@ -71,10 +69,7 @@
 }
 
 /** Creates the state of a VM that starts now. */
-export function createDispatchState(
-  options: DispatchOptions,
-  nowMs: number,
-): DispatchState {
+export function createDispatchState(options: DispatchOptions): DispatchState {
   return {
     options,
     random: createRandomSource(options.seed),
@@ -83,8 +78,7 @@
     endpoints: createEndpointBook(),
     peers: new Map(),
     seedAddresses: [],
-    windows: new Map(),
-    startedAtMs: nowMs,
+    buckets: new Map(),
     requests: new Map(),
     queues: new Map(),
     dispatchRates: new Map(),
--- a/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
@@ -4,11 +4,9 @@
 const sampleWeight = 0.15;
 /** Weight of an outcome in the share of failures. */
 const outcomeWeight = 0.1;
-/** Unanswered calls in a row after which an endpoint rests. */
-const unansweredBeforeRest = 2;
 /** First and longest rest of an endpoint that does not answer, in ms. */
 const firstRestMs = 250;
-const longestRestMs = 2000;
+const longestRestMs = 1000;
 /** Pace that an unknown endpoint starts from, relative to its service. */
 const unknownPace = 1;
 
@@ -120,10 +118,18 @@
   if (isGood) entry.unansweredInRow = 0;
 }
 
-/** Rests an endpoint that gave no answer, longer each time. */
-export function learnNoAnswer(entry: EndpointEntry, nowMs: number): void {
+/**
+ * Rests an endpoint that gave no answer, longer each time.
+ *
+ * @param tolerated such calls in a row that mean nothing yet
+ */
+export function learnNoAnswer(
+  entry: EndpointEntry,
+  tolerated: number,
+  nowMs: number,
+): void {
   entry.unansweredInRow += 1;
-  const excess = entry.unansweredInRow - unansweredBeforeRest;
+  const excess = entry.unansweredInRow - tolerated - 1;
   if (excess < 0) return;
   const restMs = Math.min(longestRestMs, firstRestMs * 2 ** excess);
   entry.restUntilMs = nowMs + restMs;
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -38,6 +38,8 @@
 const leastTimeLeftMs = 30;
 /** How long the address of another endpoint is left alone, in ms. */
 const wrongEndpointRestMs = 1500;
+/** Cut calls in a row that do not rest an endpoint. */
+const toleratedCuts = 1;
 /** How many times the usual time to an answer counts as slow. */
 const slowFactor = 2.5;
 
@@ -148,7 +150,7 @@
   const {service, version} = entry.endpoint;
   const evidence = {service, version, isFailed: true, isSlow: false};
   const handlers: Record<CallFailure, () => void> = {
-    notSent: () => learnNoAnswer(entry, nowMs),
+    notSent: () => learnNoAnswer(entry, 0, nowMs),
     refused: () => learnOutcome(entry, false),
     wrongEndpoint: () => {
       entry.restUntilMs = nowMs + wrongEndpointRestMs;
@@ -159,7 +161,7 @@
     },
     cut: () => {
       learnOutcome(entry, false);
-      learnNoAnswer(entry, nowMs);
+      learnNoAnswer(entry, toleratedCuts, nowMs);
       recordAnswer(state, evidence);
     },
   };
@@ -348,7 +350,7 @@
   if (request === undefined) return [];
   const entry = getEntry(state, request);
   if (entry !== undefined && !request.hasFirstEvent) {
-    learnNoAnswer(entry, nowMs);
+    learnNoAnswer(entry, toleratedCuts, nowMs);
   }
   if (request.runs > 0) {
     return failRequest(state, request, 'endpointTimeout', 'timeout', 0, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -5,7 +5,7 @@
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {RequestReceived} from '../input.js';
-import {takeUnits} from '../limits/customerWindows.js';
+import {LimitShare, takeUnits} from '../limits/customerBuckets.js';
 import {decideTrial} from '../moves/decideTrial.js';
 import {countFreshPeers} from '../peers/peerBook.js';
 import {highestTier} from '../tier.js';
@@ -60,6 +60,15 @@
   return input.totalTokens ?? limit.defaultTokens;
 }
 
+/** Returns how much of the customers' limits this VM may hand out now. */
+export function getLimitShare(state: DispatchState, nowMs: number): LimitShare {
+  return {
+    bounds: state.options.limitBounds,
+    knownPeers: countFreshPeers(state.peers, nowMs),
+    vmCount: state.peers.size + 1,
+  };
+}
+
 /** Takes a request's units; returns when to come back if they are not there. */
 function takeLimit(
   state: DispatchState,
@@ -69,14 +78,8 @@
 ): number {
   if (customer?.limit === undefined) return 0;
   const {limit, name} = customer;
-  const knownPeers = countFreshPeers(state.peers, nowMs);
-  const share = {
-    bounds: state.options.limitBounds,
-    knownPeers,
-    knownShare: (knownPeers + 1) / (state.peers.size + 1),
-    startedAtMs: state.startedAtMs,
-  };
-  const waitMs = takeUnits(state.windows, name, limit, units, share, nowMs);
+  const share = getLimitShare(state, nowMs);
+  const waitMs = takeUnits(state.buckets, name, limit, units, share, nowMs);
   return waitMs === 0 ? 0 : Math.max(leastLimitRetryMs, waitMs);
 }
 
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -84,7 +84,7 @@
     trialRatio: settings.trialRatio,
     trialAllowance: settings.trialAllowance,
   };
-  return createDispatchState(options, clock.readNowMs());
+  return createDispatchState(options);
 }
 
 /** Creates the logger of a gateway. */
