--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -7,6 +7,11 @@
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
   readonly body: Buffer;
+  /**
+   * Whether only the end of its connection shows where it ends. It is passed on
+   * in the same way, so that it does not look more certain than it was.
+   */
+  readonly isUnframed: boolean;
 }
 
 /** A caller's request that was read and is not answered yet. */
@@ -63,6 +68,10 @@
 
   /** Sends a whole answer. */
   sendWhole(answer: HeldAnswer): void {
+    if (answer.isUnframed) {
+      this.isClosing = true;
+      this.response.removeHeader('transfer-encoding');
+    }
     this.writeHead(answer.status, answer.headers);
     this.response.end(answer.body);
   }
@@ -82,7 +91,7 @@
     if (retryAfter && retryAfterMs > 0) {
       headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
     }
-    this.sendWhole({status, headers, body});
+    this.sendWhole({status, headers, body, isUnframed: false});
   }
 
   /** Closes the connection so that the answer does not look complete. */
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -180,7 +180,10 @@
     const head = this.head!;
     const headers = this.parts.wire.createCallerHeaders(head);
     const body = Buffer.concat(this.held, this.heldBytes);
-    return {status: head.status, headers, body};
+    const isUnframed =
+      head.headers['content-length'] === undefined &&
+      head.headers['transfer-encoding'] === undefined;
+    return {status: head.status, headers, body, isUnframed};
   }
 
   /** Keeps part of a plain answer, or passes all on once it is long. */
