--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -2,11 +2,10 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {CallFacts} from '../deploymentPort.js';
 
-/** A whole answer of an endpoint that was kept back. */
-export interface HeldAnswer {
+/** The head of an answer that is passed on. */
+export interface PassedHead {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
-  readonly body: Buffer;
   /**
    * Whether only the end of its connection shows where it ends. It is passed on
    * in the same way, so that it does not look more certain than it was.
@@ -14,6 +13,11 @@
   readonly isUnframed: boolean;
 }
 
+/** A whole answer that is passed on. */
+export interface HeldAnswer extends PassedHead {
+  readonly body: Buffer;
+}
+
 /** A caller's request that was read and is not answered yet. */
 export class OpenRequest {
   /** Failure of the last call, in case no other is made. */
@@ -21,6 +25,7 @@
   /** Last whole event that was passed on; empty: none. */
   lastEventId: string;
   private isClosing = false;
+  private isUnframed = false;
 
   constructor(
     readonly requestId: string,
@@ -46,9 +51,12 @@
   }
 
   /** Sends the head of an answer. */
-  writeHead(status: number, headers: Record<string, string | string[]>): void {
-    if (this.isClosing) headers = {...headers, connection: 'close'};
-    this.response.writeHead(status, headers);
+  writeHead({headers, isUnframed, status}: PassedHead): void {
+    this.isUnframed = isUnframed;
+    if (isUnframed) this.response.removeHeader('transfer-encoding');
+    const isLast = this.isClosing || isUnframed;
+    const passed = isLast ? {...headers, connection: 'close'} : headers;
+    this.response.writeHead(status, passed);
   }
 
   /** Sends part of an answer; returns false when the caller reads slowly. */
@@ -68,11 +76,7 @@
 
   /** Sends a whole answer. */
   sendWhole(answer: HeldAnswer): void {
-    if (answer.isUnframed) {
-      this.isClosing = true;
-      this.response.removeHeader('transfer-encoding');
-    }
-    this.writeHead(answer.status, answer.headers);
+    this.writeHead(answer);
     this.response.end(answer.body);
   }
 
@@ -96,7 +100,10 @@
 
   /** Closes the connection so that the answer does not look complete. */
   breakOff(): void {
-    this.response.destroy();
+    // Where the end of the connection is the end of the answer, only a reset
+    // shows that it broke off.
+    if (this.isUnframed) this.request.socket.resetAndDestroy();
+    else this.response.destroy();
   }
 }
 
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,6 +1,6 @@
 import {CallFailure, Input, StartCall} from '@ryeworks/dispatch';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
-import {OpenRequest} from '../callers/openRequest.js';
+import {HeldAnswer, OpenRequest, PassedHead} from '../callers/openRequest.js';
 import {AnswerHead, WireFormat} from '../deploymentPort.js';
 import {connectEndpoint} from './connectEndpoint.js';
 import {EventSplitter} from './eventSplitter.js';
@@ -176,14 +176,18 @@
     });
   }
 
-  private createHeldAnswer() {
-    const head = this.head!;
-    const headers = this.parts.wire.createCallerHeaders(head);
-    const body = Buffer.concat(this.held, this.heldBytes);
+  private createPassedHead(): PassedHead {
+    const {headers, status} = this.head!;
     const isUnframed =
-      head.headers['content-length'] === undefined &&
-      head.headers['transfer-encoding'] === undefined;
-    return {status: head.status, headers, body, isUnframed};
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
+    const passed = this.parts.wire.createCallerHeaders({headers, status});
+    return {status, headers: passed, isUnframed};
+  }
+
+  private createHeldAnswer(): HeldAnswer {
+    const body = Buffer.concat(this.held, this.heldBytes);
+    return {...this.createPassedHead(), body};
   }
 
   /** Keeps part of a plain answer, or passes all on once it is long. */
@@ -200,13 +204,12 @@
 
   /** Sends the head of the answer, unless an earlier call's was sent. */
   private begin(): void {
-    const {open, wire} = this.parts;
+    const {open} = this.parts;
     if (open.hasBegun) return;
-    const head = this.head!;
-    const headers = wire.createCallerHeaders(head);
+    const head = this.createPassedHead();
     // The rest of a resumed stream need not be as long as the first one's.
-    if (this.mode === 'events') delete headers['content-length'];
-    open.writeHead(head.status, headers);
+    if (this.mode === 'events') delete head.headers['content-length'];
+    open.writeHead(head);
   }
 
   private pass(chunk: Buffer): void {
