--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -25,6 +25,7 @@
 import {PeerSocket} from './peers/peerSocket.js';
 import {createStoreHandlers} from './store/createStoreHandlers.js';
 import {StoreFollower} from './store/storeFollower.js';
+import {startStatusServers} from './reports/startStatusServers.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
 
 /** Time from the signal to stop until idle connections are closed, in ms. */
@@ -122,10 +123,11 @@
       ({clock, state}: Parts) => new DispatchLoop(state, clock),
     ).singleton(),
     endpointClient: asFunction(
-      ({loop, openRequests}: Parts) =>
+      ({clock, loop, openRequests}: Parts) =>
         new EndpointClient({
           wire,
           openRequests,
+          readNowMs: clock.readNowMs,
           submit: input => loop.submit(input),
         }),
     ).singleton(),
@@ -248,8 +250,6 @@
   await callerServer.listen(settings.callerListen);
   disposables.add(() => callerServer.close());
   logger.info('started', {callerPort: settings.callerListen.port});
-  // Loaded last, so that callers are served sooner after a restart.
-  const {startStatusServers} = await import('./reports/startStatusServers.js');
   const {metrics, state, wire} = parts;
   await startStatusServers(
     {
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -7,6 +7,8 @@
 
 /** Plain answers up to this size are held back until they are whole. */
 const heldAnswerBytes = 262_144;
+/** Least time between two reports of a call's progress, in ms. */
+const progressPeriodMs = 30;
 /** Least status of an answer that reports a failure of the endpoint. */
 const leastFailureStatus = 500;
 /** Statuses that promise that a request did not run. */
@@ -18,6 +20,8 @@
   readonly open: OpenRequest;
   readonly wire: WireFormat;
   readonly submit: (input: Input) => void;
+  /** Monotonic time, in ms. */
+  readonly readNowMs: () => number;
   /** Called once, when nothing more of the call is passed on. */
   readonly forget: () => void;
 }
@@ -39,6 +43,7 @@
   private held: Buffer[] = [];
   private heldBytes = 0;
   private events = 0;
+  private reportedAtMs = Number.NEGATIVE_INFINITY;
   private isSent = false;
   private isOver = false;
 
@@ -118,6 +123,14 @@
     if (this.mode === 'held') this.hold(chunk);
     else if (this.mode === 'events') this.passEvents(chunk);
     else this.pass(chunk);
+    this.reportProgress();
+  }
+
+  /** Reports the first data at once, later data now and then. */
+  private reportProgress(): void {
+    const nowMs = this.parts.readNowMs();
+    if (nowMs - this.reportedAtMs < progressPeriodMs) return;
+    this.reportedAtMs = nowMs;
     this.submitEvent({kind: 'callProgressed', events: this.events});
   }
 
--- a/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
@@ -8,6 +8,8 @@
   readonly wire: WireFormat;
   readonly openRequests: OpenRequests;
   readonly submit: (input: Input) => void;
+  /** Monotonic time, in ms. */
+  readonly readNowMs: () => number;
 }
 
 /**
@@ -22,14 +24,21 @@
 
   /** Sends a request to an endpoint. */
   startCall(effect: StartCall): void {
-    const {openRequests, submit, wire} = this.parts;
+    const {openRequests, readNowMs, submit, wire} = this.parts;
     const open = openRequests.get(effect.requestId);
     if (open === undefined) return;
     const {requestId} = effect;
     const forget = () => {
       if (this.calls.get(requestId) === call) this.calls.delete(requestId);
     };
-    const call = new EndpointCall({effect, open, wire, submit, forget});
+    const call = new EndpointCall({
+      effect,
+      open,
+      wire,
+      submit,
+      readNowMs,
+      forget,
+    });
     this.calls.set(requestId, call);
     call.start();
   }
--- a/packages/ryeworks-gateway/src/peers/fetchDesiredState.ts
+++ b/packages/ryeworks-gateway/src/peers/fetchDesiredState.ts
@@ -1,7 +1,8 @@
 import {DesiredState} from '@ryeworks/dispatch';
 import {callHttp} from '@ryeworks/utils';
-import {statePath} from './statePath.js';
 
+/** Path at which a VM gives its desired state to peers. */
+export const statePath = '/v1/desired-state';
 /** Time for a peer to answer, in ms. */
 const fetchTimeoutMs = 500;
 
--- a/packages/ryeworks-gateway/src/reports/startStatusServers.ts
+++ b/packages/ryeworks-gateway/src/reports/startStatusServers.ts
@@ -1,10 +1,11 @@
 import {DesiredState} from '@ryeworks/dispatch';
 import {TextMetrics} from '@ryeworks/logger';
 import {DisposableStore} from '@ryeworks/utils';
-import {FastifyInstance} from 'fastify';
-import {GatewaySettings, ListenAddress} from '../gatewaySettings.js';
-import {createDesiredStateServer} from '../peers/createDesiredStateServer.js';
-import {createMetricsServer, createReadyServer} from './statusServers.js';
+import {GatewaySettings} from '../gatewaySettings.js';
+import {statePath} from '../peers/fetchDesiredState.js';
+import {createJsonAnswer, startTextServer} from './textServer.js';
+
+const metricsPath = '/metrics';
 
 /** What the servers beside that for callers tell. */
 export interface StatusServerParts {
@@ -15,16 +16,6 @@
   readonly getDesired: () => DesiredState | undefined;
 }
 
-/** Starts a server and adds its end to the disposables. */
-async function startServer(
-  server: FastifyInstance,
-  address: ListenAddress,
-  disposables: DisposableStore,
-): Promise<void> {
-  await server.listen(address);
-  disposables.add(() => server.close());
-}
-
 /** Starts the servers for the balancer, for peers and for metrics. */
 export async function startStatusServers(
   parts: StatusServerParts,
@@ -32,11 +23,27 @@
 ): Promise<void> {
   const {getDesired, isReady, metrics, readyPath, settings} = parts;
   const {metricsListen, peerListen, readyListen} = settings;
-  const ready = createReadyServer(readyPath, isReady);
-  await startServer(ready, readyListen, disposables);
-  const exchange = createDesiredStateServer(getDesired);
-  await startServer(exchange, peerListen, disposables);
+  disposables.add(
+    await startTextServer(readyListen, {
+      [readyPath]: () => createJsonAnswer(isReady() ? 200 : 503, {}),
+    }),
+  );
+  disposables.add(
+    await startTextServer(peerListen, {
+      [statePath]: () => {
+        const desired = getDesired();
+        return createJsonAnswer(desired === undefined ? 404 : 200, desired);
+      },
+    }),
+  );
   if (metricsListen === undefined) return;
-  const fetched = createMetricsServer(metrics);
-  await startServer(fetched, metricsListen, disposables);
+  disposables.add(
+    await startTextServer(metricsListen, {
+      [metricsPath]: async () => ({
+        status: 200,
+        contentType: 'text/plain; version=0.0.4',
+        text: await metrics.format(),
+      }),
+    }),
+  );
 }
--- /dev/null
+++ b/packages/ryeworks-gateway/src/reports/textServer.ts
@@ -0,0 +1,67 @@
+import {createServer} from 'node:http';
+import {ListenAddress} from '../gatewaySettings.js';
+
+/** An answer of a text server. */
+export interface TextAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly text: string;
+}
+
+/** What a text server answers, by path. */
+export type TextRoutes = Readonly<
+  Record<string, () => TextAnswer | Promise<TextAnswer>>
+>;
+
+const notFound: TextAnswer = {
+  status: 404,
+  contentType: 'text/plain',
+  text: 'not found\n',
+};
+const failed: TextAnswer = {
+  status: 500,
+  contentType: 'text/plain',
+  text: 'failed\n',
+};
+
+/** Creates an answer in JSON. */
+export function createJsonAnswer(status: number, value: unknown): TextAnswer {
+  const text = JSON.stringify(value);
+  return {status, contentType: 'application/json', text};
+}
+
+/** Finds the answer to a path. */
+async function getAnswer(routes: TextRoutes, url: string): Promise<TextAnswer> {
+  const [path] = url.split('?');
+  try {
+    return (await routes[path]?.()) ?? notFound;
+  } catch (error) {
+    return {...failed, text: `${(error as Error).message}\n`};
+  }
+}
+
+/**
+ * Starts a server of a few texts; returns what closes it. Built on `node:http`:
+ * loading a framework would take half of a restart's time.
+ */
+export function startTextServer(
+  {host, port}: ListenAddress,
+  routes: TextRoutes,
+): Promise<() => void> {
+  const server = createServer((request, response) => {
+    void getAnswer(routes, request.url ?? '/').then(answer => {
+      const {contentType, status, text} = answer;
+      response.writeHead(status, {'content-type': contentType});
+      response.end(text);
+    });
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      resolve(() => {
+        server.close();
+        server.closeAllConnections();
+      });
+    });
+  });
+}
--- a/packages/ryeworks-utils/src/timerQueue.ts
+++ b/packages/ryeworks-utils/src/timerQueue.ts
@@ -8,24 +8,37 @@
   readonly dueMs: number;
 }
 
+/** A timer in the queue. */
+interface QueuedTimer<P extends string> extends Timer<P> {
+  /** Whether it was replaced or forgotten. */
+  isDropped: boolean;
+}
+
 /** Timers by due time; setting one again replaces it. */
 export class TimerQueue<P extends string> {
-  private readonly queue = new TinyQueue<Timer<P>>(
+  private readonly queue = new TinyQueue<QueuedTimer<P>>(
     [],
     (a, b) => a.dueMs - b.dueMs,
   );
-  private readonly current = new Map<string, Timer<P>>();
+  private readonly current = new Map<string, QueuedTimer<P>>();
 
   /** Sets or replaces a timer. */
   set(purpose: P, subject: string, dueMs: number): void {
-    const timer = {purpose, subject, dueMs};
-    this.current.set(`${purpose}/${subject}`, timer);
+    const key = `${purpose}/${subject}`;
+    const replaced = this.current.get(key);
+    if (replaced !== undefined) replaced.isDropped = true;
+    const timer = {purpose, subject, dueMs, isDropped: false};
+    this.current.set(key, timer);
     this.queue.push(timer);
   }
 
   /** Forgets a timer. */
   clear(purpose: P, subject: string): void {
-    this.current.delete(`${purpose}/${subject}`);
+    const key = `${purpose}/${subject}`;
+    const timer = this.current.get(key);
+    if (timer === undefined) return;
+    timer.isDropped = true;
+    this.current.delete(key);
   }
 
   /** Returns the time of the next timer; undefined without one. */
@@ -45,13 +58,6 @@
   }
 
   private dropReplaced(): void {
-    for (;;) {
-      const timer = this.queue.peek();
-      if (timer === undefined) return;
-      if (this.current.get(`${timer.purpose}/${timer.subject}`) === timer) {
-        return;
-      }
-      this.queue.pop();
-    }
+    while (this.queue.peek()?.isDropped === true) this.queue.pop();
   }
 }
