--- a/packages/ryeworks-dispatch/src/__tests__/limits.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/limits.test.ts
@@ -2,10 +2,10 @@
 import {CustomerLimit} from '../index.js';
 import {
   applyPeerUse,
-  CustomerBuckets,
+  CustomerUses,
   LimitShare,
   takeUnits,
-} from '../limits/customerBuckets.js';
+} from '../limits/customerUse.js';
 
 const limit: CustomerLimit = {
   unitsPerSecond: 1000,
@@ -35,16 +35,16 @@
 /** Runs a fleet; returns the time of each request that was let through. */
 function runFleet(run: FleetRun): number[] {
   const taken: number[] = [];
-  const buckets = new Map<string, CustomerBuckets>();
+  const uses = new Map<string, CustomerUses>();
   const told = new Map<string, number>();
-  for (const vm of run.vms) buckets.set(vm, new Map());
+  for (const vm of run.vms) uses.set(vm, new Map());
   for (let nowMs = 0; nowMs < run.durationMs; nowMs += 5) {
     if (nowMs === run.restartAtMs) {
-      for (const vm of run.vms) buckets.set(vm, new Map());
+      for (const vm of run.vms) uses.set(vm, new Map());
       told.clear();
     }
     for (const vm of run.vms) {
-      const own = buckets.get(vm)!;
+      const own = uses.get(vm)!;
       const knownPeers = run.vms.filter(
         other => other !== vm && run.isJoined(vm, other, nowMs),
       );
@@ -64,7 +64,7 @@
       const use = own.get('c');
       if (use !== undefined) use.reported = total;
       for (const other of knownPeers) {
-        applyPeerUse(buckets.get(other)!, 'c', units);
+        applyPeerUse(uses.get(other)!, 'c', units, nowMs);
       }
     }
   }
@@ -117,6 +117,18 @@
   t.ok(during * requestUnits >= 8000, 'both sides go on handing out');
 });
 
+t.test('the end of a partition hands nothing out twice', async t => {
+  const isLeft = (vm: string) => vm <= 'c';
+  const taken = runFleet({
+    ...pattern,
+    requestEveryMs: 5,
+    isJoined: (one, other, nowMs) =>
+      nowMs < 10_000 || nowMs > 20_000 || isLeft(one) === isLeft(other),
+  });
+  const most = getMostUnits(taken);
+  t.ok(most <= boundUnits, `${most} of ${boundUnits}`);
+});
+
 t.test('a customer within its limit notices no partition', async t => {
   const isLeft = (vm: string) => vm <= 'c';
   // Four fifths of the rate.
--- a/packages/ryeworks-dispatch/src/dispatchOptions.ts
+++ b/packages/ryeworks-dispatch/src/dispatchOptions.ts
@@ -1,4 +1,4 @@
-import {LimitBounds} from './limits/customerBuckets.js';
+import {LimitBounds} from './limits/customerUse.js';
 import {RetryBounds} from './retries/retryBudget.js';
 
 /** Options of the decisions of one VM. */
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -5,7 +5,7 @@
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointBook, EndpointBook} from './endpoints/endpointBook.js';
 import {RequestReceived} from './input.js';
-import {CustomerBuckets} from './limits/customerBuckets.js';
+import {CustomerUses} from './limits/customerUse.js';
 import {createMoveBook, MoveBook} from './moves/moveBook.js';
 import {PeerBook} from './peers/peerBook.js';
 import {ActiveRequest} from './requests/activeRequest.js';
@@ -45,7 +45,7 @@
   readonly peers: PeerBook;
   /** `host:port` of peers to greet while none has been heard. */
   readonly seedAddresses: string[];
-  readonly buckets: CustomerBuckets;
+  readonly customerUses: CustomerUses;
   readonly requests: Map<string, ActiveRequest>;
   /** Waiting requests by service. */
   readonly queues: Map<string, WaitingQueue>;
@@ -78,7 +78,7 @@
     endpoints: createEndpointBook(),
     peers: new Map(),
     seedAddresses: [],
-    buckets: new Map(),
+    customerUses: new Map(),
     requests: new Map(),
     queues: new Map(),
     dispatchRates: new Map(),
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -9,7 +9,7 @@
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
 import {sweepWaiting} from './admission/refuseOrWait.js';
-import {getBucket} from './limits/customerBuckets.js';
+import {getUse} from './limits/customerUse.js';
 import {DesiredStateRead, Input, InputOf, StopRequested} from './input.js';
 import {
   handleMovesRead,
@@ -33,7 +33,6 @@
 } from './requests/handleCallEvents.js';
 import {
   expireEarlyRequest,
-  getLimitShare,
   handleRequestReceived,
   takeEarlyRequests,
 } from './requests/handleRequestReceived.js';
@@ -73,11 +72,8 @@
   const before = state.desired.desired?.version ?? -1;
   if (!applyDesiredState(state.desired, desired)) return [];
   const limitLogs: Effect[] = [];
-  const share = getLimitShare(state, nowMs);
   for (const {apiKeys, limit, name, tier} of desired.customers) {
-    if (limit !== undefined) {
-      getBucket(state.buckets, name, limit, share, nowMs);
-    }
+    if (limit !== undefined) getUse(state.customerUses, name, nowMs);
     limitLogs.push(
       createLog('customer_applied', {
         customer: name,
--- a/packages/ryeworks-dispatch/src/index.ts
+++ b/packages/ryeworks-dispatch/src/index.ts
@@ -8,4 +8,4 @@
 export * from './moves/moveOrder.js';
 export * from './peers/peerMessage.js';
 export {RetryBounds} from './retries/retryBudget.js';
-export {LimitBounds} from './limits/customerBuckets.js';
+export {LimitBounds} from './limits/customerUse.js';
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -2,7 +2,7 @@
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {PeerMessageReceived, SeedListed, VmListed} from '../input.js';
-import {applyPeerUse} from '../limits/customerBuckets.js';
+import {applyPeerUse} from '../limits/customerUse.js';
 import {addPeer, applyDigest} from './peerBook.js';
 import {Digest, PeerMessage, SlotOffer} from './peerMessage.js';
 
@@ -25,7 +25,7 @@
     effects.push(createLog('vm_heard', {peer: vm, address}));
   }
   for (const use of applyDigest(state.peers, digest, nowMs)) {
-    applyPeerUse(state.buckets, use.customer, use.units);
+    applyPeerUse(state.customerUses, use.customer, use.units, nowMs);
   }
   const ownVersion = state.desired.desired?.version ?? -1;
   if (digest.desiredVersion > ownVersion) {
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -41,9 +41,9 @@
 /** Lists the units that this VM has taken. */
 function createUnitsTaken(state: DispatchState): Record<string, number> {
   const unitsTaken: Record<string, number> = {};
-  for (const [customer, bucket] of state.buckets) {
-    unitsTaken[customer] = bucket.taken;
-    bucket.reported = bucket.taken;
+  for (const [customer, use] of state.customerUses) {
+    unitsTaken[customer] = use.taken;
+    use.reported = use.taken;
   }
   return unitsTaken;
 }
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -3,7 +3,7 @@
 import {removeWaiting} from '../admission/waitingQueue.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
-import {returnUnits} from '../limits/customerBuckets.js';
+import {returnUnits} from '../limits/customerUse.js';
 import {ActiveRequest} from './activeRequest.js';
 
 /** How a request ended, for logs and counters. */
@@ -40,7 +40,7 @@
   state.timers.clear('requestTimeout', requestId);
   removeWaiting(getQueue(state, request.service), request);
   if (runs === 0) {
-    returnUnits(state.buckets, request.customer, request.units);
+    returnUnits(state.customerUses, request.customer, request.units, nowMs);
   }
   return [
     ...releaseCall(state, request, nowMs),
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -5,7 +5,7 @@
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {RequestReceived} from '../input.js';
-import {LimitShare, takeUnits} from '../limits/customerBuckets.js';
+import {LimitShare, takeUnits} from '../limits/customerUse.js';
 import {decideTrial} from '../moves/decideTrial.js';
 import {countFreshPeers} from '../peers/peerBook.js';
 import {highestTier} from '../tier.js';
@@ -61,7 +61,7 @@
 }
 
 /** Returns how much of the customers' limits this VM may hand out now. */
-export function getLimitShare(state: DispatchState, nowMs: number): LimitShare {
+function getLimitShare(state: DispatchState, nowMs: number): LimitShare {
   return {
     bounds: state.options.limitBounds,
     knownPeers: countFreshPeers(state.peers, nowMs),
@@ -79,7 +79,14 @@
   if (customer?.limit === undefined) return 0;
   const {limit, name} = customer;
   const share = getLimitShare(state, nowMs);
-  const waitMs = takeUnits(state.buckets, name, limit, units, share, nowMs);
+  const waitMs = takeUnits(
+    state.customerUses,
+    name,
+    limit,
+    units,
+    share,
+    nowMs,
+  );
   return waitMs === 0 ? 0 : Math.max(leastLimitRetryMs, waitMs);
 }
 
