Send the highest tier to fast engines and leave silent ones in time

Cause: late requests of the highest tier had waited at their engine, not here: slow engines (first event p90 390 to 480 ms against 205) were picked while less full, and left only after 770 to 900 ms.

--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -1,28 +1,46 @@
+import {EndpointEntry, listEndpoints} from '../endpoints/endpointBook.js';
 import {
-  EndpointEntry,
-  getRelativePace,
-  listEndpoints,
-} from '../endpoints/endpointBook.js';
+  estimateFirstEventMs,
+  getServiceFirstEventMs,
+} from '../endpoints/pace.js';
 import {DispatchState} from '../dispatchState.js';
 import {countPeerCalls} from '../peers/peerBook.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
-import {highestTier} from '../tier.js';
 
 /**
- * Calls beyond its slots that an endpoint is given. The highest tier may wait
- * in the endpoint's own queue, ahead of all that waits here, so that it never
- * waits for another VM's slot to be passed on.
+ * Calls beyond its slots that an endpoint is given, by how far the tier is from
+ * the service's highest. The highest tier may wait in the endpoint's own queue,
+ * ahead of all that waits here; the lowest tiers leave a slot free for it.
+ * Under load a request of the highest tier then neither waits for another VM to
+ * pass a slot on nor stands behind long answers of lower tiers.
  */
-const extraCalls = {highestTier: 2, others: 0} as const;
+const extraCallsByDistance = [2, 0, -1] as const;
 /** How much a call to another availability zone counts over one at home. */
 const remoteZoneFactor = 1.1;
+/**
+ * How much a full endpoint counts over an empty one. The highest tier goes where
+ * its first event comes soonest; the others spread and leave it the fast ones.
+ */
+const loadWeights = {top: 0.3, others: 1.5} as const;
 /** How much the share of failures of an endpoint counts against it. */
 const failureWeight = 4;
 
-/** Returns the calls that an endpoint may have in flight for a tier. */
-function getCapacity(entry: EndpointEntry, tier: number): number {
-  const extra = tier === highestTier ? extraCalls.highestTier : 0;
-  return entry.endpoint.slots + extra;
+/** Returns how far a request is from the highest tier of its service. */
+function getTierDistance(state: DispatchState, request: ActiveRequest): number {
+  const {topTiers} = state.desired;
+  const topTier = topTiers.get(request.service) ?? request.tier;
+  return Math.max(0, request.tier - topTier);
+}
+
+/** Returns the calls that an endpoint may have in flight for a request. */
+function getCapacity(
+  state: DispatchState,
+  entry: EndpointEntry,
+  request: ActiveRequest,
+): number {
+  const last = extraCallsByDistance.length - 1;
+  const distance = Math.min(last, getTierDistance(state, request));
+  return Math.max(1, entry.endpoint.slots + extraCallsByDistance[distance]);
 }
 
 /** Returns the calls of all VMs at an endpoint, as far as they are known. */
@@ -35,20 +53,6 @@
   return entry.inFlight + countPeerCalls(state.peers, id, nowMs);
 }
 
-/** Returns the mean time to the first event over a service, in ms; 0: none. */
-export function getServiceFirstEventMs(
-  entries: Iterable<EndpointEntry>,
-): number {
-  let total = 0;
-  let count = 0;
-  for (const entry of entries) {
-    if (entry.firstEventMs === 0) continue;
-    total += entry.firstEventMs;
-    count += 1;
-  }
-  return count === 0 ? 0 : total / count;
-}
-
 /** Tells whether an endpoint takes new calls at all. */
 export function isUsable(entry: EndpointEntry, nowMs: number): boolean {
   return !entry.endpoint.isDraining && entry.restUntilMs <= nowMs;
@@ -69,13 +73,16 @@
   nowMs: number,
 ): number | undefined {
   const calls = countCalls(state, entry, nowMs);
-  if (calls >= getCapacity(entry, request.tier)) return undefined;
-  const load = (calls + 1) / entry.endpoint.slots;
-  const pace = getRelativePace(entry, serviceMs);
+  if (calls >= getCapacity(state, entry, request)) return undefined;
+  const load = calls / entry.endpoint.slots;
+  const isTop = getTierDistance(state, request) === 0;
+  const loadWeight = isTop ? loadWeights.top : loadWeights.others;
+  const firstMs = estimateFirstEventMs(entry, serviceMs, request.promptTokens);
   const doubt = 1 + failureWeight * entry.failureShare;
   const isHome =
     entry.endpoint.availabilityZone === state.options.availabilityZone;
-  return load * pace * doubt * (isHome ? 1 : remoteZoneFactor);
+  const zone = isHome ? 1 : remoteZoneFactor;
+  return (1 + firstMs) * (1 + loadWeight * load) * doubt * zone;
 }
 
 /** Picks the endpoint with the least cost for a request; undefined: wait. */
--- a/packages/ryeworks-dispatch/src/desired/desiredBook.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredBook.ts
@@ -1,4 +1,4 @@
-import {Customer, DesiredState} from './desiredState.js';
+import {Customer, DesiredState, Route} from './desiredState.js';
 import {createRouteTable, RouteTable} from './routeTable.js';
 
 /** The desired state in force, with its lookups. */
@@ -7,11 +7,18 @@
   desired: DesiredState | undefined;
   routes: RouteTable;
   customersByKey: ReadonlyMap<string, Customer>;
+  /** Highest tier among the routes of each service. */
+  topTiers: ReadonlyMap<string, number>;
 }
 
 /** Creates the book of a VM that knows no version yet. */
 export function createDesiredBook(): DesiredBook {
-  return {desired: undefined, routes: new Map(), customersByKey: new Map()};
+  return {
+    desired: undefined,
+    routes: new Map(),
+    customersByKey: new Map(),
+    topTiers: new Map(),
+  };
 }
 
 /** Creates the lookup of customers by API key. */
@@ -25,6 +32,18 @@
   return byKey;
 }
 
+/** Finds the highest tier among the routes of each service. */
+function createTopTiers(routes: readonly Route[]): Map<string, number> {
+  const topTiers = new Map<string, number>();
+  for (const {targets, tier} of routes) {
+    for (const {service} of targets) {
+      const known = topTiers.get(service) ?? tier;
+      topTiers.set(service, Math.min(known, tier));
+    }
+  }
+  return topTiers;
+}
+
 /**
  * Brings a version into force; returns false for one that is not newer, so
  * that a stale read never takes a change back.
@@ -38,5 +57,6 @@
   book.desired = desired;
   book.routes = createRouteTable(desired);
   book.customersByKey = createCustomerTable(desired.customers);
+  book.topTiers = createTopTiers(desired.routes);
   return true;
 }
--- a/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
@@ -7,15 +7,13 @@
 /** First and longest rest of an endpoint that does not answer, in ms. */
 const firstRestMs = 250;
 const longestRestMs = 1000;
-/** Pace that an unknown endpoint starts from, relative to its service. */
-const unknownPace = 1;
 
 /** What this VM knows of one endpoint. */
 export interface EndpointEntry {
   endpoint: Endpoint;
   /** Calls of this VM that run or wait there. */
   inFlight: number;
-  /** Running mean of the time to the first event or byte, in ms; 0: none. */
+  /** Mean time to the first event of a standard prompt, in ms; 0: unknown. */
   firstEventMs: number;
   /** Running mean of the time between events, in ms; 0: none. */
   eventGapMs: number;
@@ -99,13 +97,6 @@
   return mean + (sample - mean) * sampleWeight;
 }
 
-/** Learns the time to the first event of an answer. */
-export function learnFirstEvent(entry: EndpointEntry, elapsedMs: number): void {
-  entry.unansweredInRow = 0;
-  entry.restUntilMs = 0;
-  entry.firstEventMs = mixSample(entry.firstEventMs, elapsedMs);
-}
-
 /** Learns the mean time between the events of an answer. */
 export function learnEventGap(entry: EndpointEntry, gapMs: number): void {
   entry.eventGapMs = mixSample(entry.eventGapMs, gapMs);
@@ -134,12 +125,3 @@
   const restMs = Math.min(longestRestMs, firstRestMs * 2 ** excess);
   entry.restUntilMs = nowMs + restMs;
 }
-
-/** Returns how slow an endpoint is, relative to the mean of its service. */
-export function getRelativePace(
-  entry: EndpointEntry,
-  serviceMeanMs: number,
-): number {
-  if (entry.firstEventMs === 0 || serviceMeanMs === 0) return unknownPace;
-  return entry.firstEventMs / serviceMeanMs;
-}
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/endpoints/pace.ts
@@ -0,0 +1,55 @@
+import {EndpointEntry} from './endpointBook.js';
+
+/** Prompt length that stands for the fixed part of a first event, in tokens. */
+const fixedCostTokens = 3000;
+/** Prompt length to which times are brought, in tokens. */
+const standardPromptTokens = 1000;
+/** Weight of a new sample in the running mean. */
+const sampleWeight = 0.12;
+
+/** Returns how much longer a prompt takes than one of standard length. */
+function getPromptFactor(promptTokens: number): number {
+  const standard = fixedCostTokens + standardPromptTokens;
+  return (fixedCostTokens + promptTokens) / standard;
+}
+
+/** Learns an endpoint's time to the first event of an answer. */
+export function learnFirstEvent(
+  entry: EndpointEntry,
+  elapsedMs: number,
+  promptTokens: number,
+): void {
+  entry.unansweredInRow = 0;
+  entry.restUntilMs = 0;
+  const sample = elapsedMs / getPromptFactor(promptTokens);
+  const mean = entry.firstEventMs;
+  entry.firstEventMs =
+    mean === 0 ? sample : mean + (sample - mean) * sampleWeight;
+}
+
+/** Returns the mean over a service's endpoints, in ms; 0: nothing is known. */
+export function getServiceFirstEventMs(
+  entries: Iterable<EndpointEntry>,
+): number {
+  let total = 0;
+  let count = 0;
+  for (const entry of entries) {
+    if (entry.firstEventMs === 0) continue;
+    total += entry.firstEventMs;
+    count += 1;
+  }
+  return count === 0 ? 0 : total / count;
+}
+
+/**
+ * Estimates the time to the first event of a prompt, in ms. An endpoint that
+ * was never used is taken to be like the others of its service.
+ */
+export function estimateFirstEventMs(
+  entry: EndpointEntry,
+  serviceMs: number,
+  promptTokens: number,
+): number {
+  const standardMs = entry.firstEventMs === 0 ? serviceMs : entry.firstEventMs;
+  return standardMs * getPromptFactor(promptTokens);
+}
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -41,6 +41,8 @@
   callStartedAtMs: number;
   /** Whether the present call has brought an event or byte. */
   hasFirstEvent: boolean;
+  /** When the first event or byte came, in ms; 0: none yet. */
+  firstEventAtMs: number;
   lastProgressMs: number;
   /** Events of the present call. */
   events: number;
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -26,6 +26,12 @@
   return decideRefill(state, entry, nowMs);
 }
 
+/** Returns the time to the first event or byte, in ms; -1: none came. */
+function getFirstEventMs(request: ActiveRequest): number {
+  const {firstEventAtMs, receivedAtMs} = request;
+  return firstEventAtMs === 0 ? -1 : Math.round(firstEventAtMs - receivedAtMs);
+}
+
 /** Forgets a request that has ended. */
 export function forgetRequest(
   state: DispatchState,
@@ -58,6 +64,9 @@
       outcome,
       reason,
       durationMs,
+      firstEventMs: getFirstEventMs(request),
+      tier: request.tier,
+      rank: request.rank,
       runs,
       arrivals,
     }),
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -5,10 +5,10 @@
 import {
   EndpointEntry,
   learnEventGap,
-  learnFirstEvent,
   learnNoAnswer,
   learnOutcome,
 } from '../endpoints/endpointBook.js';
+import {learnFirstEvent} from '../endpoints/pace.js';
 import {
   CallDone,
   CallerGone,
@@ -85,11 +85,12 @@
   request.events = input.events;
   if (request.hasFirstEvent) return [];
   request.hasFirstEvent = true;
+  if (request.firstEventAtMs === 0) request.firstEventAtMs = nowMs;
   const entry = getEntry(state, request);
   if (entry === undefined) return [];
   const elapsedMs = nowMs - request.callStartedAtMs;
   recordPace(state, request, entry, elapsedMs);
-  learnFirstEvent(entry, elapsedMs);
+  learnFirstEvent(entry, elapsedMs, request.promptTokens);
   scheduleSilence(state, request, entry, nowMs);
   const labels = {tier: `${request.tier}`};
   return [
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -139,6 +139,7 @@
     arrivals: 0,
     callStartedAtMs: 0,
     hasFirstEvent: false,
+    firstEventAtMs: 0,
     lastProgressMs: 0,
     events: 0,
     avoided: new Set(),
--- a/packages/ryeworks-dispatch/src/requests/silence.ts
+++ b/packages/ryeworks-dispatch/src/requests/silence.ts
@@ -1,13 +1,16 @@
-import {getServiceFirstEventMs} from '../admission/pickEndpoint.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
 import {EndpointEntry, listEndpoints} from '../endpoints/endpointBook.js';
+import {
+  estimateFirstEventMs,
+  getServiceFirstEventMs,
+} from '../endpoints/pace.js';
 import {ActiveRequest} from './activeRequest.js';
 
 /** Part of the latency target after which a stream should have begun. */
 const firstEventFraction = 0.6;
 /** How often the usual time to the first event is waited for. */
-const firstEventFactor = 3;
+const firstEventFactor = 2;
 /** Part of the longest pause after which a stream counts as silent. */
 const gapFraction = 0.7;
 /** How often the usual pause between events is waited for. */
@@ -32,7 +35,13 @@
     return Math.max(leastSilenceMs, route.maxGapMs * gapFraction, usualMs);
   }
   const entries = listEndpoints(state.endpoints, request.service);
-  const usualMs = getServiceFirstEventMs(entries) * firstEventFactor;
+  const serviceMs = getServiceFirstEventMs(entries);
+  const expectedMs = estimateFirstEventMs(
+    entry,
+    serviceMs,
+    request.promptTokens,
+  );
+  const usualMs = expectedMs * firstEventFactor;
   const targetMs = route.latencyTargetMs * firstEventFraction;
   return Math.max(leastSilenceMs, targetMs, usualMs);
 }
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -1,3 +1,4 @@
+import {countCalls} from '../admission/pickEndpoint.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
@@ -48,6 +49,8 @@
       waitedMs,
       call: request.callNumber,
       ownCalls: entry.inFlight,
+      allCalls: countCalls(state, entry, nowMs),
+      promptTokens: request.promptTokens,
     }),
   ];
 }
