--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -35,7 +35,10 @@
   readonly endAtMs: number;
 }
 
-/** Everything that one VM knows; nothing of it outlives the process. */
+/**
+ * Everything that one VM knows; nothing of it outlives the process. Times are of
+ * a monotonic clock that begins with the process.
+ */
 export interface DispatchState {
   readonly options: DispatchOptions;
   readonly random: RandomSource;
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -9,7 +9,6 @@
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
 import {sweepWaiting} from './admission/refuseOrWait.js';
-import {getUse} from './limits/customerUse.js';
 import {DesiredStateRead, Input, InputOf, StopRequested} from './input.js';
 import {
   handleMovesRead,
@@ -73,7 +72,6 @@
   if (!applyDesiredState(state.desired, desired)) return [];
   const limitLogs: Effect[] = [];
   for (const {apiKeys, limit, name, tier} of desired.customers) {
-    if (limit !== undefined) getUse(state.customerUses, name, nowMs);
     limitLogs.push(
       createLog('customer_applied', {
         customer: name,
--- a/packages/ryeworks-dispatch/src/limits/customerUse.ts
+++ b/packages/ryeworks-dispatch/src/limits/customerUse.ts
@@ -2,11 +2,11 @@
 import {UseWindow} from './useWindow.js';
 
 /** Part of the tolerated overrun that is handed out; the rest covers lags. */
-const usedTolerance = 0.6;
+const usedTolerance = 0.45;
 /** Part of the tolerated overrun that VMs may hand out at their start. */
-const startTolerance = 0.15;
+const startTolerance = 0.3;
 /** Part of the stated rate that VMs hand out in the window of their start. */
-const startRate = 0.8;
+const startRate = 1;
 
 /** How the limits of customers are held against their use. */
 export interface LimitBounds {
@@ -34,8 +34,6 @@
  */
 export interface CustomerUse {
   readonly window: UseWindow;
-  /** When this VM first knew of the customer, in ms. */
-  readonly startedAtMs: number;
   /** Part of all VMs whose use is known here, 0 to 1. */
   knownPart: number;
   /** Units that this VM has taken since it started. */
@@ -88,16 +86,11 @@
 }
 
 /** Returns the use of a customer. */
-export function getUse(
-  uses: CustomerUses,
-  customer: string,
-  nowMs: number,
-): CustomerUse {
+function getUse(uses: CustomerUses, customer: string): CustomerUse {
   const known = uses.get(customer);
   if (known !== undefined) return known;
   const use: CustomerUse = {
     window: new UseWindow(),
-    startedAtMs: nowMs,
     knownPart: 0,
     taken: 0,
     reported: 0,
@@ -125,7 +118,8 @@
   nowMs: number,
 ): number {
   const {knownPart, window} = use;
-  const ageMs = nowMs - use.startedAtMs;
+  // The monotonic clock begins with the process.
+  const ageMs = nowMs;
   if (ageMs < windowMs) {
     const allowed = getStartUnits(limit, ageMs) * knownPart;
     return window.getSurplus(windowMs, nowMs, () => allowed);
@@ -152,7 +146,7 @@
   share: LimitShare,
   nowMs: number,
 ): number {
-  const use = getUse(uses, customer, nowMs);
+  const use = getUse(uses, customer);
   updateKnownPart(use, share);
   const {windowMs} = share.bounds;
   const windowLimit = createWindowLimit(limit, share.bounds);
@@ -188,5 +182,5 @@
   units: number,
   nowMs: number,
 ): void {
-  getUse(uses, customer, nowMs).window.add(units, nowMs);
+  getUse(uses, customer).window.add(units, nowMs);
 }
