Keep requests to their side of a version move

Also: tests of heavy loads (floods of the lowest tier, unlike engines, refusals at once, slots left to peers).

--- /dev/null
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -0,0 +1,210 @@
+import t from 'tap';
+import {DispatchState, RequestReceived} from '../index.js';
+import {
+  createDesired,
+  createEndpoint,
+  createReadyState,
+  createRequest,
+  listEffects,
+  names,
+  routes,
+  runInput,
+} from './fixtures.js';
+
+const slots = 4;
+const engine = createEndpoint('m1', names.model, {slots});
+
+/** Gives a request; returns the endpoint it goes to, undefined: it waits. */
+function findEndpoint(
+  state: DispatchState,
+  request: RequestReceived,
+  nowMs: number,
+): string | undefined {
+  const [call] = listEffects(runInput(state, request, nowMs), 'startCall');
+  return call?.endpoint.id;
+}
+
+/** Lets the first call of a request end well. */
+function finishCall(
+  state: DispatchState,
+  {requestId}: RequestReceived,
+  nowMs: number,
+) {
+  const call = {requestId, callNumber: 1};
+  runInput(state, {kind: 'callSent', ...call}, nowMs);
+  return runInput(state, {kind: 'callDone', ...call, status: 200}, nowMs);
+}
+
+t.test('a flood of the lowest tier leaves room for the highest', async t => {
+  const state = createReadyState([engine]);
+  let taken = 0;
+  for (let index = 0; index < 12; index++) {
+    const request = createRequest('relaxed', index);
+    if (findEndpoint(state, request, index) !== undefined) taken += 1;
+  }
+  t.equal(taken, slots - 1, 'one slot stays free');
+  const urgent = createRequest('urgent', 20);
+  t.equal(findEndpoint(state, urgent, 20), 'm1');
+});
+
+t.test('waiting requests go by tier, then by age', async t => {
+  const state = createReadyState([{...engine, slots: 1}]);
+  const first = createRequest('relaxed', 0);
+  findEndpoint(state, first, 0);
+  const relaxed = createRequest('relaxed', 1);
+  findEndpoint(state, relaxed, 1);
+  const urgentLater = [0, 1, 2].map(() => createRequest('urgent', 5));
+  const started = urgentLater.map(one => findEndpoint(state, one, 5));
+  // Two may wait at the engine itself; the third waits here, before the others.
+  t.strictSame(started, ['m1', 'm1', undefined]);
+  const calls = listEffects(finishCall(state, urgentLater[0], 10), 'startCall');
+  t.strictSame(
+    calls.map(call => call.requestId),
+    [urgentLater[2].requestId],
+  );
+});
+
+t.test("a customer's tier goes before the tier of a route", async t => {
+  const customers = [
+    {name: 'gold', apiKeys: ['gold'], tier: 0, limit: undefined},
+    {name: 'plain', apiKeys: ['plain'], tier: 1, limit: undefined},
+  ];
+  const state = createReadyState(
+    [createEndpoint('e1', names.ledger, {slots: 1})],
+    createDesired(1, {customers, routes: [routes.booking, routes.reading]}),
+  );
+  const running = [0, 1, 2].map(() =>
+    createRequest('booking', 0, {apiKey: 'plain'}),
+  );
+  for (const request of running) findEndpoint(state, request, 0);
+  const plain = createRequest('booking', 1, {apiKey: 'plain'});
+  findEndpoint(state, plain, 1);
+  const gold = createRequest('reading', 2, {apiKey: 'gold'});
+  findEndpoint(state, gold, 2);
+  const calls = listEffects(finishCall(state, running[0], 3), 'startCall');
+  t.equal(calls[0]?.requestId, gold.requestId);
+});
+
+t.test('unlike engines: the highest tier goes to the fast one', async t => {
+  const fast = createEndpoint('m1', names.model, {slots: 8});
+  const slow = createEndpoint('m2', names.model, {slots: 8});
+  const state = createReadyState([fast, slow]);
+  // Pairs of calls: one engine answers in 80 ms, the other in 240 ms.
+  let nowMs = 0;
+  for (let index = 0; index < 20; index++) {
+    const pair = [0, 1].map(() => createRequest('relaxed', nowMs));
+    const ids = pair.map(request => findEndpoint(state, request, nowMs));
+    for (const [place, {requestId}] of pair.entries()) {
+      const call = {requestId, callNumber: 1};
+      const firstMs = nowMs + (ids[place] === 'm1' ? 80 : 240);
+      runInput(state, {kind: 'callSent', ...call}, nowMs);
+      runInput(state, {kind: 'callProgressed', ...call, events: 1}, firstMs);
+      runInput(state, {kind: 'callDone', ...call, status: 200}, firstMs);
+    }
+    nowMs += 300;
+  }
+  const relaxed = [];
+  for (let index = 0; index < 8; index++) {
+    relaxed.push(findEndpoint(state, createRequest('relaxed', nowMs), nowMs));
+  }
+  const onSlow = relaxed.filter(id => id === 'm2').length;
+  t.ok(onSlow >= 1, `${onSlow} of 8 of the lowest tier go to the slow engine`);
+  for (let index = 0; index < 3; index++) {
+    const urgent = createRequest('urgent', nowMs);
+    t.equal(findEndpoint(state, urgent, nowMs), 'm1');
+  }
+});
+
+t.test('a request that cannot be on time is refused at once', async t => {
+  const state = createReadyState([engine]);
+  let refusedAtMs = -1;
+  let retryAfterMs = 0;
+  // Ten a second leave the engine, a hundred come.
+  for (let nowMs = 0; nowMs < 4000; nowMs += 10) {
+    runInput(state, {kind: 'timerDue'}, nowMs);
+    const request = createRequest('relaxed', nowMs);
+    const effects = runInput(state, request, nowMs);
+    const [answer] = listEffects(effects, 'answerError');
+    if (answer?.requestId === request.requestId) {
+      refusedAtMs = nowMs;
+      retryAfterMs = answer.retryAfterMs;
+    }
+    const oldest = [...state.requests.values()].find(
+      one => one.phase === 'calling' && nowMs - one.callStartedAtMs >= 400,
+    );
+    if (oldest === undefined) continue;
+    const call = {
+      requestId: oldest.requestId,
+      callNumber: oldest.callNumber,
+    };
+    runInput(state, {kind: 'callDone', ...call, status: 200}, nowMs);
+  }
+  t.ok(refusedAtMs >= 0, 'some are refused as they come');
+  t.ok(retryAfterMs >= 100, `they come back after ${retryAfterMs} ms`);
+  const longest = Math.max(
+    ...[...state.requests.values()]
+      .filter(one => one.phase === 'waiting')
+      .map(one => 4000 - one.receivedAtMs),
+  );
+  t.ok(longest <= 1000, `nobody waits longer than the target: ${longest} ms`);
+});
+
+t.test('a freed slot goes to a peer whose request is more urgent', async t => {
+  const state = createReadyState([{...engine, slots: 1}]);
+  const running = createRequest('relaxed', 0);
+  findEndpoint(state, running, 0);
+  findEndpoint(state, createRequest('relaxed', 1), 1);
+  const digest = {
+    kind: 'digest',
+    vm: 'vm-2',
+    address: 'vm-2:7600',
+    availabilityZone: 'zone-a',
+    incarnation: 1,
+    sequence: 1,
+    desiredVersion: 1,
+    inFlight: {},
+    heads: {[names.model]: {rank: 0, waitedMs: 5, count: 1}},
+    unitsTaken: {},
+    evidence: {},
+  } as const;
+  runInput(state, {kind: 'peerMessageReceived', message: digest}, 2);
+  const effects = finishCall(state, running, 10);
+  const [offer] = listEffects(effects, 'sendPeer');
+  t.match(offer, {
+    address: 'vm-2:7600',
+    message: {kind: 'slotOffer', endpointId: 'm1'},
+  });
+  t.equal(listEffects(effects, 'startCall').length, 0);
+
+  // The peer takes it for what waits there.
+  const peer = createReadyState([{...engine, slots: 1}]);
+  const ownDigest = {...digest, inFlight: {m1: 1}, heads: {}};
+  runInput(peer, {kind: 'peerMessageReceived', message: ownDigest}, 0);
+  const waiting = createRequest('relaxed', 1);
+  t.equal(findEndpoint(peer, waiting, 1), undefined);
+  const message = {kind: 'slotOffer', vm: 'vm-2', endpointId: 'm1'} as const;
+  const taken = runInput(peer, {kind: 'peerMessageReceived', message}, 5);
+  t.equal(listEffects(taken, 'startCall')[0]?.requestId, waiting.requestId);
+});
+
+t.test('calls of a VM that fell silent count for a while only', async t => {
+  const state = createReadyState([{...engine, slots: 1}]);
+  const message = {
+    kind: 'digest',
+    vm: 'vm-2',
+    address: 'vm-2:7600',
+    availabilityZone: 'zone-a',
+    incarnation: 1,
+    sequence: 1,
+    desiredVersion: 1,
+    inFlight: {m1: 1},
+    heads: {},
+    unitsTaken: {},
+    evidence: {},
+  } as const;
+  runInput(state, {kind: 'peerMessageReceived', message}, 0);
+  const early = createRequest('relaxed', 100);
+  t.equal(findEndpoint(state, early, 100), undefined);
+  const later = createRequest('relaxed', 2500);
+  t.equal(findEndpoint(state, later, 2500), 'm1');
+});
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -4,6 +4,7 @@
   getServiceFirstEventMs,
 } from '../endpoints/pace.js';
 import {DispatchState} from '../dispatchState.js';
+import {listAllowed} from '../moves/decideTrial.js';
 import {countPeerCalls} from '../peers/peerBook.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 
@@ -91,10 +92,11 @@
   request: ActiveRequest,
   nowMs: number,
 ): EndpointEntry | undefined {
-  const entries = [...listEndpoints(state.endpoints, request.service)];
+  const {isTrial, service} = request;
+  const entries = [...listEndpoints(state.endpoints, service)];
   const serviceMs = getServiceFirstEventMs(entries);
   let best: Candidate | undefined;
-  for (const entry of entries) {
+  for (const entry of listAllowed(state, service, entries, isTrial)) {
     if (!isUsable(entry, nowMs)) continue;
     if (request.avoided.has(entry.endpoint.id)) continue;
     const cost = estimateCost(state, entry, request, serviceMs, nowMs);
--- a/packages/ryeworks-dispatch/src/limits/customerUse.ts
+++ b/packages/ryeworks-dispatch/src/limits/customerUse.ts
@@ -106,7 +106,7 @@
 function updateKnownPart(use: CustomerUse, share: LimitShare): void {
   const knownPart = (share.knownPeers + 1) / share.vmCount;
   if (use.knownPart === knownPart) return;
-  if (use.knownPart > 0) use.window.scale(knownPart / use.knownPart);
+  if (use.knownPart > 0) use.window.applyFactor(knownPart / use.knownPart);
   use.knownPart = knownPart;
 }
 
--- a/packages/ryeworks-dispatch/src/limits/useWindow.ts
+++ b/packages/ryeworks-dispatch/src/limits/useWindow.ts
@@ -20,7 +20,7 @@
   }
 
   /** Multiplies all use. */
-  scale(factor: number): void {
+  applyFactor(factor: number): void {
     for (const slice of this.slices) slice.units *= factor;
   }
 
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -1,4 +1,5 @@
 import {DispatchState} from '../dispatchState.js';
+import {EndpointEntry} from '../endpoints/endpointBook.js';
 import {MoveView} from './moveBook.js';
 
 /** One step of a move. */
@@ -68,16 +69,24 @@
   return true;
 }
 
-/** Tells whether a version may serve a request of a service. */
-export function isVersionAllowed(
+/**
+ * Returns the endpoints that may serve a request while its service is moved:
+ * those of its side of the move, or the others when its side has none. A
+ * version that was found bad serves nothing.
+ */
+export function listAllowed(
   state: DispatchState,
   service: string,
-  version: string,
+  entries: readonly EndpointEntry[],
   isTrial: boolean,
-): boolean {
+): readonly EndpointEntry[] {
   const view = state.moves.get(service);
-  if (view === undefined) return true;
-  const isNew = version === view.order.toVersion;
-  if (view.isBad) return !isNew;
-  return isNew === isTrial;
+  if (view === undefined) return entries;
+  const {toVersion} = view.order;
+  const isNew = (entry: EndpointEntry) => entry.endpoint.version === toVersion;
+  const onOld = entries.filter(entry => !isNew(entry));
+  if (view.isBad) return onOld;
+  const onNew = entries.filter(isNew);
+  const [preferred, others] = isTrial ? [onNew, onOld] : [onOld, onNew];
+  return preferred.length > 0 ? preferred : others;
 }
