--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -40,7 +40,7 @@
  * a monotonic clock that begins with the process.
  */
 export interface DispatchState {
-  readonly options: DispatchOptions;
+  options: DispatchOptions;
   readonly random: RandomSource;
   readonly timers: TimerQueue<TimerPurpose>;
   readonly desired: DesiredBook;
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -9,7 +9,13 @@
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
 import {sweepWaiting} from './admission/refuseOrWait.js';
-import {DesiredStateRead, Input, InputOf, StopRequested} from './input.js';
+import {
+  BoundsChanged,
+  DesiredStateRead,
+  Input,
+  InputOf,
+  StopRequested,
+} from './input.js';
 import {
   handleMovesRead,
   movesPeriodMs,
@@ -106,6 +112,23 @@
   return [createLog('stopping', {requests: state.requests.size})];
 }
 
+/** Brings the bounds of new settings into force. */
+function handleBoundsChanged(
+  state: DispatchState,
+  {bounds}: BoundsChanged,
+): Effect[] {
+  const {limitBounds, retryBounds, trialAllowance, trialRatio} = bounds;
+  const changed = {limitBounds, retryBounds, trialAllowance, trialRatio};
+  state.options = {...state.options, ...changed};
+  return [
+    createLog('settings_applied', {
+      retryRatio: retryBounds.ratio,
+      retryAllowance: retryBounds.allowance,
+      limitAllowance: limitBounds.allowance,
+    }),
+  ];
+}
+
 /** Runs every timer that is due. */
 function handleTimerDue(
   state: DispatchState,
@@ -138,6 +161,7 @@
   movesRead: handleMovesRead,
   peerMessageReceived: handlePeerMessage,
   stopRequested: handleStopRequested,
+  boundsChanged: handleBoundsChanged,
   timerDue: handleTimerDue,
 };
 
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -1,4 +1,5 @@
 import {DesiredState} from './desired/desiredState.js';
+import {DispatchBounds} from './dispatchOptions.js';
 import {Endpoint} from './endpoints/endpoint.js';
 import {MoveOrder} from './moves/moveOrder.js';
 import {PeerMessage} from './peers/peerMessage.js';
@@ -145,6 +146,12 @@
   readonly endAtMs: number;
 }
 
+/** The settings of this process were read again. */
+export interface BoundsChanged {
+  readonly kind: 'boundsChanged';
+  readonly bounds: DispatchBounds;
+}
+
 /** A timer is due. */
 export interface TimerDue {
   readonly kind: 'timerDue';
@@ -168,6 +175,7 @@
   | MovesRead
   | PeerMessageReceived
   | StopRequested
+  | BoundsChanged
   | TimerDue;
 
 /** The input of one kind. */
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -62,6 +62,10 @@
 
 /** A running gateway. */
 export interface Gateway {
+  /** Brings new settings into force, as far as that needs no restart. */
+  applySettings(settings: GatewaySettings): void;
+  /** Reports settings that could not be read. */
+  reportTrouble(event: string, detail: string): void;
   /** Finishes the requests in progress, then ends all work. */
   stop(): Promise<void>;
 }
@@ -262,6 +266,8 @@
     disposables,
   );
   return {
+    applySettings: bounds => loop.submit({kind: 'boundsChanged', bounds}),
+    reportTrouble: (event, detail) => logger.warn(event, {detail}),
     stop: async () => {
       await finishRequests(parts);
       logger.info('stopped', {open: parts.openRequests.size});
--- a/packages/ryeworks-gateway/src/gatewaySettings.ts
+++ b/packages/ryeworks-gateway/src/gatewaySettings.ts
@@ -1,4 +1,4 @@
-import {LimitBounds, RetryBounds} from '@ryeworks/dispatch';
+import {DispatchBounds} from '@ryeworks/dispatch';
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -7,7 +7,7 @@
 }
 
 /** Settings of one entry process on a platform. All times are in ms. */
-export interface GatewaySettings {
+export interface GatewaySettings extends DispatchBounds {
   readonly vm: string;
   readonly availabilityZone: string;
   /** Where callers connect. */
@@ -20,12 +20,6 @@
   readonly metricsListen: ListenAddress | undefined;
   /** `host:port` of peers to greet before any are known. */
   readonly seedPeers: readonly string[];
-  readonly retryBounds: RetryBounds;
-  readonly limitBounds: LimitBounds;
-  /** Part of a service's traffic that a version on trial may get. */
-  readonly trialRatio: number;
-  /** Requests that a version on trial may get beyond that, over all VMs. */
-  readonly trialAllowance: number;
   /** Time from the signal to stop until the process is killed. */
   readonly stopGraceMs: number;
   /** Log lines a second beyond which lines are dropped and counted. */
--- a/packages/ryeworksd/src/bin/ryeworksd.ts
+++ b/packages/ryeworksd/src/bin/ryeworksd.ts
@@ -80,11 +80,11 @@
       console.log(`${file}: ok`);
       return;
     }
-    stopAtSignal(
-      await runOrExit(exitCannotStart, () =>
-        platform.createPlatformGateway(settings),
-      ),
+    const gateway = await runOrExit(exitCannotStart, () =>
+      platform.createPlatformGateway(settings),
     );
+    platform.followSettings(file, gateway);
+    stopAtSignal(gateway);
   });
 
 await program.parseAsync();
