--- a/packages/ryeworks-dispatch/src/__tests__/endpoints.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/endpoints.test.ts
@@ -85,3 +85,39 @@
     t.ok(listEffects(later, 'startCall').length > 0);
   },
 );
+
+t.test(
+  'a zone that is cut off costs one timeout, not one an endpoint',
+  async t => {
+    const away = [1, 2, 3].map(index =>
+      createEndpoint(`z${index}`, names.ledger, {
+        availabilityZone: 'zone-b',
+        slots: 50,
+      }),
+    );
+    const state = createReadyState(away);
+    const request = createRequest('booking', 1000);
+    const [first] = listEffects(runInput(state, request, 1000), 'startCall');
+    t.equal(first.endpoint.availabilityZone, 'zone-b');
+    const failed = {
+      kind: 'callFailed',
+      requestId: request.requestId,
+      callNumber: 1,
+      failure: 'notSent',
+      hasPassedAny: false,
+      detail: 'CONNECT_TIMEOUT',
+    } as const;
+    const effects = runInput(state, failed, 1150);
+    t.equal(
+      listEffects(effects, 'startCall').length,
+      0,
+      'no other of the zone',
+    );
+    const later = runInput(state, {kind: 'timerDue'}, 1500);
+    t.equal(
+      listEffects(later, 'startCall').length,
+      1,
+      'it is tried again soon',
+    );
+  },
+);
--- a/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
@@ -220,6 +220,14 @@
   t.equal(listEffects(taken, 'startCall').length, 1);
   const refused = runInput(state, createRequest('urgent', 4100), 4100);
   t.equal(listEffects(refused, 'answerError')[0].error, 'notReady');
+  // A short stream can be finished once the engines' pace is known.
+  state.endpoints.byId.get('m1')!.eventGapMs = 25;
+  const brief = createRequest('urgent', 4200, {totalTokens: 150});
+  const short = runInput(state, brief, 4200);
+  const long = createRequest('urgent', 4200, {totalTokens: 900});
+  t.equal(listEffects(short, 'startCall').length, 1);
+  const refusedLong = runInput(state, long, 4200);
+  t.equal(listEffects(refusedLong, 'answerError')[0].error, 'notReady');
   const plain = runInput(state, createRequest('booking', 4100), 4100);
   t.equal(listEffects(plain, 'startCall').length, 1);
   const last = runInput(state, createRequest('booking', 7500), 7500);
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -4,6 +4,7 @@
 import {createDesiredBook, DesiredBook} from './desired/desiredBook.js';
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointBook, EndpointBook} from './endpoints/endpointBook.js';
+import {ZoneReach} from './endpoints/zoneReach.js';
 import {RequestReceived} from './input.js';
 import {CustomerUses} from './limits/customerUse.js';
 import {createMoveBook, MoveBook} from './moves/moveBook.js';
@@ -45,6 +46,7 @@
   readonly timers: TimerQueue<TimerPurpose>;
   readonly desired: DesiredBook;
   readonly endpoints: EndpointBook;
+  readonly zoneReach: ZoneReach;
   readonly peers: PeerBook;
   /** `host:port` of peers to greet while none has been heard. */
   readonly seedAddresses: string[];
@@ -79,6 +81,7 @@
     timers: new TimerQueue(),
     desired: createDesiredBook(),
     endpoints: createEndpointBook(),
+    zoneReach: new Map(),
     peers: new Map(),
     seedAddresses: [],
     customerUses: new Map(),
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -9,6 +9,7 @@
   learnOutcome,
 } from '../endpoints/endpointBook.js';
 import {learnFirstEvent} from '../endpoints/pace.js';
+import {recordZoneAnswer, restUnreachedZone} from '../endpoints/zoneReach.js';
 import {
   CallDone,
   CallerGone,
@@ -83,6 +84,8 @@
   if (request === undefined) return [];
   request.lastProgressMs = nowMs;
   request.events = input.events;
+  const zone = getEntry(state, request)?.endpoint.availabilityZone;
+  if (zone !== undefined) recordZoneAnswer(state.zoneReach, zone, nowMs);
   if (request.hasFirstEvent) return [];
   request.hasFirstEvent = true;
   if (request.firstEventAtMs === 0) request.firstEventAtMs = nowMs;
@@ -141,6 +144,17 @@
   learnEventGap(entry, spanMs / request.events);
 }
 
+/** Leaves another zone alone for a moment when none of it answers. */
+function doubtZone(
+  state: DispatchState,
+  entry: EndpointEntry,
+  nowMs: number,
+): void {
+  const {availabilityZone: zone} = entry.endpoint;
+  if (zone === state.options.availabilityZone) return;
+  restUnreachedZone(state.zoneReach, state.endpoints, zone, nowMs);
+}
+
 /** Learns from a failed call what it says of its endpoint. */
 function learnFailure(
   state: DispatchState,
@@ -151,7 +165,10 @@
   const {service, version} = entry.endpoint;
   const evidence = {service, version, isFailed: true, isSlow: false};
   const handlers: Record<CallFailure, () => void> = {
-    notSent: () => learnNoAnswer(entry, 0, nowMs),
+    notSent: () => {
+      learnNoAnswer(entry, 0, nowMs);
+      doubtZone(state, entry, nowMs);
+    },
     refused: () => learnOutcome(entry, false),
     wrongEndpoint: () => {
       entry.restUntilMs = nowMs + wrongEndpointRestMs;
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -160,7 +160,7 @@
   }
   const route = findRoute(state.desired.routes, input.host, input.path);
   if (route === undefined) return refuseRequest(state, input, 'unknownService');
-  if (!canFinish(state.stop, route, nowMs)) {
+  if (!canFinish(state, route, input, nowMs)) {
     return refuseRequest(state, input, 'notReady', stoppingRetryMs);
   }
   const customer = state.desired.customersByKey.get(input.apiKey ?? '');
