--- a/admin/eslintPlugin.js
+++ b/admin/eslintPlugin.js
@@ -50,7 +50,35 @@
   },
 };
 
+/** Names of the users' platform, which only its adapter may know. */
+const platformNames =
+  /x-(attempt-id|deadline-ms|server-signature|tenant|target-instance|not-executed|token-usage|prefix-hash|cache-hold|pin-ms|kv-backup|weight-versions|length-hint)|kv-(from|fetch)|ryeworks_settings|\b(path_prefix|route_kind|api_keys|rate_per_s|latency_target_ms|max_gap_ms|cold_remaining_ms|node_name|internal_ports|seed_nodes|grace_s|quota_window_s|in_progress|has_more|allow_stale|kv_used_tokens)\b/i;
+
+/** Reports names of the platform outside its adapter. */
+const noPlatformNames = {
+  meta: {type: 'problem', schema: []},
+  create(context) {
+    function checkText(node, text) {
+      const found = platformNames.exec(text)?.[0];
+      if (found === undefined) return;
+      context.report({
+        node,
+        message: `"${found}" is a name of the platform; it belongs to platform/`,
+      });
+    }
+    return {
+      Literal: node => checkText(node, String(node.value)),
+      TemplateElement: node => checkText(node, node.value.raw),
+      Identifier: node => checkText(node, node.name),
+    };
+  },
+};
+
 /** Rules of this project's house style. */
 export const houseStyle = {
-  rules: {'verb-first': verbFirst, 'no-ambient-input': noAmbientInput},
+  rules: {
+    'verb-first': verbFirst,
+    'no-ambient-input': noAmbientInput,
+    'no-platform-names': noPlatformNames,
+  },
 };
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,16 +42,26 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/__tests__/**'],
     rules: {'house/verb-first': 'error'},
   },
+  {
+    // Only the adapter knows what the users' platform calls its things.
+    files: ['packages/*/src/**/*.ts'],
+    rules: {'house/no-platform-names': 'error'},
+  },
   {
     files: [
       'packages/ryeworks-{scheduler,types,utils,config,protocol}/src/**/*.ts',
       'packages/ryeworksd/src/**/*.ts',
+      'packages/ryeworks-{dispatch,gateway}/src/**/*.ts',
+      'platform/src/**/*.ts',
+    ],
+    ignores: [
+      'packages/ryeworksd/src/core/clock.ts',
+      'packages/ryeworks-gateway/src/core/clock.ts',
     ],
-    ignores: ['packages/ryeworksd/src/core/clock.ts'],
     rules: {'house/no-ambient-input': 'error'},
   },
 );
--- a/packages/ryeworks-dispatch/src/__tests__/limits.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/limits.test.ts
@@ -29,8 +29,8 @@
   readonly durationMs: number;
   /** Tells whether two VMs hear each other. */
   readonly isJoined: (one: string, other: string, nowMs: number) => boolean;
-  /** When all VMs lose what they know; undefined: never. */
-  readonly restartAtMs?: number;
+  /** When a VM loses what it knows; undefined: never. */
+  readonly getRestartAtMs?: (vm: string) => number;
 }
 
 /** Runs a fleet; returns the time of each request that was let through. */
@@ -39,12 +39,14 @@
   const uses = new Map<string, CustomerUses>();
   const told = new Map<string, number>();
   for (const vm of run.vms) uses.set(vm, new Map());
-  let startedAtMs = longAgoMs;
+  const startedAtMs = new Map<string, number>();
+  for (const vm of run.vms) startedAtMs.set(vm, longAgoMs);
   for (let nowMs = 0; nowMs < run.durationMs; nowMs += 5) {
-    if (nowMs === run.restartAtMs) {
-      startedAtMs = nowMs;
-      for (const vm of run.vms) uses.set(vm, new Map());
-      told.clear();
+    for (const vm of run.vms) {
+      if (nowMs !== run.getRestartAtMs?.(vm)) continue;
+      startedAtMs.set(vm, nowMs);
+      uses.set(vm, new Map());
+      told.delete(vm);
     }
     for (const vm of run.vms) {
       const own = uses.get(vm)!;
@@ -57,7 +59,7 @@
         vmCount: run.vms.length,
       };
       if (nowMs % run.requestEveryMs === 0) {
-        const clockMs = nowMs - startedAtMs;
+        const clockMs = nowMs - startedAtMs.get(vm)!;
         const waitMs = takeUnits(own, 'c', limit, requestUnits, share, clockMs);
         if (waitMs === 0) taken.push(nowMs);
       }
@@ -68,7 +70,8 @@
       const use = own.get('c');
       if (use !== undefined) use.reported = total;
       for (const other of knownPeers) {
-        applyPeerUse(uses.get(other)!, 'c', units, nowMs - startedAtMs);
+        const otherMs = nowMs - startedAtMs.get(other)!;
+        applyPeerUse(uses.get(other)!, 'c', units, otherMs);
       }
     }
   }
@@ -150,8 +153,22 @@
   const taken = runFleet({
     ...pattern,
     isJoined: () => true,
-    restartAtMs: 12_000,
+    getRestartAtMs: () => 12_000,
   });
   const most = getMostUnits(taken);
   t.ok(most <= boundUnits, `${most} of ${boundUnits}`);
 });
+
+t.test(
+  'VMs that restart one after the other hand nothing out twice',
+  async t => {
+    const taken = runFleet({
+      ...pattern,
+      requestEveryMs: 5,
+      isJoined: () => true,
+      getRestartAtMs: vm => 10_000 + 1000 * vms.indexOf(vm),
+    });
+    const most = getMostUnits(taken);
+    t.ok(most <= boundUnits, `${most} of ${boundUnits}`);
+  },
+);
--- a/packages/ryeworks-dispatch/src/limits/customerUse.ts
+++ b/packages/ryeworks-dispatch/src/limits/customerUse.ts
@@ -80,9 +80,13 @@
   return whole - limit.startRatePerMs * (windowMs - spanMs);
 }
 
-/** Returns the units that may be handed out since the start of this VM. */
-function getStartUnits(limit: WindowLimit, ageMs: number): number {
-  return limit.startRatePerMs * ageMs + limit.tolerated * startTolerance;
+/**
+ * Returns the units that this VM may hand out after its start on top of the
+ * rate: its own part, so that VMs that start one after the other do not each
+ * hand out the whole.
+ */
+function getStartUnits(limit: WindowLimit, share: LimitShare): number {
+  return (limit.tolerated * startTolerance) / share.vmCount;
 }
 
 /** Returns the use of a customer. */
@@ -114,15 +118,17 @@
 function getSurplus(
   use: CustomerUse,
   limit: WindowLimit,
-  windowMs: number,
+  share: LimitShare,
   nowMs: number,
 ): number {
   const {knownPart, window} = use;
+  const {windowMs} = share.bounds;
   // The monotonic clock begins with the process.
   const ageMs = nowMs;
   if (ageMs < windowMs) {
-    const allowed = getStartUnits(limit, ageMs) * knownPart;
-    return window.getSurplus(windowMs, nowMs, () => allowed);
+    const allowed = limit.startRatePerMs * ageMs * knownPart;
+    const surplus = window.getSurplus(windowMs, nowMs, () => allowed);
+    return Math.min(surplus, use.taken - getStartUnits(limit, share));
   }
   // Before a partition its sides may have used more than their even parts.
   const bound = knownPart < 1 ? {...limit, tolerated: 0} : limit;
@@ -150,7 +156,7 @@
   updateKnownPart(use, share);
   const {windowMs} = share.bounds;
   const windowLimit = createWindowLimit(limit, share.bounds);
-  const surplus = getSurplus(use, windowLimit, windowMs, nowMs);
+  const surplus = getSurplus(use, windowLimit, share, nowMs);
   // Each peer is taken to have used as much as this VM since their last news.
   const unheard = (use.taken - use.reported) * share.knownPeers;
   if (surplus + unheard >= 0) {
--- a/packages/ryeworks-dispatch/src/peers/peerBook.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerBook.ts
@@ -93,15 +93,18 @@
 }
 
 /**
- * Lists what a peer took since its last digest. After a silence nothing is
- * listed: its use was then covered by leaving it an even share.
+ * Lists what a peer took since its last digest: all that it took if it has
+ * started since. After a silence nothing is listed: its use was then covered by
+ * leaving it an even share.
  */
 function listUses(peer: PeerView, digest: Digest, nowMs: number): PeerUse[] {
-  if (digest.incarnation !== peer.incarnation) return [];
-  if (!isFresh(peer, nowMs)) return [];
+  const isFirst = peer.sequence < 0;
+  const isRestarted = digest.incarnation !== peer.incarnation;
+  if (isFirst || (!isRestarted && !isFresh(peer, nowMs))) return [];
+  const known = isRestarted ? {} : peer.unitsTaken;
   const uses: PeerUse[] = [];
   for (const [customer, taken] of Object.entries(digest.unitsTaken)) {
-    const units = taken - (peer.unitsTaken[customer] ?? 0);
+    const units = taken - (known[customer] ?? 0);
     if (units !== 0) uses.push({customer, units});
   }
   return uses;
