--- a/packages/ryeworks-dispatch/src/admission/refuseOrWait.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrWait.ts
@@ -1,5 +1,6 @@
 import {DispatchState, getDispatchRate, getQueue} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
+import {countFreshPeers} from '../peers/peerBook.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 import {failRequest} from '../requests/endRequest.js';
 import {admitWaiting} from './admitWaiting.js';
@@ -107,6 +108,10 @@
           request: request.attemptId,
           waitedMs: Math.round(waitedMs),
           queued: queue.length,
+          dispatchedPerSecond: getDispatchRate(state, service).getPerSecond(
+            nowMs,
+          ),
+          freshPeers: countFreshPeers(state.peers, nowMs),
         }),
         ...failRequest(
           state,
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -3,7 +3,7 @@
 import {callKind, Customer, Route} from '../desired/desiredState.js';
 import {findRoute, pickService} from '../desired/routeTable.js';
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
-import {createCount, createLog, Effect} from '../effect.js';
+import {createCount, createLog, Effect, Log} from '../effect.js';
 import {RequestReceived} from '../input.js';
 import {LimitShare, takeUnits} from '../limits/customerUse.js';
 import {decideTrial} from '../moves/decideTrial.js';
@@ -29,6 +29,7 @@
   input: RequestReceived,
   error: ErrorKind,
   retryAfterMs = 0,
+  inputs: Log['fields'] = {},
 ): Effect[] {
   const desiredVersion = state.desired.desired?.version ?? -1;
   return [
@@ -45,6 +46,7 @@
       path: input.path,
       desiredVersion,
       retryAfterMs: Math.round(retryAfterMs),
+      ...inputs,
     }),
   ];
 }
@@ -99,6 +101,25 @@
   return customerTier * ranksPerTier + route.tier;
 }
 
+/** Lists what decided that a customer's limit is used up, for the log. */
+function describeLimit(
+  state: DispatchState,
+  customer: Customer | undefined,
+  units: number,
+  nowMs: number,
+): Log['fields'] {
+  const {knownPeers, vmCount} = getLimitShare(state, nowMs);
+  return {
+    customer: customer?.name ?? '',
+    units,
+    unitsPerSecond: customer?.limit?.unitsPerSecond ?? 0,
+    ownUnits: state.customerUses.get(customer?.name ?? '')?.taken ?? 0,
+    knownPeers,
+    vmCount,
+    processAgeMs: Math.round(nowMs),
+  };
+}
+
 /** Returns when a request is given up, in ms. */
 function getTimeoutAtMs(route: Route, input: RequestReceived): number {
   const longestMs = Math.min(
@@ -174,7 +195,8 @@
   const units = getUnits(customer, input);
   const limitWaitMs = takeLimit(state, customer, units, nowMs);
   if (limitWaitMs > 0) {
-    return refuseRequest(state, input, 'limitExceeded', limitWaitMs);
+    const inputs = describeLimit(state, customer, units, nowMs);
+    return refuseRequest(state, input, 'limitExceeded', limitWaitMs, inputs);
   }
   const request = createRequest(state, input, route, service, customer, nowMs);
   state.requests.set(request.requestId, request);
