--- a/packages/ryeworks-logger/src/createTextMetrics.ts
+++ b/packages/ryeworks-logger/src/createTextMetrics.ts
@@ -35,7 +35,7 @@
   readonly histograms: ReadonlyMap<string, Histogram>;
 }
 
-/** Times of one histogram that are kept until somebody asks. */
+/** Times of one histogram after which the library is loaded to take them. */
 const maxKeptValues = 2000;
 
 /** Loads the library and creates all counters and histograms. */
@@ -100,19 +100,26 @@
     }
   }
 
+  /** Loads the library, if need be, and hands it what was sampled. */
+  async function getCollector(): Promise<Collector> {
+    collector ??= createCollector(counterLabels, histogramLabels);
+    const ready = await collector;
+    flushSamples(ready);
+    return ready;
+  }
+
   return {
     count: (name, labels) => {
       getSample(name, labels).count += 1;
     },
     observe: (name, labels, valueMs) => {
       const {values} = getSample(name, labels);
-      if (values.length < maxKeptValues) values.push(valueMs);
+      values.push(valueMs);
+      if (values.length === maxKeptValues) void getCollector();
     },
     format: async () => {
-      collector ??= createCollector(counterLabels, histogramLabels);
-      const ready = await collector;
-      flushSamples(ready);
-      return ready.registry.metrics();
+      const {registry} = await getCollector();
+      return registry.metrics();
     },
   };
 }
