--- a/eslint.config.js
+++ b/eslint.config.js
@@ -58,10 +58,7 @@
       'packages/ryeworks-{dispatch,gateway}/src/**/*.ts',
       'platform/src/**/*.ts',
     ],
-    ignores: [
-      'packages/ryeworksd/src/core/clock.ts',
-      'packages/ryeworks-gateway/src/core/clock.ts',
-    ],
+    ignores: ['packages/ryeworks-utils/src/clock.ts'],
     rules: {'house/no-ambient-input': 'error'},
   },
 );
--- a/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
@@ -8,6 +8,9 @@
 const firstRestMs = 250;
 const longestRestMs = 1000;
 
+/** Cut calls in a row that do not rest an endpoint. */
+export const toleratedCuts = 1;
+
 /** What this VM knows of one endpoint. */
 export interface EndpointEntry {
   endpoint: Endpoint;
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -29,13 +29,12 @@
 import {sendDigest} from './peers/sendDigest.js';
 import {
   expireRequest,
-  expireSilence,
   handleCallDone,
   handleCallerGone,
-  handleCallFailed,
   handleCallProgressed,
   handleCallSent,
 } from './requests/handleCallEvents.js';
+import {expireSilence, handleCallFailed} from './requests/handleCallFailed.js';
 import {
   expireEarlyRequest,
   handleRequestReceived,
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -1,6 +1,6 @@
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Clock} from '../core/clock.js';
+import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentPort.js';
 import {ListenAddress} from '../gatewaySettings.js';
--- a/packages/ryeworks-gateway/src/core/dispatchLoop.ts
+++ b/packages/ryeworks-gateway/src/core/dispatchLoop.ts
@@ -6,7 +6,7 @@
   Input,
   startDispatch,
 } from '@ryeworks/dispatch';
-import {Clock} from './clock.js';
+import {Clock} from '@ryeworks/utils';
 
 /** Carries out the effects of one kind. */
 type EffectHandler<K extends Effect['kind']> = (
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -12,11 +12,10 @@
   Logger,
   TextMetrics,
 } from '@ryeworks/logger';
-import {DisposableStore, getHash} from '@ryeworks/utils';
+import {Clock, DisposableStore, getHash, systemClock} from '@ryeworks/utils';
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {CallerServer} from './callers/callerServer.js';
 import {OpenRequests} from './callers/openRequest.js';
-import {Clock, systemClock} from './core/clock.js';
 import {DispatchLoop, EffectHandlers} from './core/dispatchLoop.js';
 import {DeploymentStore, ListedVm, WireFormat} from './deploymentPort.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
--- a/packages/ryeworks-gateway/src/core/clock.ts
+++ b/packages/ryeworks-utils/src/clock.ts
@@ -1,4 +1,4 @@
-/** Reads the time; the only place that does so in the gateway. */
+/** Reads the time; the only place that does so in the processes. */
 export interface Clock {
   /** Monotonic time, in ms. */
   readNowMs(): number;
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -5,3 +5,4 @@
 export * from './timerQueue.js';
 export * from './sequentialTest.js';
 export * from './callHttp.js';
+export * from './clock.js';
--- a/packages/ryeworksd/src/core/schedulerLoop.ts
+++ b/packages/ryeworksd/src/core/schedulerLoop.ts
@@ -7,7 +7,7 @@
   NodeState,
   startNode,
 } from '@ryeworks/scheduler';
-import {Clock} from './clock.js';
+import {Clock} from '@ryeworks/utils';
 
 /** Carries out the effects of one kind. */
 export type EffectHandler<K extends Effect['kind']> = (
--- a/packages/ryeworksd/src/createEntryProcess.ts
+++ b/packages/ryeworksd/src/createEntryProcess.ts
@@ -7,13 +7,12 @@
   isDrained,
   SchedulerOptions,
 } from '@ryeworks/scheduler';
-import {DisposableStore, getHash} from '@ryeworks/utils';
+import {Clock, DisposableStore, getHash, systemClock} from '@ryeworks/utils';
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {FastifyInstance} from 'fastify';
 import {AnswerRegistry} from './answers/answerRegistry.js';
 import {OpenRequests} from './answers/openRequests.js';
 import {createCallerServer} from './callers/createCallerServer.js';
-import {Clock, systemClock} from './core/clock.js';
 import {SchedulerLoop} from './core/schedulerLoop.js';
 import {createEffectHandlers} from './createEffectHandlers.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
--- a/packages/ryeworksd/src/endpoints/endpointClient.ts
+++ b/packages/ryeworksd/src/endpoints/endpointClient.ts
@@ -1,9 +1,8 @@
 import {CallFailure, Dispatch, Resume} from '@ryeworks/scheduler';
 import {Endpoint} from '@ryeworks/types';
-import {isUnsentError} from '@ryeworks/utils';
+import {Clock, isUnsentError} from '@ryeworks/utils';
 import {Agent, Dispatcher, request} from 'undici';
 import {OpenRequest, OpenRequests} from '../answers/openRequests.js';
-import {Clock} from '../core/clock.js';
 import {SchedulerLoop} from '../core/schedulerLoop.js';
 import {ModelAnswer} from './modelAnswer.js';
 
--- a/packages/ryeworksd/src/index.ts
+++ b/packages/ryeworksd/src/index.ts
@@ -1,5 +1,5 @@
 export * from './answers/answerRegistry.js';
-export * from './core/clock.js';
+export * from '@ryeworks/utils';
 export * from './core/schedulerLoop.js';
 export * from './createEntryProcess.js';
 export * from './peers/createPeerServer.js';
