Let endpoints go that left while only this VM was cut off from the store

Change: digests say since when the store answers; if it did for any peer all the while, what is missing has left.

--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -61,6 +61,8 @@
   hasListedEndpoints: boolean;
   /** Whether the store answers. */
   isStoreReached: boolean;
+  /** When the store was last lost, in ms. */
+  storeLostAtMs: number;
   /** When the store last became reachable, in ms. */
   storeReachedAtMs: number;
   /** Requests that came before this VM knew enough to serve them. */
@@ -92,6 +94,7 @@
     moves: createMoveBook(),
     hasListedEndpoints: false,
     isStoreReached: false,
+    storeLostAtMs: Number.NEGATIVE_INFINITY,
     storeReachedAtMs: Number.NEGATIVE_INFINITY,
     earlyRequests: new Map(),
     stop: undefined,
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -8,6 +8,7 @@
   StoreReached,
 } from '../input.js';
 import {takeEarlyRequests} from '../requests/handleRequestReceived.js';
+import {isFresh} from '../peers/peerBook.js';
 import {Endpoint} from './endpoint.js';
 import {removeEndpoint, updateEndpoint} from './endpointBook.js';
 
@@ -16,9 +17,22 @@
 /** Time between two looks at missing endpoints, in ms. */
 const sweepMissingMs = 200;
 
-/** Tells whether entries may be missing only because the store was away. */
+/** Tells whether a peer reached the store while this VM did not. */
+function wasStoreThere(state: DispatchState, nowMs: number): boolean {
+  for (const peer of state.peers.values()) {
+    if (!isFresh(peer, nowMs)) continue;
+    if (peer.storeReachedSinceMs < state.storeLostAtMs) return true;
+  }
+  return false;
+}
+
+/**
+ * Tells whether entries may be missing only because the store was away. If only
+ * this VM was cut off from it, what is missing has left.
+ */
 function isLapseLikely(state: DispatchState, nowMs: number): boolean {
-  return nowMs - state.storeReachedAtMs < returnGraceMs;
+  if (nowMs - state.storeReachedAtMs >= returnGraceMs) return false;
+  return !wasStoreThere(state, nowMs);
 }
 
 /** Logs and counts a change of the endpoints. */
@@ -124,6 +138,7 @@
   if (state.isStoreReached === input.isReached) return [];
   state.isStoreReached = input.isReached;
   if (input.isReached) state.storeReachedAtMs = nowMs;
+  else state.storeLostAtMs = nowMs;
   const change = input.isReached ? 'regained' : 'lost';
   const desiredVersion = state.desired.desired?.version ?? -1;
   return [
--- a/packages/ryeworks-dispatch/src/peers/peerBook.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerBook.ts
@@ -15,6 +15,8 @@
   /** When the last digest came, in ms; -Infinity before the first. */
   heardAtMs: number;
   desiredVersion: number;
+  /** Since when the store answers there, in ms; Infinity: it does not. */
+  storeReachedSinceMs: number;
   inFlight: Map<string, number>;
   heads: Map<string, QueueHead>;
   unitsTaken: Readonly<Record<string, number>>;
@@ -47,6 +49,7 @@
     sequence: -1,
     heardAtMs: Number.NEGATIVE_INFINITY,
     desiredVersion: -1,
+    storeReachedSinceMs: Number.POSITIVE_INFINITY,
     inFlight: new Map(),
     heads: new Map(),
     unitsTaken: {},
@@ -126,6 +129,11 @@
   peer.sequence = digest.sequence;
   peer.heardAtMs = nowMs;
   peer.desiredVersion = digest.desiredVersion;
+  const {storeReachedForMs} = digest;
+  peer.storeReachedSinceMs =
+    storeReachedForMs > 0
+      ? nowMs - storeReachedForMs
+      : Number.POSITIVE_INFINITY;
   peer.inFlight = new Map(Object.entries(digest.inFlight));
   peer.heads = new Map(Object.entries(digest.heads));
   peer.unitsTaken = digest.unitsTaken;
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -69,6 +69,9 @@
     incarnation,
     sequence: state.digestSequence,
     desiredVersion: state.desired.desired?.version ?? -1,
+    storeReachedForMs: state.isStoreReached
+      ? Math.round(nowMs - state.storeReachedAtMs)
+      : 0,
     inFlight: createInFlight(state),
     heads: createHeads(state, nowMs),
     unitsTaken: createUnitsTaken(state),
@@ -91,7 +94,7 @@
   const periodMs = getPeriodMs(state);
   state.timers.set('digest', '', nowMs + periodMs);
   const digest = createDigest(state, nowMs);
-  const text = JSON.stringify(digest);
+  const text = JSON.stringify({...digest, storeReachedForMs: 0});
   const isUnchanged = text === state.lastDigestText;
   const idleMs = Math.max(periodMs, unchangedPeriodMs);
   if (isUnchanged && nowMs - state.lastDigestAtMs < idleMs) return [];
