Say each thing once: addresses, due timers, running means, test digests; encode a digest once

From reading the whole change again; no decision changes. - 'host:port' was split in four places and written in a fifth: parseHostPort, formatHostPort. - A digest was encoded again for each peer, ten times a second: once now. - The callers' bounds were brought into force by hand on both ways in which a desired state comes: an effect of the state coming into force does it on every way. - The loop over due timers stood in both cores; the running mean stood twice; a caller's units were worked out twice. - Gone: a time that nobody read, a check that another implied, a header that writeHead sets anyway, exports without a reader. The digest of the tests is a fixture; their assertions are as they were.

--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -2,6 +2,7 @@
 import {DispatchState, RequestReceived} from '../index.js';
 import {
   createDesired,
+  createDigest,
   createEndpoint,
   createReadyState,
   createRequest,
@@ -154,20 +155,9 @@
   const running = createRequest('relaxed', 0);
   findEndpoint(state, running, 0);
   findEndpoint(state, createRequest('relaxed', 1), 1);
-  const digest = {
-    kind: 'digest',
-    vm: 'vm-2',
-    address: 'vm-2:7600',
-    availabilityZone: 'zone-a',
-    incarnation: 1,
-    sequence: 1,
-    desiredVersion: 1,
-    storeReachedForMs: 1000,
-    inFlight: {},
+  const digest = createDigest({
     heads: {[names.model]: {rank: 0, waitedMs: 5, count: 1}},
-    unitsTaken: {},
-    evidence: {},
-  } as const;
+  });
   runInput(state, {kind: 'peerMessageReceived', message: digest}, 2);
   const effects = finishCall(state, running, 10);
   const [offer] = listEffects(effects, 'sendPeer');
@@ -190,20 +180,7 @@
 
 t.test('calls of a VM that fell silent count for a while only', async t => {
   const state = createReadyState([{...engine, slots: 1}]);
-  const message = {
-    kind: 'digest',
-    vm: 'vm-2',
-    address: 'vm-2:7600',
-    availabilityZone: 'zone-a',
-    incarnation: 1,
-    sequence: 1,
-    desiredVersion: 1,
-    storeReachedForMs: 1000,
-    inFlight: {m1: 1},
-    heads: {},
-    unitsTaken: {},
-    evidence: {},
-  } as const;
+  const message = createDigest({inFlight: {m1: 1}});
   runInput(state, {kind: 'peerMessageReceived', message}, 0);
   const early = createRequest('relaxed', 100);
   t.equal(findEndpoint(state, early, 100), undefined);
--- a/packages/ryeworks-dispatch/src/__tests__/endpoints.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/endpoints.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import {
+  createDigest,
   createEndpoint,
   createReadyState,
   createRequest,
@@ -126,20 +127,7 @@
   const state = createReadyState([e1]);
   runInput(state, {kind: 'storeReached', isReached: true}, 0);
   runInput(state, {kind: 'storeReached', isReached: false}, 10_000);
-  const message = {
-    kind: 'digest',
-    vm: 'vm-2',
-    address: 'vm-2:7600',
-    availabilityZone: 'zone-a',
-    incarnation: 1,
-    sequence: 1,
-    desiredVersion: 1,
-    storeReachedForMs: 14_000,
-    inFlight: {},
-    heads: {},
-    unitsTaken: {},
-    evidence: {},
-  } as const;
+  const message = createDigest({storeReachedForMs: 14_000});
   runInput(state, {kind: 'peerMessageReceived', message}, 14_900);
   runInput(state, {kind: 'storeReached', isReached: true}, 15_000);
   runInput(state, {kind: 'endpointsListed', endpoints: []}, 15_001);
--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -1,6 +1,7 @@
 import {
   createDispatchState,
   DesiredState,
+  Digest,
   DispatchState,
   Effect,
   Endpoint,
@@ -182,3 +183,22 @@
   const effects = handleInput(state, input, nowMs);
   return effects.filter(effect => !reports.has(effect.kind));
 }
+
+/** Creates what another VM tells of itself. */
+export function createDigest(changes: Partial<Digest> = {}): Digest {
+  return {
+    kind: 'digest',
+    vm: 'vm-2',
+    address: 'vm-2:7600',
+    availabilityZone: 'zone-a',
+    incarnation: 1,
+    sequence: 1,
+    desiredVersion: 1,
+    storeReachedForMs: 1000,
+    inFlight: {},
+    heads: {},
+    unitsTaken: {},
+    evidence: {},
+    ...changes,
+  };
+}
--- a/packages/ryeworks-dispatch/src/admission/refuseOrWait.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrWait.ts
@@ -7,7 +7,7 @@
 import {countAhead, insertWaiting} from './waitingQueue.js';
 
 /** Time between two looks at waiting requests, in ms. */
-export const sweepPeriodMs = 20;
+const sweepPeriodMs = 20;
 /** Part of the latency target that a request waits for an endpoint. */
 const patienceFraction = 0.8;
 /** Waiting requests ahead below which no wait is estimated. */
@@ -17,12 +17,12 @@
 const longestRetryMs = 5000;
 
 /** Returns how long a request may wait from its arrival, in ms. */
-export function getPatienceMs(request: ActiveRequest): number {
+function getPatienceMs(request: ActiveRequest): number {
   return request.route.latencyTargetMs * patienceFraction;
 }
 
 /** Estimates how long a new request of a rank waits, in ms. */
-export function estimateWaitMs(
+function estimateWaitMs(
   state: DispatchState,
   service: string,
   rank: number,
@@ -38,7 +38,7 @@
  * Returns when a refused caller should come back, in ms: when those ahead of it
  * will have been served, spread so that not all come at once.
  */
-export function getRetryAfterMs(
+function getRetryAfterMs(
   state: DispatchState,
   request: ActiveRequest,
   nowMs: number,
--- a/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
@@ -4,7 +4,7 @@
 export type WaitingQueue = ActiveRequest[];
 
 /** Orders requests by rank, then by the time they came. */
-export function compareUrgency(a: ActiveRequest, b: ActiveRequest): number {
+function compareUrgency(a: ActiveRequest, b: ActiveRequest): number {
   return a.rank - b.rank || a.receivedAtMs - b.receivedAtMs;
 }
 
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -1,4 +1,5 @@
 import {ErrorKind} from '@ryeworks/types';
+import {CallerBounds} from './desired/desiredState.js';
 import {Endpoint} from './endpoints/endpoint.js';
 import {MoveResult} from './moves/moveOrder.js';
 import {PeerMessage} from './peers/peerMessage.js';
@@ -52,6 +53,12 @@
   readonly message: PeerMessage;
 }
 
+/** Brings what callers may send into force at the listener. */
+export interface ApplyCallerBounds {
+  readonly kind: 'applyCallerBounds';
+  readonly bounds: CallerBounds;
+}
+
 /** Asks a peer for the desired state that it has in force. */
 export interface FetchDesiredState {
   readonly kind: 'fetchDesiredState';
@@ -124,6 +131,7 @@
   | BreakAnswer
   | SendPeer
   | FetchDesiredState
+  | ApplyCallerBounds
   | WriteMoveResult
   | Count
   | Observe
--- a/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointBook.ts
@@ -1,7 +1,5 @@
 import {Endpoint} from './endpoint.js';
 
-/** Weight of a new sample in a running mean. */
-const sampleWeight = 0.15;
 /** Weight of an outcome in the share of failures. */
 const outcomeWeight = 0.1;
 /** First and longest rest of an endpoint that does not answer, in ms. */
@@ -26,8 +24,8 @@
   unansweredInRow: number;
   /** No calls go there before this time, in ms. */
   restUntilMs: number;
-  /** When its entry disappeared without notice; undefined: it stands. */
-  missingSinceMs: number | undefined;
+  /** Whether its entry disappeared without notice. */
+  isMissing: boolean;
 }
 
 /** All endpoints that this VM may use, by id and by service. */
@@ -51,7 +49,7 @@
     failureShare: 0,
     unansweredInRow: 0,
     restUntilMs: 0,
-    missingSinceMs: undefined,
+    isMissing: false,
   };
 }
 
@@ -67,7 +65,7 @@
   const known = book.byId.get(endpoint.id);
   if (known !== undefined && !isRestarted(known.endpoint, endpoint)) {
     known.endpoint = endpoint;
-    known.missingSinceMs = undefined;
+    known.isMissing = false;
     return;
   }
   if (known !== undefined) removeEndpoint(book, endpoint.id);
@@ -94,17 +92,6 @@
   return book.byService.get(service)?.values() ?? [];
 }
 
-/** Moves a running mean towards a sample. */
-function mixSample(mean: number, sample: number): number {
-  if (mean === 0) return sample;
-  return mean + (sample - mean) * sampleWeight;
-}
-
-/** Learns the mean time between the events of an answer. */
-export function learnEventGap(entry: EndpointEntry, gapMs: number): void {
-  entry.eventGapMs = mixSample(entry.eventGapMs, gapMs);
-}
-
 /** Learns whether a call that was answered or broke off went well. */
 export function learnOutcome(entry: EndpointEntry, isGood: boolean): void {
   const sample = isGood ? 0 : 1;
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -59,8 +59,8 @@
   const entry = state.endpoints.byId.get(id);
   if (entry === undefined) return [];
   if (isLapseLikely(state, nowMs)) {
-    if (entry.missingSinceMs !== undefined) return [];
-    entry.missingSinceMs = nowMs;
+    if (entry.isMissing) return [];
+    entry.isMissing = true;
     state.timers.set('sweepMissing', '', nowMs + sweepMissingMs);
     return reportChange('missing', entry.endpoint);
   }
@@ -156,7 +156,7 @@
   const effects: Effect[] = [];
   let isAnyMissing = false;
   for (const [id, entry] of [...state.endpoints.byId]) {
-    if (entry.missingSinceMs === undefined) continue;
+    if (!entry.isMissing) continue;
     if (isLapseLikely(state, nowMs)) {
       isAnyMissing = true;
       continue;
--- a/packages/ryeworks-dispatch/src/endpoints/pace.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/pace.ts
@@ -4,8 +4,9 @@
 const fixedCostTokens = 3000;
 /** Prompt length to which times are brought, in tokens. */
 const standardPromptTokens = 1000;
-/** Weight of a new sample in the running mean. */
-const sampleWeight = 0.12;
+/** Weights of a new sample in the running means. */
+const firstEventWeight = 0.12;
+const eventGapWeight = 0.15;
 
 /** Returns how much longer a prompt takes than one of standard length. */
 function getPromptFactor(promptTokens: number): number {
@@ -13,6 +14,11 @@
   return (fixedCostTokens + promptTokens) / standard;
 }
 
+/** Moves a running mean towards a sample; 0: nothing is known yet. */
+function mixSample(mean: number, sample: number, weight: number): number {
+  return mean === 0 ? sample : mean + (sample - mean) * weight;
+}
+
 /** Learns an endpoint's time to the first event of an answer. */
 export function learnFirstEvent(
   entry: EndpointEntry,
@@ -22,9 +28,12 @@
   entry.unansweredInRow = 0;
   entry.restUntilMs = 0;
   const sample = elapsedMs / getPromptFactor(promptTokens);
-  const mean = entry.firstEventMs;
-  entry.firstEventMs =
-    mean === 0 ? sample : mean + (sample - mean) * sampleWeight;
+  entry.firstEventMs = mixSample(entry.firstEventMs, sample, firstEventWeight);
+}
+
+/** Learns the mean time between the events of an answer. */
+export function learnEventGap(entry: EndpointEntry, gapMs: number): void {
+  entry.eventGapMs = mixSample(entry.eventGapMs, gapMs, eventGapWeight);
 }
 
 /** Returns the mean over a service's endpoints, in ms; 0: nothing is known. */
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -1,5 +1,7 @@
+import {runDueTimers, TimerHandler} from '@ryeworks/utils';
+import {sweepWaiting} from './admission/refuseOrWait.js';
 import {applyDesiredState} from './desired/desiredBook.js';
-import {DispatchState} from './dispatchState.js';
+import {DispatchState, TimerPurpose} from './dispatchState.js';
 import {createCount, createLog, Effect} from './effect.js';
 import {
   handleEndpointChanged,
@@ -8,7 +10,6 @@
   handleStoreReached,
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
-import {sweepWaiting} from './admission/refuseOrWait.js';
 import {
   BoundsChanged,
   DesiredStateRead,
@@ -40,7 +41,6 @@
   handleRequestReceived,
   takeEarlyRequests,
 } from './requests/handleRequestReceived.js';
-import {TimerPurpose} from './dispatchState.js';
 
 /** Decides on one input. */
 type InputHandler<K extends Input['kind']> = (
@@ -49,14 +49,10 @@
   nowMs: number,
 ) => Effect[];
 
-/** Decides what to do when a timer fires. */
-type TimerHandler = (
-  state: DispatchState,
-  subject: string,
-  nowMs: number,
-) => Effect[];
-
-const timerHandlers: Record<TimerPurpose, TimerHandler> = {
+const timerHandlers: Record<
+  TimerPurpose,
+  TimerHandler<DispatchState, Effect>
+> = {
   requestTimeout: expireRequest,
   silence: expireSilence,
   sweepWaiting,
@@ -90,6 +86,7 @@
   }
   return [
     ...limitLogs,
+    {kind: 'applyCallerBounds', bounds: desired.bounds},
     createCount('desired_state_applied'),
     createLog('desired_state_applied', {
       version: desired.version,
@@ -134,13 +131,7 @@
   _input: unknown,
   nowMs: number,
 ): Effect[] {
-  const effects: Effect[] = [];
-  for (;;) {
-    const timer = state.timers.takeDue(nowMs);
-    if (timer === undefined) return effects;
-    const handler = timerHandlers[timer.purpose];
-    effects.push(...handler(state, timer.subject, nowMs));
-  }
+  return runDueTimers(state.timers, timerHandlers, state, nowMs);
 }
 
 const inputHandlers: {[K in Input['kind']]: InputHandler<K>} = {
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -30,7 +30,7 @@
 
 /** Returns the share of the requests that a move's version gets now. */
 export function getMoveShare(view: MoveView, nowMs: number): number {
-  if (view.isBad || view.order.phase === 'reverted') return 0;
+  if (view.isBad) return 0;
   if (view.order.phase === 'completed') return 1;
   const fraction = getElapsedFraction(view, nowMs);
   const hasEvidence = view.newSide.seen.answered >= neededAnswers;
--- a/packages/ryeworks-dispatch/src/peers/peerBook.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerBook.ts
@@ -1,7 +1,7 @@
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
 
 /** Age from which a peer's digest is no longer relied on, in ms. */
-export const digestFreshMs = 600;
+const digestFreshMs = 600;
 /** Age from which the calls of a silent peer count as ended, in ms. */
 const callsForgottenMs = 2000;
 
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -3,12 +3,11 @@
 import {Effect} from '../effect.js';
 import {
   EndpointEntry,
-  learnEventGap,
   learnNoAnswer,
   learnOutcome,
   toleratedCuts,
 } from '../endpoints/endpointBook.js';
-import {learnFirstEvent} from '../endpoints/pace.js';
+import {learnEventGap, learnFirstEvent} from '../endpoints/pace.js';
 import {recordZoneAnswer} from '../endpoints/zoneReach.js';
 import {CallDone, CallerGone, CallProgressed, CallSent} from '../input.js';
 import {recordAnswer} from '../moves/recordAnswer.js';
@@ -43,12 +42,14 @@
   if (request === undefined) return [];
   request.lastProgressMs = nowMs;
   request.events = input.events;
-  const zone = getEntry(state, request)?.endpoint.availabilityZone;
-  if (zone !== undefined) recordZoneAnswer(state.zoneReach, zone, nowMs);
+  const entry = getEntry(state, request);
+  if (entry !== undefined) {
+    const {availabilityZone} = entry.endpoint;
+    recordZoneAnswer(state.zoneReach, availabilityZone, nowMs);
+  }
   if (request.hasFirstEvent) return [];
   request.hasFirstEvent = true;
   if (request.firstEventAtMs === 0) request.firstEventAtMs = nowMs;
-  const entry = getEntry(state, request);
   if (entry === undefined) return [];
   const elapsedMs = nowMs - request.callStartedAtMs;
   recordPace(state, request, entry, elapsedMs);
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -136,6 +136,7 @@
   route: Route,
   service: string,
   customer: Customer | undefined,
+  units: number,
   nowMs: number,
 ): ActiveRequest {
   const isResumableStream = route.kind === callKind.stream && route.isResumable;
@@ -150,7 +151,7 @@
     receivedAtMs: input.receivedAtMs,
     timeoutAtMs: getTimeoutAtMs(route, input),
     promptTokens: input.promptTokens,
-    units: getUnits(customer, input),
+    units,
     isRepeatable: route.kind === callKind.idempotent || isResumableStream,
     isTrial: decideTrial(state, service, nowMs),
     phase: 'waiting',
@@ -198,7 +199,15 @@
     const inputs = describeLimit(state, customer, units, nowMs);
     return refuseRequest(state, input, 'limitExceeded', limitWaitMs, inputs);
   }
-  const request = createRequest(state, input, route, service, customer, nowMs);
+  const request = createRequest(
+    state,
+    input,
+    route,
+    service,
+    customer,
+    units,
+    nowMs,
+  );
   state.requests.set(request.requestId, request);
   const bounds = state.options.retryBounds;
   getRetryBudget(state, service).recordRequest(bounds, nowMs);
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -1,9 +1,10 @@
+import {CallerBounds} from '@ryeworks/dispatch';
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentPort.js';
-import {ListenAddress} from '../gatewaySettings.js';
+import {HostPort} from '@ryeworks/utils';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
 
@@ -12,12 +13,12 @@
 /** Time between two looks for callers that send too slowly, in ms. */
 const slowCallerCheckMs = 500;
 /** Bounds that hold before the desired state is known. */
-const earlyBounds = {
+const earlyBounds: CallerBounds = {
   maxHeaderBytes: 16_384,
   maxBodyBytes: 4_194_304,
   headerTimeoutMs: 5000,
   idleTimeoutMs: 15_000,
-} as const;
+};
 /** Time beyond a caller's own limit that an idle connection is kept, in ms. */
 const idleMarginMs = 1000;
 
@@ -55,11 +56,11 @@
       },
       (request, response) => void this.handleRequest(request, response),
     );
-    this.applyBounds();
+    this.applyBounds(earlyBounds);
   }
 
   /** Starts listening. */
-  listen({host, port}: ListenAddress): Promise<void> {
+  listen({host, port}: HostPort): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, () => resolve());
@@ -67,8 +68,7 @@
   }
 
   /** Brings the bounds of the desired state into force. */
-  applyBounds(): void {
-    const {headerTimeoutMs, idleTimeoutMs} = this.getBounds();
+  applyBounds({headerTimeoutMs, idleTimeoutMs}: CallerBounds): void {
     this.server.headersTimeout = headerTimeoutMs;
     this.server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
   }
@@ -92,7 +92,7 @@
     });
   }
 
-  private getBounds() {
+  private getBounds(): CallerBounds {
     return this.parts.loop.state.desired.desired?.bounds ?? earlyBounds;
   }
 
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -45,9 +45,6 @@
   /** Makes this answer the last one of its connection. */
   closeConnection(): void {
     this.isClosing = true;
-    if (!this.response.headersSent) {
-      this.response.setHeader('connection', 'close');
-    }
   }
 
   /** Sends the head of an answer. */
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -12,20 +12,26 @@
   Logger,
   TextMetrics,
 } from '@ryeworks/logger';
-import {Clock, DisposableStore, getHash, systemClock} from '@ryeworks/utils';
+import {
+  Clock,
+  DisposableStore,
+  formatHostPort,
+  getHash,
+  systemClock,
+} from '@ryeworks/utils';
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {CallerServer} from './callers/callerServer.js';
 import {OpenRequests} from './callers/openRequest.js';
 import {DispatchLoop, EffectHandlers} from './core/dispatchLoop.js';
 import {DeploymentStore, ListedVm, WireFormat} from './deploymentPort.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
-import {GatewaySettings, ListenAddress} from './gatewaySettings.js';
+import {GatewaySettings} from './gatewaySettings.js';
 import {fetchDesiredState} from './peers/fetchDesiredState.js';
 import {PeerSocket} from './peers/peerSocket.js';
+import {createReportHandlers} from './reports/createReportHandlers.js';
+import {startStatusServers} from './reports/startStatusServers.js';
 import {createStoreHandlers} from './store/createStoreHandlers.js';
 import {StoreFollower} from './store/storeFollower.js';
-import {startStatusServers} from './reports/startStatusServers.js';
-import {createReportHandlers} from './reports/createReportHandlers.js';
 
 /** Time from the signal to stop until idle connections are closed, in ms. */
 const quietAfterMs = 2500;
@@ -69,17 +75,12 @@
   stop(): Promise<void>;
 }
 
-/** Formats an address. */
-function formatAddress({host, port}: ListenAddress): string {
-  return `${host}:${port}`;
-}
-
 /** Creates the state of the decision core. */
 function createState(settings: GatewaySettings, clock: Clock): DispatchState {
   const startedMs = clock.readWallClockMs();
   const options = {
     vm: settings.vm,
-    peerAddress: formatAddress(settings.peerListen),
+    peerAddress: formatHostPort(settings.peerListen),
     availabilityZone: settings.availabilityZone,
     incarnation: startedMs,
     seed: getHash(`${settings.vm}/${startedMs}`),
@@ -147,11 +148,8 @@
         new CallerServer({clock, loop, wire, openRequests}),
     ).singleton(),
     storeFollower: asFunction(
-      ({callerServer, logger, loop}: Parts) =>
-        new StoreFollower(
-          store,
-          createStoreHandlers(loop, callerServer, logger),
-        ),
+      ({logger, loop}: Parts) =>
+        new StoreFollower(store, createStoreHandlers(loop, logger)),
     ).singleton(),
   });
   return container;
@@ -159,12 +157,9 @@
 
 /** Fetches a peer's desired state and brings it into force. */
 function updateDesiredState(parts: Parts, address: string): void {
-  const {callerServer, logger, loop} = parts;
+  const {logger, loop} = parts;
   fetchDesiredState(address).then(
-    desired => {
-      loop.submit({kind: 'desiredStateRead', desired});
-      callerServer.applyBounds();
-    },
+    desired => loop.submit({kind: 'desiredStateRead', desired}),
     (error: Error) =>
       logger.warn('desired_state_not_fetched', {
         address,
@@ -175,8 +170,8 @@
 
 /** Creates a handler for each kind of effect. */
 function createEffectHandlers(parts: Parts): EffectHandlers {
-  const {endpointClient, logger, metrics, openRequests, peerSocket, store} =
-    parts;
+  const {callerServer, endpointClient, logger, metrics} = parts;
+  const {openRequests, peerSocket, store} = parts;
   return {
     ...createReportHandlers(logger, metrics),
     startCall: effect => endpointClient.startCall(effect),
@@ -189,6 +184,7 @@
     },
     breakAnswer: ({requestId}) => openRequests.get(requestId)?.breakOff(),
     sendPeer: ({address, message}) => peerSocket.send(address, message),
+    applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
     fetchDesiredState: ({address}) => updateDesiredState(parts, address),
     writeMoveResult: ({result}) => {
       store.writeMoveResult(result).catch((error: Error) =>
@@ -245,7 +241,7 @@
   }
   const self: ListedVm = {
     vm,
-    address: formatAddress(peerListen),
+    address: formatHostPort(peerListen),
     availabilityZone,
   };
   storeFollower.start(self);
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,4 +1,5 @@
 import {CallFailure, Input, StartCall} from '@ryeworks/dispatch';
+import {parseHostPort} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {HeldAnswer, OpenRequest, PassedHead} from '../callers/openRequest.js';
 import {AnswerHead, WireFormat} from '../deploymentPort.js';
@@ -61,14 +62,14 @@
     if (open.body.length > 0) {
       headers.push('content-length', `${open.body.length}`);
     }
-    const [host, port] = effect.endpoint.address.split(':');
+    const {host, port} = parseHostPort(effect.endpoint.address);
     const call = request({
       path: open.request.url ?? '/',
       method: open.request.method,
       headers,
       setHost: false,
       createConnection: () => {
-        const socket = connectEndpoint(host, Number(port));
+        const socket = connectEndpoint(host, port);
         socket.once('connect', () => this.handleConnected());
         return socket;
       },
--- a/packages/ryeworks-gateway/src/peers/peerSocket.ts
+++ b/packages/ryeworks-gateway/src/peers/peerSocket.ts
@@ -1,6 +1,6 @@
 import {PeerMessage} from '@ryeworks/dispatch';
 import {createSocket, Socket} from 'node:dgram';
-import {ListenAddress} from '../gatewaySettings.js';
+import {HostPort, parseHostPort} from '@ryeworks/utils';
 
 /** Takes peers' messages, and datagrams that cannot be read. */
 export interface PeerSocketListener {
@@ -20,13 +20,6 @@
   }
 }
 
-/** Splits `host:port`. */
-function parseAddress(address: string): ListenAddress {
-  const colon = address.lastIndexOf(':');
-  const port = Number(address.slice(colon + 1));
-  return {host: address.slice(0, colon), port};
-}
-
 /**
  * Sends and takes peers' messages as datagrams rather than over connect: the
  * newest replaces all before it, none is waited for, and an open connection
@@ -34,6 +27,8 @@
  */
 export class PeerSocket {
   private readonly socket: Socket = createSocket('udp4');
+  private lastMessage: PeerMessage | undefined;
+  private lastBytes = Buffer.alloc(0);
 
   constructor(private readonly listener: PeerSocketListener) {
     this.socket.on('message', bytes => {
@@ -50,7 +45,7 @@
   }
 
   /** Starts taking messages. */
-  listen({host, port}: ListenAddress): Promise<void> {
+  listen({host, port}: HostPort): Promise<void> {
     return new Promise(resolve => {
       this.socket.bind(port, host, () => resolve());
     });
@@ -58,8 +53,8 @@
 
   /** Sends a message; it may be lost. */
   send(address: string, message: PeerMessage): void {
-    const {host, port} = parseAddress(address);
-    this.socket.send(JSON.stringify(message), port, host, error => {
+    const {host, port} = parseHostPort(address);
+    this.socket.send(this.encode(message), port, host, error => {
       if (error === null) return;
       this.listener.handleTrouble('peer_send_failed', error.message);
     });
@@ -69,4 +64,13 @@
   close(): Promise<void> {
     return new Promise(resolve => this.socket.close(() => resolve()));
   }
+
+  /** Encodes a message, once for all the peers that it is sent to in turn. */
+  private encode(message: PeerMessage): Buffer {
+    if (message !== this.lastMessage) {
+      this.lastMessage = message;
+      this.lastBytes = Buffer.from(JSON.stringify(message));
+    }
+    return this.lastBytes;
+  }
 }
--- a/packages/ryeworks-gateway/src/reports/textServer.ts
+++ b/packages/ryeworks-gateway/src/reports/textServer.ts
@@ -1,5 +1,5 @@
 import {createServer} from 'node:http';
-import {ListenAddress} from '../gatewaySettings.js';
+import {HostPort} from '@ryeworks/utils';
 
 /** An answer of a text server. */
 export interface TextAnswer {
@@ -45,7 +45,7 @@
  * loading a framework would take half of a restart's time.
  */
 export function startTextServer(
-  {host, port}: ListenAddress,
+  {host, port}: HostPort,
   routes: TextRoutes,
 ): Promise<() => void> {
   const server = createServer((request, response) => {
--- a/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
+++ b/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
@@ -1,6 +1,5 @@
 import {Endpoint, MoveOrder} from '@ryeworks/dispatch';
 import {Logger} from '@ryeworks/logger';
-import {CallerServer} from '../callers/callerServer.js';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {StoreContents, StoreItem, StoreKind} from '../deploymentPort.js';
 import {StoreHandlers} from './storeFollower.js';
@@ -19,7 +18,6 @@
 /** Turns what the store says into inputs of the decision core. */
 export function createStoreHandlers(
   loop: DispatchLoop,
-  callerServer: CallerServer,
   logger: Logger,
 ): StoreHandlers {
   const orders = new Map<string, MoveOrder>();
@@ -29,7 +27,6 @@
     for (const desired of listContents(items)) {
       loop.submit({kind: 'desiredStateRead', desired});
     }
-    callerServer.applyBounds();
   }
 
   /** Brings changes of single endpoints into the book. */
--- a/packages/ryeworks-scheduler/src/handleTimerDue.ts
+++ b/packages/ryeworks-scheduler/src/handleTimerDue.ts
@@ -1,3 +1,4 @@
+import {runDueTimers, TimerHandler} from '@ryeworks/utils';
 import {sweepCell} from './admission/handleAdmission.js';
 import {renewGrants} from './admission/renewGrants.js';
 import {expireCopy, sweepClaims} from './claims/handleClaims.js';
@@ -20,14 +21,7 @@
 import {startAttempt} from './requests/startAttempt.js';
 import {TimerPurpose} from './timerPurpose.js';
 
-/** Decides what to do when a timer fires. */
-type TimerHandler = (
-  state: NodeState,
-  subject: string,
-  nowMs: number,
-) => Effect[];
-
-const timerHandlers: Record<TimerPurpose, TimerHandler> = {
+const timerHandlers: Record<TimerPurpose, TimerHandler<NodeState, Effect>> = {
   probe: probeMember,
   probeTimeout: expireProbe,
   suspicion: expireSuspicion,
@@ -52,11 +46,5 @@
   _input: TimerDue,
   nowMs: number,
 ): Effect[] {
-  const effects: Effect[] = [];
-  for (;;) {
-    const timer = state.timers.takeDue(nowMs);
-    if (timer === undefined) return effects;
-    const handler = timerHandlers[timer.purpose];
-    effects.push(...handler(state, timer.subject, nowMs));
-  }
+  return runDueTimers(state.timers, timerHandlers, state, nowMs);
 }
--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,4 +1,5 @@
 import {request} from 'node:http';
+import {parseHostPort} from './hostPort.js';
 
 /** One call with a JSON body or none. */
 export interface HttpCall {
@@ -35,7 +36,7 @@
  */
 export function callHttp(call: HttpCall): Promise<HttpAnswer> {
   const {address, body, method, path, timeoutMs} = call;
-  const colon = address.lastIndexOf(':');
+  const {host, port} = parseHostPort(address);
   const name = `${method} ${address}${path}`;
   return new Promise((resolve, reject) => {
     const fail = (reason: string) => {
@@ -48,8 +49,8 @@
       timeoutMs,
     );
     const outgoing = request({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
+      host,
+      port,
       method,
       path,
       agent: false,
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -6,3 +6,4 @@
 export * from './sequentialTest.js';
 export * from './callHttp.js';
 export * from './clock.js';
+export * from './hostPort.js';
--- a/packages/ryeworks-utils/src/timerQueue.ts
+++ b/packages/ryeworks-utils/src/timerQueue.ts
@@ -61,3 +61,26 @@
     while (this.queue.peek()?.isDropped === true) this.queue.pop();
   }
 }
+
+/** Decides what to do when a timer fires. */
+export type TimerHandler<S, E> = (
+  state: S,
+  subject: string,
+  nowMs: number,
+) => E[];
+
+/** Runs every timer that is due, also those that handlers set meanwhile. */
+export function runDueTimers<P extends string, S, E>(
+  timers: TimerQueue<P>,
+  handlers: Readonly<Record<P, TimerHandler<S, E>>>,
+  state: S,
+  nowMs: number,
+): E[] {
+  const effects: E[] = [];
+  for (;;) {
+    const timer = timers.takeDue(nowMs);
+    if (timer === undefined) return effects;
+    const handler = handlers[timer.purpose];
+    effects.push(...handler(state, timer.subject, nowMs));
+  }
+}
