Tell other zones through one VM there; sum peers' calls once; fetch a newer state once

Cause: at 70 VMs every VM told 69 others itself and added up 69 maps for each pick; each digest with a newer desired state started a fetch of its own.

--- /dev/null
+++ b/packages/ryeworks-dispatch/src/__tests__/peers.test.ts
@@ -0,0 +1,144 @@
+import t from 'tap';
+import {Digest, DispatchState, SendPeer} from '../index.js';
+import {countPeerCalls} from '../peers/peerBook.js';
+import {
+  createDesired,
+  createDigest,
+  createEndpoint,
+  createReadyState,
+  createState,
+  listEffects,
+  names,
+  runInput,
+} from './fixtures.js';
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const vmsInZone = 12;
+
+/** Lists the other VMs of a fleet of three zones. */
+function listFleet(): Digest[] {
+  const fleet: Digest[] = [];
+  for (const availabilityZone of zones) {
+    for (let index = 0; index < vmsInZone; index++) {
+      const vm = `${availabilityZone}-${index}`;
+      const address = `${vm}:7600`;
+      fleet.push(createDigest({vm, address, availabilityZone}));
+    }
+  }
+  return fleet;
+}
+
+/** Gives a peer's message. */
+function sendMessage(
+  state: DispatchState,
+  message: SendPeer['message'],
+  nowMs: number,
+) {
+  return runInput(state, {kind: 'peerMessageReceived', message}, nowMs);
+}
+
+/** Creates a VM of `zone-a` that has heard the whole fleet. */
+function createFleetState(): DispatchState {
+  const state = createReadyState([createEndpoint('m1', names.model)]);
+  for (const digest of listFleet()) sendMessage(state, digest, 1);
+  return state;
+}
+
+/** Lets the next digest go out; returns what was sent. */
+function runDigestTimer(state: DispatchState, nowMs: number): SendPeer[] {
+  state.timers.set('digest', '', nowMs);
+  return listEffects(runInput(state, {kind: 'timerDue'}, nowMs), 'sendPeer');
+}
+
+t.test('few VMs tell each other directly', async t => {
+  const state = createReadyState([createEndpoint('m1', names.model)]);
+  for (const digest of listFleet().slice(0, 15)) sendMessage(state, digest, 1);
+  const sent = runDigestTimer(state, 500);
+  t.equal(sent.length, 15);
+  t.ok(sent.every(one => one.message.kind === 'digest'));
+});
+
+t.test('many VMs: one message crosses to each other zone', async t => {
+  const state = createFleetState();
+  state.relayedDigests.clear();
+  const sent = runDigestTimer(state, 500);
+  const counts = new Map<string, number>();
+  for (const {address} of sent) {
+    const zone = address.slice(0, 'zone-a'.length);
+    counts.set(zone, (counts.get(zone) ?? 0) + 1);
+  }
+  t.strictSame([...counts.entries()].sort(), [
+    ['zone-a', vmsInZone],
+    ['zone-b', 1],
+    ['zone-c', 1],
+  ]);
+});
+
+t.test('a digest of another zone is passed on once in the own', async t => {
+  const state = createFleetState();
+  runDigestTimer(state, 500);
+  const [remote] = listFleet().filter(one => one.vm === 'zone-b-3');
+  sendMessage(state, {...remote, sequence: 2, inFlight: {m1: 4}}, 600);
+  const relayed = runDigestTimer(state, 700)
+    .map(({message}) => message)
+    .filter(message => message.kind === 'digestBatch');
+  t.equal(relayed.length, vmsInZone);
+  for (const {relayed: digests} of relayed) {
+    t.strictSame(
+      digests.map(({sequence, vm}) => ({sequence, vm})),
+      [{vm: 'zone-b-3', sequence: 2}],
+    );
+  }
+  // The VM that it is passed to counts its calls and passes it on no more.
+  const peer = createFleetState();
+  runDigestTimer(peer, 500);
+  sendMessage(peer, {...relayed[0], vm: 'zone-a-1'}, 700);
+  t.equal(countPeerCalls(peer.peers, 'm1', 701), 4);
+  const [next] = runDigestTimer(peer, 1000);
+  t.match(next.message, {kind: 'digestBatch', relayed: []});
+});
+
+t.test('calls of peers: replaced by news, forgotten in silence', async t => {
+  const state = createReadyState([createEndpoint('m1', names.model)]);
+  sendMessage(state, createDigest({inFlight: {m1: 2, m2: 1}}), 0);
+  sendMessage(state, createDigest({vm: 'vm-3', inFlight: {m1: 1}}), 1000);
+  t.equal(countPeerCalls(state.peers, 'm1', 1000), 3);
+  sendMessage(state, createDigest({sequence: 2, inFlight: {m1: 1}}), 1100);
+  t.equal(countPeerCalls(state.peers, 'm1', 1100), 2);
+  t.equal(countPeerCalls(state.peers, 'm2', 1100), 0);
+  t.equal(countPeerCalls(state.peers, 'm1', 3050), 1, 'vm-3 was forgotten');
+  t.equal(countPeerCalls(state.peers, 'm1', 3200), 0);
+});
+
+t.test('a newer version is fetched once, when the store is late', async t => {
+  const state = createReadyState([createEndpoint('m1', names.model)]);
+  runInput(state, {kind: 'storeReached', isReached: true}, 0);
+  const fetches: number[] = [];
+  for (let nowMs = 0; nowMs < 600; nowMs += 10) {
+    const vm = `vm-${2 + ((nowMs / 10) % 7)}`;
+    const digest = createDigest({vm, sequence: nowMs + 1, desiredVersion: 2});
+    const effects = sendMessage(state, digest, nowMs);
+    const asked = listEffects(effects, 'fetchDesiredState');
+    for (let index = 0; index < asked.length; index++) fetches.push(nowMs);
+  }
+  t.strictSame(fetches, [150]);
+  const desired = createDesired(2);
+  runInput(state, {kind: 'desiredStateRead', desired}, 600);
+  const late = createDigest({sequence: 1000, desiredVersion: 2});
+  t.equal(
+    listEffects(sendMessage(state, late, 900), 'fetchDesiredState').length,
+    0,
+  );
+});
+
+t.test('a VM without any version asks the first peer at once', async t => {
+  const state = createState();
+  const effects = sendMessage(state, createDigest(), 5);
+  t.equal(listEffects(effects, 'fetchDesiredState').length, 1);
+});
+
+t.test('cut off from the store, a peer is asked at once', async t => {
+  const state = createReadyState([createEndpoint('m1', names.model)]);
+  const effects = sendMessage(state, createDigest({desiredVersion: 3}), 5);
+  t.equal(listEffects(effects, 'fetchDesiredState').length, 1);
+});
--- a/packages/ryeworks-dispatch/src/admission/decideRefill.ts
+++ b/packages/ryeworks-dispatch/src/admission/decideRefill.ts
@@ -1,7 +1,7 @@
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointBook.js';
-import {isFresh, PeerView} from '../peers/peerBook.js';
+import {isFresh, PeerView, setPeerCalls} from '../peers/peerBook.js';
 import {QueueHead} from '../peers/peerMessage.js';
 import {admitWaiting} from './admitWaiting.js';
 import {countCalls, isUsable} from './pickEndpoint.js';
@@ -28,7 +28,7 @@
   nowMs: number,
 ): WaitingPeer | undefined {
   let best: WaitingPeer | undefined;
-  for (const peer of state.peers.values()) {
+  for (const peer of state.peers.byVm.values()) {
     if (!isFresh(peer, nowMs)) continue;
     const head = peer.heads.get(service);
     if (head === undefined || head.count <= 0) continue;
@@ -61,7 +61,7 @@
   {peer, head}: WaitingPeer,
 ): Effect[] {
   const {id, service} = entry.endpoint;
-  peer.inFlight.set(id, (peer.inFlight.get(id) ?? 0) + 1);
+  setPeerCalls(state.peers, peer, id, (peer.inFlight.get(id) ?? 0) + 1);
   peer.heads.set(service, {...head, count: head.count - 1});
   const {vm} = state.options;
   return [
--- a/packages/ryeworks-dispatch/src/desired/desiredBook.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredBook.ts
@@ -9,6 +9,10 @@
   customersByKey: ReadonlyMap<string, Customer>;
   /** Highest tier among the routes of each service. */
   topTiers: ReadonlyMap<string, number>;
+  /** When a peer first told of a newer version, in ms; undefined: none did. */
+  newerHeardAtMs: number | undefined;
+  /** When a newer version was last asked for, in ms. */
+  fetchedAtMs: number;
 }
 
 /** Creates the book of a VM that knows no version yet. */
@@ -18,6 +22,8 @@
     routes: new Map(),
     customersByKey: new Map(),
     topTiers: new Map(),
+    newerHeardAtMs: undefined,
+    fetchedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
 
@@ -55,6 +61,7 @@
   const inForce = book.desired?.version ?? -1;
   if (desired.version <= inForce) return false;
   book.desired = desired;
+  book.newerHeardAtMs = undefined;
   book.routes = createRouteTable(desired);
   book.customersByKey = createCustomerTable(desired.customers);
   book.topTiers = createTopTiers(desired.routes);
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -8,7 +8,8 @@
 import {RequestReceived} from './input.js';
 import {CustomerUses} from './limits/customerUse.js';
 import {createMoveBook, MoveBook} from './moves/moveBook.js';
-import {PeerBook} from './peers/peerBook.js';
+import {createPeerBook, PeerBook} from './peers/peerBook.js';
+import {Digest} from './peers/peerMessage.js';
 import {ActiveRequest} from './requests/activeRequest.js';
 import {RetryBudget} from './retries/retryBudget.js';
 
@@ -69,6 +70,8 @@
   readonly earlyRequests: Map<string, RequestReceived>;
   /** The graceful stop under way; undefined: none. */
   stop: StopPlan | undefined;
+  /** Digests of other zones that are to be passed on here, by VM. */
+  readonly relayedDigests: Map<string, Digest>;
   digestSequence: number;
   /** The last digest's content, to send less often what did not change. */
   lastDigestText: string;
@@ -84,7 +87,7 @@
     desired: createDesiredBook(),
     endpoints: createEndpointBook(),
     zoneReach: new Map(),
-    peers: new Map(),
+    peers: createPeerBook(),
     seedAddresses: [],
     customerUses: new Map(),
     requests: new Map(),
@@ -98,6 +101,7 @@
     storeReachedAtMs: Number.NEGATIVE_INFINITY,
     earlyRequests: new Map(),
     stop: undefined,
+    relayedDigests: new Map(),
     digestSequence: 0,
     lastDigestText: '',
     lastDigestAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -19,7 +19,7 @@
 
 /** Tells whether a peer reached the store while this VM did not. */
 function wasStoreThere(state: DispatchState, nowMs: number): boolean {
-  for (const peer of state.peers.values()) {
+  for (const peer of state.peers.byVm.values()) {
     if (!isFresh(peer, nowMs)) continue;
     if (peer.storeReachedSinceMs < state.storeLostAtMs) return true;
   }
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -46,7 +46,7 @@
 /** Tells whether this VM's part of the exposure bounds allows one more. */
 function isTrialAllowed(state: DispatchState, view: MoveView): boolean {
   const {trialAllowance, trialRatio} = state.options;
-  const own = trialAllowance / (state.peers.size + 1);
+  const own = trialAllowance / (state.peers.byVm.size + 1);
   const most = usedFraction * (trialRatio * view.requests + own);
   return view.trials + 1 <= most;
 }
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -66,7 +66,7 @@
   const side = isNew ? view.newSide : view.oldSide;
   const key = createEvidenceKey(view, isNew);
   const total = {...side.own};
-  for (const peer of state.peers.values()) {
+  for (const peer of state.peers.byVm.values()) {
     const counts = peer.evidence[key] ?? noCounts;
     total.answered += counts.answered;
     total.failed += counts.failed;
@@ -138,7 +138,7 @@
 
 /** Tells whether this VM writes the results: the first by name of the VMs. */
 function isWriter(state: DispatchState, nowMs: number): boolean {
-  for (const peer of state.peers.values()) {
+  for (const peer of state.peers.byVm.values()) {
     if (peer.vm < state.options.vm && isFresh(peer, nowMs)) return false;
   }
   return true;
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -1,10 +1,12 @@
 import {admitWaiting} from '../admission/admitWaiting.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
+import {fetchNewer} from '../desired/fetchNewer.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {PeerMessageReceived, SeedListed, VmListed} from '../input.js';
 import {applyPeerUse} from '../limits/customerUse.js';
-import {addPeer, applyDigest} from './peerBook.js';
-import {Digest, PeerMessage, SlotOffer} from './peerMessage.js';
+import {addPeer, applyDigest, setPeerCalls} from './peerBook.js';
+import {Digest, DigestBatch, PeerMessage, SlotOffer} from './peerMessage.js';
+import {addForRelay} from './relayDigests.js';
 
 /** Reacts to one kind of peers' message. */
 type PeerMessageHandler<K extends PeerMessage['kind']> = (
@@ -13,24 +15,29 @@
   nowMs: number,
 ) => Effect[];
 
-/** Takes in what a peer tells of itself. */
-function handleDigest(
+/** Brings what a VM tells of itself into the book. */
+function takeDigest(
   state: DispatchState,
   digest: Digest,
+  isRelayed: boolean,
   nowMs: number,
 ): Effect[] {
+  const {address, vm} = digest;
+  if (vm === state.options.vm) return [];
   const effects: Effect[] = [];
-  if (!state.peers.has(digest.vm)) {
-    const {vm, address} = digest;
+  if (!state.peers.byVm.has(vm)) {
     effects.push(createLog('vm_heard', {peer: vm, address}));
   }
-  for (const use of applyDigest(state.peers, digest, nowMs)) {
+  for (const use of applyDigest(state.peers, digest, isRelayed, nowMs)) {
     applyPeerUse(state.customerUses, use.customer, use.units, nowMs);
   }
-  const ownVersion = state.desired.desired?.version ?? -1;
-  if (digest.desiredVersion > ownVersion) {
-    effects.push({kind: 'fetchDesiredState', address: digest.address});
-  }
+  effects.push(...fetchNewer(state, digest, nowMs));
+  return effects;
+}
+
+/** Dispatches what waits, after news of the endpoints' load. */
+function admitAllWaiting(state: DispatchState, nowMs: number): Effect[] {
+  const effects: Effect[] = [];
   for (const [service, queue] of state.queues) {
     if (queue.length === 0) continue;
     effects.push(...admitWaiting(state, service, nowMs));
@@ -38,6 +45,33 @@
   return effects;
 }
 
+/** Takes in what a peer tells of itself. */
+function handleDigest(
+  state: DispatchState,
+  digest: Digest,
+  nowMs: number,
+): Effect[] {
+  addForRelay(state, digest);
+  return [
+    ...takeDigest(state, digest, false, nowMs),
+    ...admitAllWaiting(state, nowMs),
+  ];
+}
+
+/** Takes in what a peer tells of itself and of VMs in other zones. */
+function handleDigestBatch(
+  state: DispatchState,
+  {own, relayed}: DigestBatch,
+  nowMs: number,
+): Effect[] {
+  const effects = takeDigest(state, own, false, nowMs);
+  for (const digest of relayed) {
+    effects.push(...takeDigest(state, digest, true, nowMs));
+  }
+  effects.push(...admitAllWaiting(state, nowMs));
+  return effects;
+}
+
 /** Uses a slot that a peer left to this VM. */
 function handleSlotOffer(
   state: DispatchState,
@@ -47,16 +81,22 @@
   const entry = state.endpoints.byId.get(offer.endpointId);
   if (entry === undefined) return [];
   const {id, service} = entry.endpoint;
-  const peer = state.peers.get(offer.vm);
-  const peerCalls = peer?.inFlight.get(id) ?? 0;
-  peer?.inFlight.set(id, Math.max(0, peerCalls - 1));
+  const peer = state.peers.byVm.get(offer.vm);
+  if (peer !== undefined) {
+    const calls = Math.max(0, (peer.inFlight.get(id) ?? 0) - 1);
+    setPeerCalls(state.peers, peer, id, calls);
+  }
   if (getQueue(state, service).length === 0) return [];
   return [createCount('slots_taken'), ...admitWaiting(state, service, nowMs)];
 }
 
 const peerMessageHandlers: {
   [K in PeerMessage['kind']]: PeerMessageHandler<K>;
-} = {digest: handleDigest, slotOffer: handleSlotOffer};
+} = {
+  digest: handleDigest,
+  digestBatch: handleDigestBatch,
+  slotOffer: handleSlotOffer,
+};
 
 /** Reacts to a peer's message. */
 export function handlePeerMessage(
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -43,6 +43,14 @@
   readonly evidence: Readonly<Record<string, VersionCounts>>;
 }
 
+/** A VM's digest along with those of other zones that it passes on. */
+export interface DigestBatch {
+  readonly kind: 'digestBatch';
+  readonly vm: string;
+  readonly own: Digest;
+  readonly relayed: readonly Digest[];
+}
+
 /** Leaves a freed slot to a peer whose waiting request is more urgent. */
 export interface SlotOffer {
   readonly kind: 'slotOffer';
@@ -51,4 +59,4 @@
 }
 
 /** Everything that VMs tell each other. */
-export type PeerMessage = Digest | SlotOffer;
+export type PeerMessage = Digest | DigestBatch | SlotOffer;
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -3,18 +3,16 @@
 import {Effect} from '../effect.js';
 import {createEvidenceKey} from '../moves/handleMoves.js';
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
+import {
+  getPeriodMs,
+  isRelaying,
+  listZonePeers,
+  pickRelays,
+  takeRelayed,
+} from './relayDigests.js';
 
-/** Least time between two digests, in ms. */
-const leastPeriodMs = 100;
 /** Time after which an unchanged digest is sent again, in ms. */
 const unchangedPeriodMs = 300;
-/** Peers for each of which the period grows. */
-const peersAtLeastPeriod = 20;
-
-/** Returns the time between two digests: it grows with the number of VMs. */
-function getPeriodMs(state: DispatchState): number {
-  return leastPeriodMs * Math.max(1, state.peers.size / peersAtLeastPeriod);
-}
 
 /** Lists the calls that this VM has in flight. */
 function createInFlight(state: DispatchState): Record<string, number> {
@@ -79,10 +77,44 @@
   };
 }
 
-/** Lists where the digest goes: the known peers, or the seeds before any. */
+/** Lists the VMs that are told directly: the seeds before any is known. */
 function listAddresses(state: DispatchState): string[] {
-  if (state.peers.size === 0) return state.seedAddresses;
-  return [...state.peers.values()].map(peer => peer.address);
+  const {byVm} = state.peers;
+  if (byVm.size === 0) return state.seedAddresses;
+  return [...byVm.values()].map(peer => peer.address);
+}
+
+/** Tells the own zone of this VM and of others, and one VM of each other zone. */
+function sendThroughRelays(
+  state: DispatchState,
+  own: Digest,
+  nowMs: number,
+): Effect[] {
+  const {vm} = state.options;
+  const relayed = takeRelayed(state);
+  const batch = {kind: 'digestBatch', vm, own, relayed} as const;
+  const effects: Effect[] = [];
+  for (const {address} of listZonePeers(state)) {
+    effects.push({kind: 'sendPeer', address, message: batch});
+  }
+  for (const {address} of pickRelays(state, nowMs)) {
+    effects.push({kind: 'sendPeer', address, message: own});
+  }
+  return effects;
+}
+
+/** Tells whether nothing is new since the last digest and it is not due. */
+function isDigestNeedless(
+  state: DispatchState,
+  digest: Digest,
+  nowMs: number,
+): boolean {
+  const text = JSON.stringify({...digest, storeReachedForMs: 0, sequence: 0});
+  const isUnchanged = text === state.lastDigestText;
+  state.lastDigestText = text;
+  const idleMs = Math.max(getPeriodMs(state), unchangedPeriodMs);
+  const isDue = nowMs - state.lastDigestAtMs >= idleMs;
+  return isUnchanged && !isDue && state.relayedDigests.size === 0;
 }
 
 /** Tells all others of this VM, less often while nothing changes. */
@@ -91,17 +123,13 @@
   _subject: string,
   nowMs: number,
 ): Effect[] {
-  const periodMs = getPeriodMs(state);
-  state.timers.set('digest', '', nowMs + periodMs);
+  state.timers.set('digest', '', nowMs + getPeriodMs(state));
   const digest = createDigest(state, nowMs);
-  const text = JSON.stringify({...digest, storeReachedForMs: 0});
-  const isUnchanged = text === state.lastDigestText;
-  const idleMs = Math.max(periodMs, unchangedPeriodMs);
-  if (isUnchanged && nowMs - state.lastDigestAtMs < idleMs) return [];
-  state.lastDigestText = text;
+  if (isDigestNeedless(state, digest, nowMs)) return [];
   state.lastDigestAtMs = nowMs;
   state.digestSequence += 1;
   const message = {...digest, sequence: state.digestSequence};
+  if (isRelaying(state)) return sendThroughRelays(state, message, nowMs);
   const effects: Effect[] = [];
   for (const address of listAddresses(state)) {
     effects.push({kind: 'sendPeer', address, message});
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -98,7 +98,7 @@
   if (request.arrivals === 0) return undefined;
   const budget = getRetryBudget(state, request.service);
   const bounds = state.options.retryBounds;
-  const vmCount = state.peers.size + 1;
+  const vmCount = state.peers.byVm.size + 1;
   return budget.takeRepeat(bounds, vmCount, nowMs) ? undefined : 'budget_used';
 }
 
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -67,7 +67,7 @@
   return {
     bounds: state.options.limitBounds,
     knownPeers: countFreshPeers(state.peers, nowMs),
-    vmCount: state.peers.size + 1,
+    vmCount: state.peers.byVm.size + 1,
   };
 }
 
--- a/packages/ryeworks-gateway/src/peers/peerSocket.ts
+++ b/packages/ryeworks-gateway/src/peers/peerSocket.ts
@@ -8,7 +8,11 @@
   handleTrouble(event: string, detail: string): void;
 }
 
-const messageKinds: ReadonlySet<string> = new Set(['digest', 'slotOffer']);
+const messageKinds: ReadonlySet<string> = new Set([
+  'digest',
+  'digestBatch',
+  'slotOffer',
+]);
 
 /** Reads a datagram; undefined when it is not a peer's message. */
 export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
