--- a/admin/checkProofs.js
+++ b/admin/checkProofs.js
@@ -54,16 +54,27 @@
   return {isFailed: run.status !== 0, missed};
 }
 
+/** Runs one test file in a copy; tells whether it failed, and at what. */
+function runTest(copy, test) {
+  const run = spawnSync(process.execPath, [join(copy, test)], {
+    encoding: 'utf8',
+  });
+  const missed = run.stdout.match(/not ok \d+ - .*/g) ?? [];
+  return {isFailed: run.status !== 0 && missed.length > 0, missed};
+}
+
 let weak = 0;
 for (const mutation of proofMutations) {
   const copy = createCopy();
   try {
     applyMutation(copy, mutation);
     if (mutation.also !== undefined) applyMutation(copy, mutation.also);
-    const {isFailed, missed} = runScenario(copy, mutation.scenario);
+    const {scenario, test} = mutation;
+    const {isFailed, missed} =
+      test === undefined ? runScenario(copy, scenario) : runTest(copy, test);
     if (!isFailed) weak += 1;
     const verdict = isFailed ? 'fails without' : 'NOT CAUGHT   ';
-    console.log(`${verdict} ${mutation.scenario}: ${mutation.promise}`);
+    console.log(`${verdict} ${scenario ?? test}: ${mutation.promise}`);
     if (missed.length > 0) console.log(`              ${missed[0]}`);
   } finally {
     rmSync(copy, {recursive: true, force: true});
--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -31,7 +31,7 @@
     file: `${scheduler}/admission/cellQueue.js`,
     from: /a\.tier - b\.tier \|\| /,
     to: '',
-    scenario: 'top-tier-overload',
+    test: `${scheduler}/__tests__/cellQueue.test.js`,
   },
   {
     promise: 'the highest tier goes first across zones',
@@ -104,6 +104,6 @@
     file: `${scheduler}/claims/handleMembers.js`,
     from: /claims\.isComplete = false;/,
     to: 'claims.isComplete = true;',
-    scenario: 'paused-owner',
+    test: `${scheduler}/__tests__/ownPause.test.js`,
   },
 ];
