--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -194,6 +194,7 @@
     incarnation: 1,
     sequence: 1,
     desiredVersion: 1,
+    storeRevision: 0,
     storeReachedForMs: 1000,
     inFlight: {},
     heads: {},
--- a/packages/ryeworks-dispatch/src/desired/desiredBook.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredBook.ts
@@ -11,6 +11,8 @@
   topTiers: ReadonlyMap<string, number>;
   /** When a peer first told of a newer version, in ms; undefined: none did. */
   newerHeardAtMs: number | undefined;
+  /** Newest version that was read in the store after a peer told of it. */
+  readVersion: number;
   /** When a newer version was last asked for, in ms. */
   fetchedAtMs: number;
 }
@@ -23,6 +25,7 @@
     customersByKey: new Map(),
     topTiers: new Map(),
     newerHeardAtMs: undefined,
+    readVersion: -1,
     fetchedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/packages/ryeworks-dispatch/src/desired/fetchNewer.ts
+++ b/packages/ryeworks-dispatch/src/desired/fetchNewer.ts
@@ -7,7 +7,7 @@
 const zoneLeadMs = 450;
 /** Time after which a fetch without an answer is made again, in ms. */
 const refetchMs = 600;
-/** The same for a VM that knows no version yet and cannot serve, in ms. */
+/** The same for a first version, and for reads of the store, in ms. */
 const firstRefetchMs = 150;
 
 /** A VM that has a desired state in force. */
@@ -21,7 +21,8 @@
 function getLeadMs(state: DispatchState, holder: VersionHolder): number {
   const isHome = holder.availabilityZone === state.options.availabilityZone;
   if (!isHome) return zoneLeadMs;
-  return state.isStoreReached ? storeLeadMs : 0;
+  const isToldSoon = state.isStoreReached && state.isOnStoreDuty;
+  return isToldSoon ? storeLeadMs : 0;
 }
 
 /**
@@ -38,10 +39,17 @@
   if (holder.desiredVersion <= ownVersion) return [];
   if (book.newerHeardAtMs === undefined) book.newerHeardAtMs = nowMs;
   const isFirst = book.desired === undefined;
-  const leadMs = isFirst ? 0 : getLeadMs(state, holder);
+  // A version can be too large for a peer to give it to its whole zone.
+  const isReadFirst =
+    !state.isOnStoreDuty && book.readVersion < holder.desiredVersion;
+  const leadMs = isFirst || isReadFirst ? 0 : getLeadMs(state, holder);
   if (nowMs - book.newerHeardAtMs < leadMs) return [];
-  const pauseMs = isFirst ? firstRefetchMs : refetchMs;
+  const pauseMs = isFirst || isReadFirst ? firstRefetchMs : refetchMs;
   if (nowMs - book.fetchedAtMs < pauseMs) return [];
   book.fetchedAtMs = nowMs;
+  if (isReadFirst) {
+    book.readVersion = holder.desiredVersion;
+    return [{kind: 'readDesiredState', version: holder.desiredVersion}];
+  }
   return [{kind: 'fetchDesiredState', address: holder.address}];
 }
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -70,6 +70,14 @@
   readonly earlyRequests: Map<string, RequestReceived>;
   /** The graceful stop under way; undefined: none. */
   stop: StopPlan | undefined;
+  /** Whether this VM watches the store itself. */
+  isOnStoreDuty: boolean;
+  /** Revision of the store up to which its news are known; 0: none. */
+  storeRevision: number;
+  /** When a peer first told of a newer revision, in ms; undefined: none. */
+  newerViewAtMs: number | undefined;
+  /** When a peer was last asked for its view, in ms. */
+  viewFetchedAtMs: number;
   /** Digests of other zones that are to be passed on here, by VM. */
   readonly relayedDigests: Map<string, Digest>;
   digestSequence: number;
@@ -101,6 +109,10 @@
     storeReachedAtMs: Number.NEGATIVE_INFINITY,
     earlyRequests: new Map(),
     stop: undefined,
+    isOnStoreDuty: true,
+    storeRevision: 0,
+    newerViewAtMs: undefined,
+    viewFetchedAtMs: Number.NEGATIVE_INFINITY,
     relayedDigests: new Map(),
     digestSequence: 0,
     lastDigestText: '',
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -65,6 +65,24 @@
   readonly address: string;
 }
 
+/** Reads the desired state in the store, of a version or newer. */
+export interface ReadDesiredState {
+  readonly kind: 'readDesiredState';
+  readonly version: number;
+}
+
+/** Asks a peer for what it knows of the store. */
+export interface FetchStoreView {
+  readonly kind: 'fetchStoreView';
+  readonly address: string;
+}
+
+/** Begins or ends the watches of the store. */
+export interface SetStoreDuty {
+  readonly kind: 'setStoreDuty';
+  readonly isOnDuty: boolean;
+}
+
 /** Writes how a move ended or stands. */
 export interface WriteMoveResult {
   readonly kind: 'writeMoveResult';
@@ -131,6 +149,9 @@
   | BreakAnswer
   | SendPeer
   | FetchDesiredState
+  | ReadDesiredState
+  | FetchStoreView
+  | SetStoreDuty
   | ApplyCallerBounds
   | WriteMoveResult
   | Count
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -27,6 +27,10 @@
   handleSeedListed,
   handleVmListed,
 } from './peers/handlePeerMessage.js';
+import {
+  handleStoreRevisionRead,
+  handleStoreViewRead,
+} from './peers/storeDuty.js';
 import {sendDigest} from './peers/sendDigest.js';
 import {
   expireRequest,
@@ -149,6 +153,8 @@
   vmListed: handleVmListed,
   seedListed: handleSeedListed,
   movesRead: handleMovesRead,
+  storeRevisionRead: handleStoreRevisionRead,
+  storeViewRead: handleStoreViewRead,
   peerMessageReceived: handlePeerMessage,
   stopRequested: handleStopRequested,
   boundsChanged: handleBoundsChanged,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -133,6 +133,20 @@
   readonly orders: readonly MoveOrder[];
 }
 
+/** What the store told was taken in up to a revision. */
+export interface StoreRevisionRead {
+  readonly kind: 'storeRevisionRead';
+  readonly revision: number;
+}
+
+/** A peer told what it knows of the store. */
+export interface StoreViewRead {
+  readonly kind: 'storeViewRead';
+  readonly revision: number;
+  readonly endpoints: readonly Endpoint[];
+  readonly orders: readonly MoveOrder[];
+}
+
 /** A peer's message came. */
 export interface PeerMessageReceived {
   readonly kind: 'peerMessageReceived';
@@ -173,6 +187,8 @@
   | VmListed
   | SeedListed
   | MovesRead
+  | StoreRevisionRead
+  | StoreViewRead
   | PeerMessageReceived
   | StopRequested
   | BoundsChanged
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -6,6 +6,7 @@
 import {applyPeerUse} from '../limits/customerUse.js';
 import {addPeer, applyDigest, setPeerCalls} from './peerBook.js';
 import {Digest, DigestBatch, PeerMessage, SlotOffer} from './peerMessage.js';
+import {fetchStoreView} from './storeDuty.js';
 import {addForRelay} from './relayDigests.js';
 
 /** Reacts to one kind of peers' message. */
@@ -31,7 +32,10 @@
   for (const use of applyDigest(state.peers, digest, isRelayed, nowMs)) {
     applyPeerUse(state.customerUses, use.customer, use.units, nowMs);
   }
-  effects.push(...fetchNewer(state, digest, nowMs));
+  effects.push(
+    ...fetchNewer(state, digest, nowMs),
+    ...fetchStoreView(state, digest, nowMs),
+  );
   return effects;
 }
 
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -31,6 +31,8 @@
   readonly sequence: number;
   /** Version of the desired state in force there; -1: none. */
   readonly desiredVersion: number;
+  /** Revision of the store up to which the VM knows its news; 0: none. */
+  readonly storeRevision: number;
   /** How long the store has answered there without a break, in ms; 0: not. */
   readonly storeReachedForMs: number;
   /** Calls in flight by endpoint id; endpoints without calls are left out. */
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -3,6 +3,7 @@
 import {Effect} from '../effect.js';
 import {createEvidenceKey} from '../moves/handleMoves.js';
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
+import {getToldRevision, updateStoreDuty} from './storeDuty.js';
 import {
   getPeriodMs,
   isRelaying,
@@ -67,9 +68,11 @@
     incarnation,
     sequence: state.digestSequence,
     desiredVersion: state.desired.desired?.version ?? -1,
-    storeReachedForMs: state.isStoreReached
-      ? Math.round(nowMs - state.storeReachedAtMs)
-      : 0,
+    storeRevision: getToldRevision(state),
+    storeReachedForMs:
+      state.isStoreReached && state.isOnStoreDuty
+        ? Math.round(nowMs - state.storeReachedAtMs)
+        : 0,
     inFlight: createInFlight(state),
     heads: createHeads(state, nowMs),
     unitsTaken: createUnitsTaken(state),
@@ -124,13 +127,16 @@
   nowMs: number,
 ): Effect[] {
   state.timers.set('digest', '', nowMs + getPeriodMs(state));
+  const duties = updateStoreDuty(state, nowMs);
   const digest = createDigest(state, nowMs);
-  if (isDigestNeedless(state, digest, nowMs)) return [];
+  if (isDigestNeedless(state, digest, nowMs)) return duties;
   state.lastDigestAtMs = nowMs;
   state.digestSequence += 1;
   const message = {...digest, sequence: state.digestSequence};
-  if (isRelaying(state)) return sendThroughRelays(state, message, nowMs);
-  const effects: Effect[] = [];
+  if (isRelaying(state)) {
+    return [...duties, ...sendThroughRelays(state, message, nowMs)];
+  }
+  const effects = duties;
   for (const address of listAddresses(state)) {
     effects.push({kind: 'sendPeer', address, message});
   }
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/peers/storeDuty.ts
@@ -0,0 +1,111 @@
+import {DispatchState} from '../dispatchState.js';
+import {createLog, Effect} from '../effect.js';
+import {handleEndpointsListed} from '../endpoints/handleEndpoints.js';
+import {StoreRevisionRead, StoreViewRead} from '../input.js';
+import {handleMovesRead} from '../moves/handleMoves.js';
+import {isFresh} from './peerBook.js';
+import {Digest} from './peerMessage.js';
+import {isRelaying, listZonePeers} from './relayDigests.js';
+
+/** VMs of each zone that watch the store for all of the zone. */
+const watchersPerZone = 2;
+/** Time that peers of the own zone are asked before others, in ms. */
+const zoneLeadMs = 300;
+/** Least time between two fetches of a peer's view, in ms. */
+const refetchMs = 250;
+
+/** Tells whether this VM is one of those that watch the store for its zone. */
+function isWatcher(state: DispatchState, nowMs: number): boolean {
+  if (!isRelaying(state)) return true;
+  let before = 0;
+  for (const peer of listZonePeers(state)) {
+    if (peer.vm < state.options.vm && isFresh(peer, nowMs)) before += 1;
+  }
+  return before < watchersPerZone;
+}
+
+/**
+ * Begins or ends this VM's watches of the store. In a large fleet a few VMs of
+ * each zone watch, the others take the news from them: each change would else
+ * cost a call for every VM. A VM that hears nobody watches itself.
+ */
+export function updateStoreDuty(state: DispatchState, nowMs: number): Effect[] {
+  const isOnDuty = isWatcher(state, nowMs);
+  if (isOnDuty === state.isOnStoreDuty) return [];
+  state.isOnStoreDuty = isOnDuty;
+  const {storeRevision} = state;
+  return [
+    {kind: 'setStoreDuty', isOnDuty},
+    createLog('store_duty_changed', {isOnDuty, storeRevision}),
+  ];
+}
+
+/** Returns the revision of the store that this VM's knowledge is of. */
+export function getToldRevision(state: DispatchState): number {
+  // Entries that may come back are not told of as gone.
+  for (const entry of state.endpoints.byId.values()) {
+    if (entry.isMissing) return 0;
+  }
+  return state.storeRevision;
+}
+
+/** Notes that what the store tells is known up to a revision. */
+export function handleStoreRevisionRead(
+  state: DispatchState,
+  {revision}: StoreRevisionRead,
+  nowMs: number,
+): Effect[] {
+  if (revision <= state.storeRevision) return [];
+  state.storeRevision = revision;
+  // The others wait for it.
+  if (isRelaying(state)) state.timers.set('digest', '', nowMs);
+  return [];
+}
+
+/** Asks a peer for what it knows of the store, if that is newer. */
+export function fetchStoreView(
+  state: DispatchState,
+  digest: Digest,
+  nowMs: number,
+): Effect[] {
+  if (state.isOnStoreDuty || digest.storeRevision <= state.storeRevision) {
+    return [];
+  }
+  state.newerViewAtMs ??= nowMs;
+  const isHome = digest.availabilityZone === state.options.availabilityZone;
+  const leadMs = isHome ? 0 : zoneLeadMs;
+  if (nowMs - state.newerViewAtMs < leadMs) return [];
+  if (nowMs - state.viewFetchedAtMs < refetchMs) return [];
+  state.viewFetchedAtMs = nowMs;
+  return [{kind: 'fetchStoreView', address: digest.address}];
+}
+
+/** Brings a peer's view of the store into the books. */
+export function handleStoreViewRead(
+  state: DispatchState,
+  {endpoints, orders, revision}: StoreViewRead,
+  nowMs: number,
+): Effect[] {
+  if (state.isOnStoreDuty || revision <= state.storeRevision) return [];
+  state.storeRevision = revision;
+  state.newerViewAtMs = undefined;
+  return [
+    createLog('store_view_applied', {revision, endpoints: endpoints.length}),
+    ...handleEndpointsListed(
+      state,
+      {kind: 'endpointsListed', endpoints},
+      nowMs,
+    ),
+    ...handleMovesRead(state, {kind: 'movesRead', orders}, nowMs),
+  ];
+}
+
+/** Creates what a peer may take over of this VM's knowledge of the store. */
+export function createStoreView(state: DispatchState): StoreViewRead {
+  return {
+    kind: 'storeViewRead',
+    revision: getToldRevision(state),
+    endpoints: [...state.endpoints.byId.values()].map(one => one.endpoint),
+    orders: [...state.moves.values()].map(one => one.order),
+  };
+}
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -1,6 +1,7 @@
 import {
   counterLabels,
   createDispatchState,
+  createStoreView,
   DispatchState,
   histogramLabels,
   isReady,
@@ -26,7 +27,7 @@
 import {DeploymentStore, ListedVm, WireFormat} from './deploymentPort.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
 import {GatewaySettings} from './gatewaySettings.js';
-import {fetchDesiredState} from './peers/fetchDesiredState.js';
+import {fetchDesiredState, fetchStoreView} from './peers/fetchDesiredState.js';
 import {PeerSocket} from './peers/peerSocket.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
 import {startStatusServers} from './reports/startStatusServers.js';
@@ -168,6 +169,34 @@
   );
 }
 
+/** Reads the desired state in the store, again when it is too old. */
+async function readDesiredState(
+  {logger, loop, store}: Parts,
+  version: number,
+): Promise<void> {
+  try {
+    for (const isStaleAllowed of [true, false]) {
+      const desired = await store.readDesiredState(isStaleAllowed);
+      if (desired === undefined || desired.version < version) continue;
+      loop.submit({kind: 'desiredStateRead', desired});
+      return;
+    }
+    logger.warn('desired_state_not_read', {version, detail: 'too old'});
+  } catch (error) {
+    const detail = (error as Error).message;
+    logger.warn('desired_state_not_read', {version, detail});
+  }
+}
+
+/** Fetches a peer's view of the store and brings it into the books. */
+function updateStoreView({logger, loop}: Parts, address: string): void {
+  fetchStoreView(address).then(
+    view => loop.submit({...view, kind: 'storeViewRead'}),
+    (error: Error) =>
+      logger.warn('store_view_not_fetched', {address, detail: error.message}),
+  );
+}
+
 /** Creates a handler for each kind of effect. */
 function createEffectHandlers(parts: Parts): EffectHandlers {
   const {callerServer, endpointClient, logger, metrics} = parts;
@@ -186,6 +215,9 @@
     sendPeer: ({address, message}) => peerSocket.send(address, message),
     applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
     fetchDesiredState: ({address}) => updateDesiredState(parts, address),
+    readDesiredState: ({version}) => void readDesiredState(parts, version),
+    fetchStoreView: ({address}) => updateStoreView(parts, address),
+    setStoreDuty: ({isOnDuty}) => parts.storeFollower.setDuty(isOnDuty),
     writeMoveResult: ({result}) => {
       store.writeMoveResult(result).catch((error: Error) =>
         logger.warn('move_result_not_written', {
@@ -257,6 +289,7 @@
       readyPath: wire.readyPath,
       isReady: () => isReady(state) && state.stop === undefined,
       getDesired: () => state.desired.desired,
+      getStoreView: () => createStoreView(state),
     },
     disposables,
   );
--- a/packages/ryeworks-gateway/src/deploymentPort.ts
+++ b/packages/ryeworks-gateway/src/deploymentPort.ts
@@ -117,6 +117,12 @@
     sinceRevision: number,
     waitMs: number,
   ): Promise<StoreListing<K> | undefined>;
+  /**
+   * Reads the desired state. Undefined: there is none that can be read.
+   *
+   * @param isStaleAllowed whether it may be seconds old, at a lower price
+   */
+  readDesiredState(isStaleAllowed: boolean): Promise<DesiredState | undefined>;
   /** Enters this VM into the store. */
   announceVm(vm: ListedVm): Promise<void>;
   /** Writes how a move stands, if its order is still the one decided on. */
--- a/packages/ryeworks-gateway/src/reports/startStatusServers.ts
+++ b/packages/ryeworks-gateway/src/reports/startStatusServers.ts
@@ -1,8 +1,8 @@
-import {DesiredState} from '@ryeworks/dispatch';
+import {DesiredState, StoreViewRead} from '@ryeworks/dispatch';
 import {TextMetrics} from '@ryeworks/logger';
 import {DisposableStore} from '@ryeworks/utils';
 import {GatewaySettings} from '../gatewaySettings.js';
-import {statePath} from '../peers/fetchDesiredState.js';
+import {statePath, viewPath} from '../peers/fetchDesiredState.js';
 import {createJsonAnswer, startTextServer} from './textServer.js';
 
 const metricsPath = '/metrics';
@@ -14,6 +14,7 @@
   readonly metrics: TextMetrics;
   readonly isReady: () => boolean;
   readonly getDesired: () => DesiredState | undefined;
+  readonly getStoreView: () => StoreViewRead;
 }
 
 /** Starts the servers for the balancer, for peers and for metrics. */
@@ -21,7 +22,8 @@
   parts: StatusServerParts,
   disposables: DisposableStore,
 ): Promise<void> {
-  const {getDesired, isReady, metrics, readyPath, settings} = parts;
+  const {getDesired, getStoreView, isReady, metrics, readyPath, settings} =
+    parts;
   const {metricsListen, peerListen, readyListen} = settings;
   disposables.add(
     await startTextServer(readyListen, {
@@ -34,6 +36,7 @@
         const desired = getDesired();
         return createJsonAnswer(desired === undefined ? 404 : 200, desired);
       },
+      [viewPath]: () => createJsonAnswer(200, getStoreView()),
     }),
   );
   if (metricsListen === undefined) return;
--- a/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
+++ b/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
@@ -72,6 +72,8 @@
       move: applyMoves,
       vm: () => {},
     },
+    handleRevision: revision =>
+      loop.submit({kind: 'storeRevisionRead', revision}),
     handleReached: isReached => loop.submit({kind: 'storeReached', isReached}),
     handleTrouble: (event, detail) => logger.warn(event, {detail}),
   };
--- a/packages/ryeworks-gateway/src/store/storeFollower.ts
+++ b/packages/ryeworks-gateway/src/store/storeFollower.ts
@@ -30,6 +30,8 @@
   readonly replace: ItemsHandlers;
   /** Takes the objects of a kind that changed. */
   readonly change: ItemsHandlers;
+  /** Called when all news up to a revision were handed over. */
+  handleRevision(revision: number): void;
   /** Called when calls to the store begin or cease to get answers. */
   handleReached(isReached: boolean): void;
   /** Reports what cannot be read or done. */
@@ -45,6 +47,9 @@
 /** Follows the platform's store with a watch for each kind of object. */
 export class StoreFollower {
   private isStopped = false;
+  private isOnDuty = true;
+  /** Called when this VM is to watch again. */
+  private readonly wakers: Array<() => void> = [];
   private readonly timers = new Set<NodeJS.Timeout>();
 
   constructor(
@@ -60,16 +65,36 @@
     void this.announceVm(self);
   }
 
+  /** Begins or ends the watches; a call that waits is left to end. */
+  setDuty(isOnDuty: boolean): void {
+    this.isOnDuty = isOnDuty;
+    if (isOnDuty) this.wakeAll();
+  }
+
   /** Follows no more. */
   stop(): void {
     this.isStopped = true;
     for (const timer of this.timers) clearTimeout(timer);
+    this.wakeAll();
+  }
+
+  /** Waits until this VM is to watch again, or is stopped. */
+  private waitForDuty(): Promise<void> {
+    return new Promise(resolve => this.wakers.push(resolve));
+  }
+
+  private wakeAll(): void {
+    for (const wake of this.wakers.splice(0)) wake();
   }
 
-  /** Repeats a step for as long as it fails, with growing pauses. */
-  private async retry(name: string, step: () => Promise<void>): Promise<void> {
+  /** Repeats a step while it fails and is wanted, with growing pauses. */
+  private async retry(
+    name: string,
+    step: () => Promise<void>,
+    isWanted: () => boolean = () => true,
+  ): Promise<void> {
     let pauseMs = firstPauseMs;
-    while (!this.isStopped) {
+    while (!this.isStopped && isWanted()) {
       try {
         await step();
         return;
@@ -87,7 +112,17 @@
   private async follow<K extends FollowedKind>(kind: K): Promise<void> {
     const position: Position = {revision: undefined};
     while (!this.isStopped) {
-      await this.retry(`follow ${kind}`, () => this.followOnce(kind, position));
+      if (!this.isOnDuty) {
+        // What a peer told meanwhile may be newer: begin with a list.
+        position.revision = undefined;
+        await this.waitForDuty();
+        continue;
+      }
+      await this.retry(
+        `follow ${kind}`,
+        () => this.followOnce(kind, position),
+        () => this.isOnDuty,
+      );
     }
   }
 
@@ -99,16 +134,18 @@
     const {change, replace} = this.handlers;
     if (position.revision === undefined) {
       const listing = await this.store.list(kind);
-      if (this.isStopped) return;
+      if (this.isStopped || !this.isOnDuty) return;
       this.handlers.handleReached(true);
       this.reportTrouble(listing.items);
       replace[kind](listing.items);
       position.revision = listing.revision;
+      this.reportRevision(kind, listing.revision);
       return;
     }
     const waitMs = watchMs[kind];
     const changes = await this.store.watch(kind, position.revision, waitMs);
-    if (this.isStopped) return;
+    // Off duty, a peer may have told of something newer meanwhile.
+    if (this.isStopped || !this.isOnDuty) return;
     this.handlers.handleReached(true);
     if (changes === undefined) {
       this.handlers.handleTrouble('store_history_gone', kind);
@@ -119,6 +156,12 @@
     if (changes.items.length === 0) return;
     this.reportTrouble(changes.items);
     change[kind](changes.items);
+    this.reportRevision(kind, changes.revision);
+  }
+
+  /** Reports the revision of what peers may ask for. */
+  private reportRevision(kind: FollowedKind, revision: number): void {
+    if (kind !== 'desiredState') this.handlers.handleRevision(revision);
   }
 
   private reportTrouble(items: ReadonlyArray<StoreItem<StoreKind>>): void {
