--- a/packages/ryeworksd/src/bin/ryeworksd.ts
+++ b/packages/ryeworksd/src/bin/ryeworksd.ts
@@ -6,6 +6,10 @@
 /** Exit code when a process cannot start. */
 const exitCannotStart = 1;
 
+// The signal that settings changed would end a process that is still starting;
+// it reads the newest settings anyway.
+process.on('SIGHUP', () => {});
+
 /** Something that runs until it is told to stop. */
 interface Stoppable {
   stop(): Promise<void>;
