Large fleets: choose among a few engines of the own zone; begun answers go first in the budget

A stream that had begun was broken off (LOST) because the VM's part of the budget was used up by requests that had no answer yet. Slots are offered within the own zone only.

--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -1,3 +1,4 @@
+import {getHash} from '@ryeworks/utils';
 import t from 'tap';
 import {DispatchState, RequestReceived} from '../index.js';
 import {
@@ -187,3 +188,31 @@
   const later = createRequest('relaxed', 2500);
   t.equal(findEndpoint(state, later, 2500), 'm1');
 });
+
+t.test('many VMs with the same news spread over the engines', async t => {
+  const engines = Array.from({length: 12}, (_, index) =>
+    createEndpoint(`m${index}`, names.model, {
+      slots,
+      availabilityZone: index < 6 ? 'zone-a' : 'zone-b',
+    }),
+  );
+  const counts = new Map<string, number>();
+  for (let vm = 0; vm < 60; vm++) {
+    const seed = getHash(`vm-${vm}`);
+    const state = createReadyState(engines, createDesired(), seed);
+    // By the same news, one engine of the own zone is the least busy.
+    for (let peer = 0; peer < 30; peer++) {
+      const inFlight = peer > 0 && peer < 6 ? {[`m${peer}`]: 1} : {};
+      const message = createDigest({vm: `peer-${peer}`, inFlight});
+      runInput(state, {kind: 'peerMessageReceived', message}, 0);
+    }
+    const id = findEndpoint(state, createRequest('relaxed', 10), 10)!;
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  const most = Math.max(...counts.values());
+  t.ok(most <= 40, `${most} of 60 go to one engine`);
+  t.ok(
+    [...counts.keys()].every(id => Number(id.slice(1)) < 6),
+    'all stay in their zone while it has room',
+  );
+});
--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -115,13 +115,13 @@
 }
 
 /** Creates the state of one VM. */
-export function createState(vm = 'vm-1'): DispatchState {
+export function createState(vm = 'vm-1', seed = 7): DispatchState {
   return createDispatchState({
     vm,
     peerAddress: `${vm}:7600`,
     availabilityZone: 'zone-a',
     incarnation: 1,
-    seed: 7,
+    seed,
     retryBounds: {ratio: 0.2, windowMs: 10_000, allowance: 50},
     limitBounds: {windowMs: 8000, overrunRatio: 0.1, allowance: 1000},
     trialRatio: 0.1,
@@ -133,8 +133,9 @@
 export function createReadyState(
   endpoints: readonly Endpoint[],
   desired = createDesired(),
+  seed = 7,
 ): DispatchState {
-  const state = createState();
+  const state = createState('vm-1', seed);
   handleInput(state, {kind: 'desiredStateRead', desired}, 0);
   handleInput(state, {kind: 'endpointsListed', endpoints}, 0);
   return state;
--- a/packages/ryeworks-dispatch/src/admission/decideRefill.ts
+++ b/packages/ryeworks-dispatch/src/admission/decideRefill.ts
@@ -1,6 +1,7 @@
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointBook.js';
+import {isRelaying, listZonePeers} from '../peers/relayDigests.js';
 import {isFresh, PeerView, setPeerCalls} from '../peers/peerBook.js';
 import {QueueHead} from '../peers/peerMessage.js';
 import {admitWaiting} from './admitWaiting.js';
@@ -28,7 +29,11 @@
   nowMs: number,
 ): WaitingPeer | undefined {
   let best: WaitingPeer | undefined;
-  for (const peer of state.peers.byVm.values()) {
+  // In a large fleet only the own zone's news are new enough for an offer.
+  const peers = isRelaying(state)
+    ? listZonePeers(state)
+    : state.peers.byVm.values();
+  for (const peer of peers) {
     if (!isFresh(peer, nowMs)) continue;
     const head = peer.heads.get(service);
     if (head === undefined || head.count <= 0) continue;
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -1,3 +1,4 @@
+import {sampleRandom} from '@ryeworks/utils';
 import {EndpointEntry, listEndpoints} from '../endpoints/endpointBook.js';
 import {
   estimateFirstEventMs,
@@ -6,6 +7,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {listAllowed} from '../moves/decideTrial.js';
 import {countPeerCalls} from '../peers/peerBook.js';
+import {isRelaying} from '../peers/relayDigests.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 
 /**
@@ -23,6 +25,8 @@
  * its first event comes soonest; the others spread and leave it the fast ones.
  */
 const loadWeights = {top: 0.3, others: 1.5} as const;
+/** Endpoints among which a VM of a large fleet chooses. */
+const sampledEndpoints = 3;
 /** How much the share of failures of an endpoint counts against it. */
 const failureWeight = 4;
 
@@ -86,22 +90,55 @@
   return (1 + firstMs) * (1 + loadWeight * load) * doubt * zone;
 }
 
-/** Picks the endpoint with the least cost for a request; undefined: wait. */
-export function pickEndpoint(
+/** Lists the endpoints that could take a request now. */
+function listCandidates(
   state: DispatchState,
   request: ActiveRequest,
   nowMs: number,
-): EndpointEntry | undefined {
+): Candidate[] {
   const {isTrial, service} = request;
   const entries = [...listEndpoints(state.endpoints, service)];
   const serviceMs = getServiceFirstEventMs(entries);
-  let best: Candidate | undefined;
+  const candidates: Candidate[] = [];
   for (const entry of listAllowed(state, service, entries, isTrial)) {
     if (!isUsable(entry, nowMs)) continue;
     if (request.avoided.has(entry.endpoint.id)) continue;
     const cost = estimateCost(state, entry, request, serviceMs, nowMs);
-    if (cost === undefined) continue;
-    if (best === undefined || cost < best.cost) best = {entry, cost};
+    if (cost !== undefined) candidates.push({entry, cost});
+  }
+  return candidates;
+}
+
+/**
+ * Draws a few candidates, from the own zone if it has any: what is known of it is
+ * newest. Many VMs that all take the best by the same old news would pile up on
+ * one endpoint.
+ */
+function sampleCandidates(
+  state: DispatchState,
+  candidates: Candidate[],
+): Candidate[] {
+  const zone = state.options.availabilityZone;
+  const home = candidates.filter(
+    ({entry}) => entry.endpoint.availabilityZone === zone,
+  );
+  const pool = home.length > 0 ? home : candidates;
+  return sampleRandom(state.random, pool, sampledEndpoints);
+}
+
+/** Picks the endpoint with the least cost for a request; undefined: wait. */
+export function pickEndpoint(
+  state: DispatchState,
+  request: ActiveRequest,
+  nowMs: number,
+): EndpointEntry | undefined {
+  const candidates = listCandidates(state, request, nowMs);
+  const choice = isRelaying(state)
+    ? sampleCandidates(state, candidates)
+    : candidates;
+  let best: Candidate | undefined;
+  for (const candidate of choice) {
+    if (best === undefined || candidate.cost < best.cost) best = candidate;
   }
   return best?.entry;
 }
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -99,7 +99,10 @@
   const budget = getRetryBudget(state, request.service);
   const bounds = state.options.retryBounds;
   const vmCount = state.peers.byVm.size + 1;
-  return budget.takeRepeat(bounds, vmCount, nowMs) ? undefined : 'budget_used';
+  const hasBegun = request.firstEventAtMs > 0;
+  return budget.takeRepeat(bounds, vmCount, hasBegun, nowMs)
+    ? undefined
+    : 'budget_used';
 }
 
 /** Ends a request whose call failed and is not made again. */
--- a/packages/ryeworks-dispatch/src/retries/retryBudget.ts
+++ b/packages/ryeworks-dispatch/src/retries/retryBudget.ts
@@ -11,8 +11,11 @@
   readonly allowance: number;
 }
 
-/** Part of the bounds that this VM uses; the rest covers restarts. */
-const usedFraction = 0.7;
+/**
+ * Part of the bounds that this VM uses; the rest covers restarts. An answer that
+ * has begun is broken off without a repeat, so it may use more.
+ */
+const usedFractions = {unbegun: 0.7, begun: 0.9} as const;
 
 /** Requests and repeats in one slice of time. */
 interface Slice {
@@ -34,8 +37,14 @@
    * Takes one repeat out of the budget; returns false when it is used up.
    *
    * @param vmCount VMs among which the allowance is divided
+   * @param hasBegun whether the caller has part of the answer
    */
-  takeRepeat(bounds: RetryBounds, vmCount: number, nowMs: number): boolean {
+  takeRepeat(
+    bounds: RetryBounds,
+    vmCount: number,
+    hasBegun: boolean,
+    nowMs: number,
+  ): boolean {
     const slice = this.getSlice(bounds, nowMs);
     let requests = 0;
     let repeats = 0;
@@ -44,7 +53,8 @@
       repeats += one.repeats;
     }
     const own = bounds.allowance / Math.max(1, vmCount);
-    const allowed = usedFraction * (bounds.ratio * requests + own);
+    const fraction = hasBegun ? usedFractions.begun : usedFractions.unbegun;
+    const allowed = fraction * (bounds.ratio * requests + own);
     if (repeats + 1 > allowed) return false;
     slice.repeats += 1;
     return true;
