--- a/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
@@ -148,6 +148,34 @@
   t.ok(repeats <= 0.2 * 300 + 50, `${repeats} repeats`);
 });
 
+t.test('a begun answer goes on when others have used the budget', async t => {
+  const state = createReadyState(models);
+  // Pattern: engines fail many calls at once; each failure wants a repeat.
+  for (let index = 0; index < 300; index++) {
+    const request = createRequest('urgent', index);
+    runInput(state, request, index);
+    failCall(state, request, 1, 'failed', index);
+    runInput(state, {kind: 'callerGone', requestId: request.requestId}, index);
+  }
+  const unbegun = createRequest('urgent', 3000);
+  runInput(state, unbegun, 3000);
+  const refused = failCall(state, unbegun, 1, 'failed', 3001);
+  t.equal(listEffects(refused, 'startCall').length, 0, 'the budget is used');
+
+  const begun = createRequest('urgent', 3010);
+  runInput(state, begun, 3010);
+  const call = {requestId: begun.requestId, callNumber: 1};
+  runInput(state, {kind: 'callSent', ...call}, 3010);
+  runInput(state, {kind: 'callProgressed', ...call, events: 1}, 3050);
+  const failure = {failure: 'cut', hasPassedAny: true, detail: 'test'} as const;
+  const effects = runInput(
+    state,
+    {kind: 'callFailed', ...call, ...failure},
+    3060,
+  );
+  t.equal(listEffects(effects, 'startCall').length, 1);
+});
+
 t.test("a call that hangs is given up at the route's timeout", async t => {
   const state = createReadyState(ledger);
   const request = createRequest('booking', 0);
