--- a/packages/ryeworks-dispatch/src/admission/admitWaiting.ts
+++ b/packages/ryeworks-dispatch/src/admission/admitWaiting.ts
@@ -1,7 +1,7 @@
 import {DispatchState, getDispatchRate, getQueue} from '../dispatchState.js';
 import {Effect} from '../effect.js';
 import {startCall} from '../requests/startCall.js';
-import {pickEndpoint} from './pickEndpoint.js';
+import {createServiceView, pickEndpoint} from './pickEndpoint.js';
 
 /** Waiting requests that are tried past one that no endpoint can take. */
 const maxPassedOver = 8;
@@ -13,11 +13,13 @@
   nowMs: number,
 ): Effect[] {
   const queue = getQueue(state, service);
+  if (queue.length === 0) return [];
+  const view = createServiceView(state, service);
   const effects: Effect[] = [];
   let index = 0;
   while (index < queue.length && index <= maxPassedOver) {
     const request = queue[index];
-    const entry = pickEndpoint(state, request, nowMs);
+    const entry = pickEndpoint(state, request, view, nowMs);
     if (entry === undefined) {
       index += 1;
       continue;
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -90,20 +90,35 @@
   return (1 + firstMs) * (1 + loadWeight * load) * doubt * zone;
 }
 
+/** A service's endpoints, and what is known of all of them together. */
+export interface ServiceView {
+  readonly entries: readonly EndpointEntry[];
+  /** Their mean time to a first event, in ms; 0: nothing is known. */
+  readonly firstEventMs: number;
+}
+
+/** Creates the view of a service, for picks at one moment. */
+export function createServiceView(
+  state: DispatchState,
+  service: string,
+): ServiceView {
+  const entries = [...listEndpoints(state.endpoints, service)];
+  return {entries, firstEventMs: getServiceFirstEventMs(entries)};
+}
+
 /** Lists the endpoints that could take a request now. */
 function listCandidates(
   state: DispatchState,
   request: ActiveRequest,
+  {entries, firstEventMs}: ServiceView,
   nowMs: number,
 ): Candidate[] {
   const {isTrial, service} = request;
-  const entries = [...listEndpoints(state.endpoints, service)];
-  const serviceMs = getServiceFirstEventMs(entries);
   const candidates: Candidate[] = [];
   for (const entry of listAllowed(state, service, entries, isTrial)) {
     if (!isUsable(entry, nowMs)) continue;
     if (request.avoided.has(entry.endpoint.id)) continue;
-    const cost = estimateCost(state, entry, request, serviceMs, nowMs);
+    const cost = estimateCost(state, entry, request, firstEventMs, nowMs);
     if (cost !== undefined) candidates.push({entry, cost});
   }
   return candidates;
@@ -130,9 +145,10 @@
 export function pickEndpoint(
   state: DispatchState,
   request: ActiveRequest,
+  view: ServiceView,
   nowMs: number,
 ): EndpointEntry | undefined {
-  const candidates = listCandidates(state, request, nowMs);
+  const candidates = listCandidates(state, request, view, nowMs);
   const choice = isRelaying(state)
     ? sampleCandidates(state, candidates)
     : candidates;
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -129,14 +129,21 @@
   return input.receivedAtMs + longestMs;
 }
 
+/** What the desired state makes of a request. */
+interface Admission {
+  readonly route: Route;
+  readonly service: string;
+  /** Undefined on an anonymous route. */
+  readonly customer: Customer | undefined;
+  /** Units of its customer's limit that it took. */
+  readonly units: number;
+}
+
 /** Creates the request that this VM will see to its end. */
 function createRequest(
   state: DispatchState,
   input: RequestReceived,
-  route: Route,
-  service: string,
-  customer: Customer | undefined,
-  units: number,
+  {customer, route, service, units}: Admission,
   nowMs: number,
 ): ActiveRequest {
   const isResumableStream = route.kind === callKind.stream && route.isResumable;
@@ -199,15 +206,8 @@
     const inputs = describeLimit(state, customer, units, nowMs);
     return refuseRequest(state, input, 'limitExceeded', limitWaitMs, inputs);
   }
-  const request = createRequest(
-    state,
-    input,
-    route,
-    service,
-    customer,
-    units,
-    nowMs,
-  );
+  const admission = {customer, route, service, units};
+  const request = createRequest(state, input, admission, nowMs);
   state.requests.set(request.requestId, request);
   const bounds = state.options.retryBounds;
   getRetryBudget(state, service).recordRequest(bounds, nowMs);
