--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -27,7 +27,7 @@
 import {DeploymentStore, ListedVm, WireFormat} from './deploymentPort.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
 import {GatewaySettings} from './gatewaySettings.js';
-import {fetchDesiredState, fetchStoreView} from './peers/fetchDesiredState.js';
+import {fetchDesiredState, fetchStoreView} from './peers/fetchFromPeer.js';
 import {PeerSocket} from './peers/peerSocket.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
 import {startStatusServers} from './reports/startStatusServers.js';
--- a/packages/ryeworks-gateway/src/reports/startStatusServers.ts
+++ b/packages/ryeworks-gateway/src/reports/startStatusServers.ts
@@ -2,7 +2,7 @@
 import {TextMetrics} from '@ryeworks/logger';
 import {DisposableStore} from '@ryeworks/utils';
 import {GatewaySettings} from '../gatewaySettings.js';
-import {statePath, viewPath} from '../peers/fetchDesiredState.js';
+import {statePath, viewPath} from '../peers/fetchFromPeer.js';
 import {createJsonAnswer, startTextServer} from './textServer.js';
 
 const metricsPath = '/metrics';
