--- /dev/null
+++ b/packages/ryeworks-gateway/src/__tests__/storeFollower.test.ts
@@ -0,0 +1,92 @@
+import {Endpoint} from '@ryeworks/dispatch';
+import t from 'tap';
+import {DeploymentStore, StoreKind, StoreListing} from '../deploymentPort.js';
+import {StoreFollower, StoreHandlers} from '../store/storeFollower.js';
+
+const endpoint: Endpoint = {
+  id: 'm1',
+  service: 's',
+  address: '10.0.0.1:1',
+  availabilityZone: 'a',
+  version: 'v1',
+  slots: 1,
+  isDraining: false,
+  startedAtMs: 1,
+  coldForMs: 0,
+};
+
+/** Waits for a time in ms. */
+function sleep(delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
+/** Stand-in for the store: watches wait until they are answered. */
+class FakeStore implements DeploymentStore {
+  lists = 0;
+  watches = 0;
+  private waiting: Array<() => void> = [];
+
+  async list<K extends StoreKind>(kind: K): Promise<StoreListing<K>> {
+    if (kind === 'endpoint') this.lists += 1;
+    const content = kind === 'endpoint' ? endpoint : undefined;
+    const items = [{name: 'm1', content, trouble: undefined}];
+    return {items, revision: 5} as StoreListing<K>;
+  }
+
+  async watch<K extends StoreKind>(): Promise<StoreListing<K>> {
+    this.watches += 1;
+    await new Promise<void>(resolve => this.waiting.push(resolve));
+    const items = [{name: 'm1', content: undefined, trouble: undefined}];
+    return {items, revision: 9} as StoreListing<K>;
+  }
+
+  async readDesiredState(): Promise<undefined> {}
+  async announceVm(): Promise<void> {}
+  async writeMoveResult(): Promise<void> {}
+
+  /** Answers every watch that waits. */
+  answerWatches(): void {
+    for (const answer of this.waiting.splice(0)) answer();
+  }
+}
+
+t.test(
+  'off duty the store is not called, and old news are dropped',
+  async t => {
+    const store = new FakeStore();
+    const revisions: number[] = [];
+    let changes = 0;
+    const ignore = () => {};
+    const kinds = {desiredState: ignore, move: ignore, vm: ignore};
+    const handlers: StoreHandlers = {
+      replace: {...kinds, endpoint: ignore},
+      change: {...kinds, endpoint: () => (changes += 1)},
+      handleRevision: revision => revisions.push(revision),
+      handleReached: ignore,
+      handleTrouble: ignore,
+    };
+    const follower = new StoreFollower(store, handlers);
+    t.teardown(() => follower.stop());
+    follower.start({vm: 'vm-1', address: 'vm-1:1', availabilityZone: 'a'});
+    await sleep(20);
+    t.equal(store.lists, 1);
+    t.ok(revisions.includes(5));
+
+    follower.setDuty(false);
+    store.answerWatches();
+    await sleep(20);
+    const {watches} = store;
+    t.equal(changes, 0, 'a peer may have told of something newer');
+    store.answerWatches();
+    await sleep(20);
+    t.equal(store.watches, watches);
+
+    follower.setDuty(true);
+    await sleep(20);
+    t.equal(store.lists, 2, 'it begins with a list');
+    store.answerWatches();
+    await sleep(20);
+    t.equal(changes, 1);
+    store.answerWatches();
+  },
+);
--- a/packages/ryeworks-gateway/src/store/storeFollower.ts
+++ b/packages/ryeworks-gateway/src/store/storeFollower.ts
@@ -68,14 +68,14 @@
   /** Begins or ends the watches; a call that waits is left to end. */
   setDuty(isOnDuty: boolean): void {
     this.isOnDuty = isOnDuty;
-    if (isOnDuty) this.wakeAll();
+    if (isOnDuty) this.notifyWaiting();
   }
 
   /** Follows no more. */
   stop(): void {
     this.isStopped = true;
     for (const timer of this.timers) clearTimeout(timer);
-    this.wakeAll();
+    this.notifyWaiting();
   }
 
   /** Waits until this VM is to watch again, or is stopped. */
@@ -83,7 +83,7 @@
     return new Promise(resolve => this.wakers.push(resolve));
   }
 
-  private wakeAll(): void {
+  private notifyWaiting(): void {
     for (const wake of this.wakers.splice(0)) wake();
   }
 
