--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -216,3 +216,21 @@
     'all stay in their zone while it has room',
   );
 });
+
+t.test('a large fleet leaves the highest tier more room', async t => {
+  const state = createReadyState([{...engine, slots: 7}]);
+  for (let peer = 0; peer < 30; peer++) {
+    const message = createDigest({vm: `peer-${peer}`});
+    runInput(state, {kind: 'peerMessageReceived', message}, 0);
+  }
+  // Pattern: long answers of the lowest tier come faster than they end.
+  let taken = 0;
+  for (let index = 0; index < 12; index++) {
+    const request = createRequest('relaxed', index);
+    if (findEndpoint(state, request, index) !== undefined) taken += 1;
+  }
+  t.equal(taken, 4);
+  const urgent = [0, 1, 2].map(() => createRequest('urgent', 20));
+  const started = urgent.map(one => findEndpoint(state, one, 20));
+  t.strictSame(started, ['m1', 'm1', 'm1'], 'none stands behind the others');
+});
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -18,6 +18,12 @@
  * pass a slot on nor stands behind long answers of lower tiers.
  */
 const extraCallsByDistance = [2, 0, -1] as const;
+/**
+ * Part of its slots that an endpoint of a large fleet is given, by the same
+ * distance. What many VMs have under way is known late, so the highest tier is left
+ * more room: behind answers of the lowest tier it would wait for seconds.
+ */
+const capacityFractions = [1.15, 0.85, 0.6] as const;
 /** How much a call to another availability zone counts over one at home. */
 const remoteZoneFactor = 1.1;
 /**
@@ -43,9 +49,13 @@
   entry: EndpointEntry,
   request: ActiveRequest,
 ): number {
+  const {slots} = entry.endpoint;
   const last = extraCallsByDistance.length - 1;
   const distance = Math.min(last, getTierDistance(state, request));
-  return Math.max(1, entry.endpoint.slots + extraCallsByDistance[distance]);
+  const capacity = isRelaying(state)
+    ? Math.round(slots * capacityFractions[distance])
+    : slots + extraCallsByDistance[distance];
+  return Math.max(1, capacity);
 }
 
 /** Returns the calls of all VMs at an endpoint, as far as they are known. */
