--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -18,6 +18,12 @@
  * pass a slot on nor stands behind long answers of lower tiers.
  */
 const extraCallsByDistance = [2, 0, -1] as const;
+/**
+ * Part of its slots that an endpoint of a large fleet is given, by the same
+ * distance. What many VMs have under way is known late, so the highest tier is left
+ * more room: behind answers of the lowest tier it would wait for seconds.
+ */
+const capacityFractions = [1.15, 0.85, 0.6] as const;
 /** How much a call to another availability zone counts over one at home. */
 const remoteZoneFactor = 1.1;
 /**
@@ -43,9 +49,13 @@
   entry: EndpointEntry,
   request: ActiveRequest,
 ): number {
+  const {slots} = entry.endpoint;
   const last = extraCallsByDistance.length - 1;
   const distance = Math.min(last, getTierDistance(state, request));
-  return Math.max(1, entry.endpoint.slots + extraCallsByDistance[distance]);
+  const capacity = isRelaying(state)
+    ? Math.round(slots * capacityFractions[distance])
+    : slots + extraCallsByDistance[distance];
+  return Math.max(1, capacity);
 }
 
 /** Returns the calls of all VMs at an endpoint, as far as they are known. */
@@ -90,20 +100,35 @@
   return (1 + firstMs) * (1 + loadWeight * load) * doubt * zone;
 }
 
+/** A service's endpoints, and what is known of all of them together. */
+export interface ServiceView {
+  readonly entries: readonly EndpointEntry[];
+  /** Their mean time to a first event, in ms; 0: nothing is known. */
+  readonly firstEventMs: number;
+}
+
+/** Creates the view of a service, for picks at one moment. */
+export function createServiceView(
+  state: DispatchState,
+  service: string,
+): ServiceView {
+  const entries = [...listEndpoints(state.endpoints, service)];
+  return {entries, firstEventMs: getServiceFirstEventMs(entries)};
+}
+
 /** Lists the endpoints that could take a request now. */
 function listCandidates(
   state: DispatchState,
   request: ActiveRequest,
+  {entries, firstEventMs}: ServiceView,
   nowMs: number,
 ): Candidate[] {
   const {isTrial, service} = request;
-  const entries = [...listEndpoints(state.endpoints, service)];
-  const serviceMs = getServiceFirstEventMs(entries);
   const candidates: Candidate[] = [];
   for (const entry of listAllowed(state, service, entries, isTrial)) {
     if (!isUsable(entry, nowMs)) continue;
     if (request.avoided.has(entry.endpoint.id)) continue;
-    const cost = estimateCost(state, entry, request, serviceMs, nowMs);
+    const cost = estimateCost(state, entry, request, firstEventMs, nowMs);
     if (cost !== undefined) candidates.push({entry, cost});
   }
   return candidates;
@@ -130,9 +155,10 @@
 export function pickEndpoint(
   state: DispatchState,
   request: ActiveRequest,
+  view: ServiceView,
   nowMs: number,
 ): EndpointEntry | undefined {
-  const candidates = listCandidates(state, request, nowMs);
+  const candidates = listCandidates(state, request, view, nowMs);
   const choice = isRelaying(state)
     ? sampleCandidates(state, candidates)
     : candidates;
