--- a/packages/ryeworks-logger/src/__tests__/boundedLineStream.test.ts
+++ b/packages/ryeworks-logger/src/__tests__/boundedLineStream.test.ts
@@ -1,3 +1,4 @@
+import {spawnSync} from 'node:child_process';
 import {mkdtempSync, openSync, readFileSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -23,3 +24,20 @@
   t.match(lines.at(-2), /event=log_lines_dropped count=40/);
   t.equal(lines.at(-1), 'later');
 });
+
+t.test('lines are gathered, and none is lost at the end', async t => {
+  const module = new URL('../boundedLineStream.js', import.meta.url).href;
+  const program = `
+    import {createBoundedLineStream} from '${module}';
+    const options = {fd: 1, linesPerSecond: 100, readNowMs: () => 0};
+    const stream = createBoundedLineStream(options);
+    for (let index = 0; index < 5; index++) stream.write('line ' + index + '\\n');
+    setTimeout(() => {
+      stream.write('last\\n');
+      process.exit(0);
+    }, 120);`;
+  const args = ['--input-type=module', '-e', program];
+  const {stdout} = spawnSync(process.execPath, args, {encoding: 'utf8'});
+  const lines = stdout.trimEnd().split('\n');
+  t.strictSame(lines, [0, 1, 2, 3, 4].map(one => `line ${one}`).concat('last'));
+});
--- a/packages/ryeworks-logger/src/boundedLineStream.ts
+++ b/packages/ryeworks-logger/src/boundedLineStream.ts
@@ -1,8 +1,10 @@
-import {createWriteStream, WriteStream} from 'node:fs';
+import {createWriteStream, WriteStream, writeSync} from 'node:fs';
 import {Writable} from 'node:stream';
 
 /** Bytes that may wait to be written before lines are dropped. */
 const maxWaitingBytes = 262_144;
+/** Time for which lines are gathered: each write costs a system call, in ms. */
+const gatherMs = 50;
 
 /** Options of {@link createBoundedLineStream}. */
 export interface BoundedLineOptions {
@@ -20,6 +22,8 @@
   private allowance: number;
   private refilledAtMs: number;
   private droppedLines = 0;
+  private gathered = '';
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: BoundedLineOptions) {
     this.out = createWriteStream('', {fd: options.fd, autoClose: false});
@@ -28,12 +32,14 @@
     });
     this.allowance = options.linesPerSecond;
     this.refilledAtMs = options.readNowMs();
+    process.once('exit', () => this.writeRest());
   }
 
   /** Writes a line, or drops and counts it. */
   writeLine(line: string | Buffer): void {
     this.refill();
-    const isFull = this.out.writableLength > maxWaitingBytes;
+    const waitingBytes = this.out.writableLength + this.gathered.length;
+    const isFull = waitingBytes > maxWaitingBytes;
     if (this.allowance < 1 || isFull) {
       this.droppedLines += 1;
       return;
@@ -42,9 +48,25 @@
     if (this.droppedLines > 0) {
       const count = this.droppedLines;
       this.droppedLines = 0;
-      this.out.write(`level=warn event=log_lines_dropped count=${count}\n`);
+      this.gathered += `level=warn event=log_lines_dropped count=${count}\n`;
+    }
+    this.gathered += line.toString();
+    this.timer ??= setTimeout(() => this.writeGathered(), gatherMs).unref();
+  }
+
+  private writeGathered(): void {
+    this.timer = undefined;
+    this.out.write(this.gathered);
+    this.gathered = '';
+  }
+
+  /** Writes what is left when the process ends. */
+  private writeRest(): void {
+    try {
+      writeSync(this.options.fd, this.gathered);
+    } catch {
+      // The reader of the log is gone or slow, and nothing may wait for it.
     }
-    this.out.write(line);
   }
 
   private refill(): void {
