--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -136,7 +136,7 @@
   if (isRelaying(state)) {
     return [...duties, ...sendThroughRelays(state, message, nowMs)];
   }
-  const effects = duties;
+  const effects = [...duties];
   for (const address of listAddresses(state)) {
     effects.push({kind: 'sendPeer', address, message});
   }
--- a/packages/ryeworks-dispatch/src/peers/storeDuty.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeDuty.ts
@@ -57,6 +57,7 @@
 ): Effect[] {
   if (revision <= state.storeRevision) return [];
   state.storeRevision = revision;
+  state.newerViewAtMs = undefined;
   // The others wait for it.
   if (isRelaying(state)) state.timers.set('digest', '', nowMs);
   return [];
