--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -165,9 +165,16 @@
 
 /** Fetches the desired state from a peer and submits it to the core. */
 function updateDesiredState(components: Components, address: string): void {
-  const {logger, loop} = components;
+  const {clock, logger, loop} = components;
+  const startedMs = clock.readNowMs();
   fetchDesiredState(address).then(
-    desiredState => loop.submit({kind: 'desiredStateRead', desiredState}),
+    ({content: desiredState, sizeBytes}) => {
+      const durationMs = Math.round(clock.readNowMs() - startedMs);
+      const {version} = desiredState;
+      const fields = {address, version, sizeBytes, durationMs};
+      logger.info('desired_state_fetched', fields);
+      loop.submit({kind: 'desiredStateRead', desiredState});
+    },
     (error: Error) =>
       logger.warn('desired_state_not_fetched', {
         address,
@@ -182,14 +189,22 @@
  * `version`, reads again without allowing staleness.
  */
 async function readDesiredState(
-  {logger, loop, store}: Components,
+  {clock, logger, loop, store}: Components,
   version: number,
 ): Promise<void> {
+  const startedMs = clock.readNowMs();
   try {
     for (const isStaleAllowed of [true, false]) {
       const desiredState = await store.readDesiredState(isStaleAllowed);
       if (desiredState === undefined || desiredState.version < version)
         continue;
+      const durationMs = Math.round(clock.readNowMs() - startedMs);
+      logger.info('desired_state_fetched', {
+        address: 'store',
+        version: desiredState.version,
+        isStaleAllowed,
+        durationMs,
+      });
       loop.submit({kind: 'desiredStateRead', desiredState});
       return;
     }
@@ -206,7 +221,7 @@
 /** Fetches a peer's store view and submits it to the core. */
 function updateStoreView({logger, loop}: Components, address: string): void {
   fetchStoreView(address).then(
-    view => loop.submit({...view, kind: 'storeViewRead'}),
+    ({content}) => loop.submit({...content, kind: 'storeViewRead'}),
     (error: Error) =>
       logger.warn('store_view_not_fetched', {address, detail: error.message}),
   );
--- a/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
+++ b/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
@@ -13,6 +13,13 @@
   override readonly name = 'PeerFetchError';
 }
 
+/** Content that a peer sent. */
+export interface FetchedContent<T> {
+  readonly content: T;
+  /** Size of the peer's answer in bytes. */
+  readonly sizeBytes: number;
+}
+
 /**
  * Fetches JSON from a peer. The answer is accepted only if its status is 200 and
  * its field `versionField` is an integer, as a check that it is complete.
@@ -21,23 +28,29 @@
   address: string,
   path: string,
   versionField: keyof T,
-): Promise<T> {
+): Promise<FetchedContent<T>> {
   const timeoutMs = fetchTimeoutMs;
   const call = {address, method: 'GET', path, timeoutMs} as const;
-  const {body, status} = await callHttp(call);
+  const {body, sizeBytes, status} = await callHttp(call);
   const content = body as T;
-  if (status === 200 && Number.isInteger(content[versionField])) return content;
+  if (status === 200 && Number.isInteger(content[versionField])) {
+    return {content, sizeBytes};
+  }
   throw new PeerFetchError(
     `unusable answer from peer ${address}${path}, status ${status}`,
   );
 }
 
 /** Fetches the desired state that a peer applies. */
-export function fetchDesiredState(address: string): Promise<DesiredState> {
+export function fetchDesiredState(
+  address: string,
+): Promise<FetchedContent<DesiredState>> {
   return fetchFromPeer<DesiredState>(address, desiredStatePath, 'version');
 }
 
 /** Fetches a peer's view of the store. */
-export function fetchStoreView(address: string): Promise<StoreViewRead> {
+export function fetchStoreView(
+  address: string,
+): Promise<FetchedContent<StoreViewRead>> {
   return fetchFromPeer<StoreViewRead>(address, storeViewPath, 'revision');
 }
--- a/packages/ryeworks-gateway/src/reports/textServer.ts
+++ b/packages/ryeworks-gateway/src/reports/textServer.ts
@@ -52,7 +52,10 @@
   const server = createServer((request, response) => {
     void getAnswer(routes, request.url ?? '/').then(answer => {
       const {contentType, status, text} = answer;
-      response.writeHead(status, {'content-type': contentType});
+      response.writeHead(status, {
+        'content-type': contentType,
+        'content-length': Buffer.byteLength(text),
+      });
       response.end(text);
     });
   });
--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -17,6 +17,8 @@
   readonly status: number;
   /** Parsed JSON body; undefined if the body is empty. */
   readonly body: unknown;
+  /** Size of the body in bytes. */
+  readonly sizeBytes: number;
 }
 
 /** A call that got no complete answer. It may have been executed. */
@@ -25,9 +27,8 @@
 }
 
 /** Parses the body of an answer. */
-function parseBody(chunks: readonly Buffer[]): unknown {
-  const text = Buffer.concat(chunks).toString('utf8');
-  return text === '' ? undefined : JSON.parse(text);
+function parseBody(bytes: Buffer): unknown {
+  return bytes.length === 0 ? undefined : JSON.parse(bytes.toString('utf8'));
 }
 
 /**
@@ -35,13 +36,17 @@
  * silently stopped working is never used.
  */
 export function callHttp(call: HttpCall): Promise<HttpAnswer> {
-  const {address, body, method, path, timeoutMs} = call;
+  const {address, method, path, timeoutMs} = call;
   const {host, port} = parseHostPort(address);
   const name = `${method} ${address}${path}`;
   return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    let expectedBytes = 'unknown';
     const fail = (reason: string) => {
       clearTimeout(timer);
-      reject(new HttpCallError(`${name}: ${reason}`));
+      const progress = `received ${receivedBytes} of ${expectedBytes} bytes`;
+      reject(new HttpCallError(`${name}: ${reason}, ${progress}`));
       outgoing.destroy();
     };
     const timer = setTimeout(
@@ -58,20 +63,26 @@
     });
     outgoing.on('error', error => fail(error.message));
     outgoing.on('response', response => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      expectedBytes = response.headers['content-length'] ?? expectedBytes;
+      response.on('data', (chunk: Buffer) => {
+        chunks.push(chunk);
+        receivedBytes += chunk.length;
+      });
       response.on('error', error => fail(error.message));
       response.on('end', () => {
         if (!response.complete) return fail('the answer was aborted');
         clearTimeout(timer);
         try {
           const status = response.statusCode ?? 0;
-          resolve({status, body: parseBody(chunks)});
+          const body = parseBody(Buffer.concat(chunks));
+          resolve({status, body, sizeBytes: receivedBytes});
         } catch (error) {
           fail(`not JSON: ${(error as Error).message}`);
         }
       });
     });
-    outgoing.end(body === undefined ? undefined : JSON.stringify(body));
+    outgoing.end(
+      call.body === undefined ? undefined : JSON.stringify(call.body),
+    );
   });
 }
