--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -23,6 +23,7 @@
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {CallerServer} from './callers/callerServer.js';
 import {OpenRequests} from './callers/openRequest.js';
+import {createFetchHandlers} from './core/createFetchHandlers.js';
 import {DispatchLoop, EffectHandlers} from './core/dispatchLoop.js';
 import {
   AnnouncedVm,
@@ -31,7 +32,6 @@
 } from './deploymentInterfaces.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
 import {GatewaySettings} from './gatewaySettings.js';
-import {fetchDesiredState, fetchStoreView} from './peers/fetchFromPeer.js';
 import {PeerSocket} from './peers/peerSocket.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
 import {startStatusServers} from './reports/startStatusServers.js';
@@ -163,76 +163,13 @@
   return container;
 }
 
-/** Fetches the desired state from a peer and submits it to the core. */
-function updateDesiredState(components: Components, address: string): void {
-  const {clock, logger, loop} = components;
-  const startedMs = clock.readNowMs();
-  fetchDesiredState(address).then(
-    ({content: desiredState, sizeBytes}) => {
-      const durationMs = Math.round(clock.readNowMs() - startedMs);
-      const {version} = desiredState;
-      const fields = {address, version, sizeBytes, durationMs};
-      logger.info('desired_state_fetched', fields);
-      loop.submit({kind: 'desiredStateRead', desiredState});
-    },
-    (error: Error) =>
-      logger.warn('desired_state_not_fetched', {
-        address,
-        detail: error.message,
-      }),
-  );
-}
-
-/**
- * Reads the desired state from the store and submits it to the core. The first
- * read may be stale; if it returns no desired state, or one older than
- * `version`, reads again without allowing staleness.
- */
-async function readDesiredState(
-  {clock, logger, loop, store}: Components,
-  version: number,
-): Promise<void> {
-  const startedMs = clock.readNowMs();
-  try {
-    for (const isStaleAllowed of [true, false]) {
-      const desiredState = await store.readDesiredState(isStaleAllowed);
-      if (desiredState === undefined || desiredState.version < version)
-        continue;
-      const durationMs = Math.round(clock.readNowMs() - startedMs);
-      logger.info('desired_state_fetched', {
-        address: 'store',
-        version: desiredState.version,
-        isStaleAllowed,
-        durationMs,
-      });
-      loop.submit({kind: 'desiredStateRead', desiredState});
-      return;
-    }
-    logger.warn('desired_state_not_read', {
-      version,
-      detail: 'the store returned an older version or none',
-    });
-  } catch (error) {
-    const detail = (error as Error).message;
-    logger.warn('desired_state_not_read', {version, detail});
-  }
-}
-
-/** Fetches a peer's store view and submits it to the core. */
-function updateStoreView({logger, loop}: Components, address: string): void {
-  fetchStoreView(address).then(
-    ({content}) => loop.submit({...content, kind: 'storeViewRead'}),
-    (error: Error) =>
-      logger.warn('store_view_not_fetched', {address, detail: error.message}),
-  );
-}
-
 /** Creates a handler for each kind of effect. */
 function createEffectHandlers(components: Components): EffectHandlers {
   const {callerServer, endpointClient, logger, metrics} = components;
   const {openRequests, peerSocket, store} = components;
   return {
     ...createReportHandlers(logger, metrics),
+    ...createFetchHandlers(components),
     startCall: effect => endpointClient.startCall(effect),
     cancelCall: ({requestId}) => endpointClient.cancelCall(requestId),
     answerError: ({error, requestId, retryAfterMs}) =>
@@ -245,9 +182,6 @@
     abortResponse: ({requestId}) => openRequests.get(requestId)?.abort(),
     sendPeer: ({address, message}) => peerSocket.send(address, message),
     applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
-    fetchDesiredState: ({address}) => updateDesiredState(components, address),
-    readDesiredState: ({version}) => void readDesiredState(components, version),
-    fetchStoreView: ({address}) => updateStoreView(components, address),
     setStoreWatch: ({isWatching}) =>
       components.storeWatcher.setWatching(isWatching),
     writeMoveResult: ({result}) => {
