A large answer may take as long as its bytes keep arriving

Cause: the time limit of a call covered the whole answer. A desired state of 1,450 routes (373,934 bytes) takes 0.4 s on a free link of 10 Mbit/s, so that a peer's answer seldom fitted into 500 ms; the next try started from the first byte, 0.1 s later, at another peer, and the abandoned bytes kept both links busy.

Change: the limit holds for the beginning of an answer; after that a call fails only if no byte arrives for 1 s, or after 15 s. The core starts a fetch only after the one before it has ended, in place of every 0.6 s (0.15 s without a first version).

The test of a VM that first reads the store now also says that the read has ended, which the core is told.

--- a/packages/ryeworks-dispatch/src/__tests__/peers.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/peers.test.ts
@@ -134,6 +134,24 @@
   );
 });
 
+t.test('only one fetch runs at a time, however long it takes', async t => {
+  const state = createReadyState([createEndpoint('m1', names.model)]);
+  /** Reports a newer version; returns the number of fetches. */
+  const sendVersion = (nowMs: number) => {
+    const vm = `vm-${2 + (nowMs % 7)}`;
+    const digest = createDigest({vm, sequence: nowMs, desiredVersion: 2});
+    const effects = sendMessage(state, digest, nowMs);
+    return listEffects(effects, 'fetchDesiredState').length;
+  };
+  t.equal(sendVersion(1), 1);
+  for (let nowMs = 2; nowMs < 5000; nowMs += 50) {
+    t.equal(sendVersion(nowMs), 0, `no second fetch at ${nowMs} ms`);
+  }
+  runInput(state, {kind: 'desiredStateFetchEnded'}, 5000);
+  t.equal(sendVersion(5050), 0, 'a pause after a failed fetch');
+  t.equal(sendVersion(5100), 1);
+});
+
 t.test('a VM without a desired state asks the first peer at once', async t => {
   const state = createState();
   const effects = sendMessage(state, createDigest(), 5);
--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -133,6 +133,7 @@
   const message = createDigest({vm: 'b', sequence: 1, desiredVersion: 4});
   const effects = runInput(state, {kind: 'peerMessageReceived', message}, 30);
   t.match(listEffects(effects, 'readDesiredState'), [{version: 4}]);
+  runInput(state, {kind: 'desiredStateFetchEnded'}, 500);
   const again = {...message, sequence: 2};
   const later = runInput(
     state,
--- a/packages/ryeworks-dispatch/src/desired/desiredStateTracker.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredStateTracker.ts
@@ -22,8 +22,10 @@
    * the store; -1 if none.
    */
   storeReadVersion: number;
-  /** When a fetch of a newer version was last started, in ms. */
-  fetchStartedAtMs: number;
+  /** Whether a version is being fetched from a peer or read from the store. */
+  isFetching: boolean;
+  /** When the last fetch of a newer version ended, in ms. */
+  fetchEndedAtMs: number;
 }
 
 /** Creates the tracker of a VM that has no desired state yet. */
@@ -35,7 +37,8 @@
     highestTierByService: new Map(),
     newerSeenAtMs: undefined,
     storeReadVersion: -1,
-    fetchStartedAtMs: Number.NEGATIVE_INFINITY,
+    isFetching: false,
+    fetchEndedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
 
--- a/packages/ryeworks-dispatch/src/desired/fetchNewerVersion.ts
+++ b/packages/ryeworks-dispatch/src/desired/fetchNewerVersion.ts
@@ -1,5 +1,6 @@
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
+import {DesiredStateFetchEnded} from '../input.js';
 
 /** Time to wait for the store to deliver a version that a peer has, in ms. */
 const storeWaitMs = 150;
@@ -7,13 +8,8 @@
  * Time after which a version is also fetched from peers of other zones, in ms.
  */
 const remoteZoneWaitMs = 450;
-/** Time after which an unanswered fetch is retried, in ms. */
-const fetchRetryMs = 600;
-/**
- * Time after which a fetch of the first version or a read of the store is
- * retried, in ms.
- */
-const initialFetchRetryMs = 150;
+/** Time from the end of a fetch until the next one may start, in ms. */
+const fetchPauseMs = 100;
 
 /** A VM and the version of the desired state that it has applied. */
 export interface VersionHolder {
@@ -48,6 +44,7 @@
   const ownVersion = tracker.current?.version ?? -1;
   if (holder.desiredVersion <= ownVersion) return [];
   if (tracker.newerSeenAtMs === undefined) tracker.newerSeenAtMs = nowMs;
+  if (tracker.isFetching) return [];
   const isInitial = tracker.current === undefined;
   // A version can be too large for a peer to send it to its whole zone, so a VM
   // that does not watch the store reads the store first.
@@ -56,13 +53,22 @@
   const delayMs =
     isInitial || shouldReadStore ? 0 : getFetchDelayMs(state, holder);
   if (nowMs - tracker.newerSeenAtMs < delayMs) return [];
-  const retryMs =
-    isInitial || shouldReadStore ? initialFetchRetryMs : fetchRetryMs;
-  if (nowMs - tracker.fetchStartedAtMs < retryMs) return [];
-  tracker.fetchStartedAtMs = nowMs;
+  if (nowMs - tracker.fetchEndedAtMs < fetchPauseMs) return [];
+  tracker.isFetching = true;
   if (shouldReadStore) {
     tracker.storeReadVersion = holder.desiredVersion;
     return [{kind: 'readDesiredState', version: holder.desiredVersion}];
   }
   return [{kind: 'fetchDesiredState', address: holder.address}];
 }
+
+/** Records that a fetch of the desired state has ended, so that another can start. */
+export function handleDesiredStateFetchEnded(
+  state: DispatchState,
+  _input: DesiredStateFetchEnded,
+  nowMs: number,
+): Effect[] {
+  state.desiredState.isFetching = false;
+  state.desiredState.fetchEndedAtMs = nowMs;
+  return [];
+}
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -1,6 +1,7 @@
 import {runDueTimers, TimerHandler} from '@ryeworks/utils';
 import {sweepWaiting} from './admission/refuseOrQueue.js';
 import {applyDesiredState} from './desired/desiredStateTracker.js';
+import {handleDesiredStateFetchEnded} from './desired/fetchNewerVersion.js';
 import {DispatchState, TimerPurpose} from './dispatchState.js';
 import {createCount, createLog, Effect} from './effect.js';
 import {
@@ -151,6 +152,7 @@
   callDone: handleCallDone,
   callFailed: handleCallFailed,
   desiredStateRead: handleDesiredStateRead,
+  desiredStateFetchEnded: handleDesiredStateFetchEnded,
   endpointsListed: handleEndpointsListed,
   endpointChanged: handleEndpointChanged,
   endpointRemoved: handleEndpointRemoved,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -97,6 +97,14 @@
   readonly desiredState: DesiredState;
 }
 
+/**
+ * A fetch of the desired state from a peer or the store ended, successfully or
+ * not. Follows each `fetchDesiredState` and `readDesiredState` effect.
+ */
+export interface DesiredStateFetchEnded {
+  readonly kind: 'desiredStateFetchEnded';
+}
+
 /** The complete list of endpoints was read. */
 export interface EndpointsListed {
   readonly kind: 'endpointsListed';
@@ -189,6 +197,7 @@
   | CallDone
   | CallFailed
   | DesiredStateRead
+  | DesiredStateFetchEnded
   | EndpointsListed
   | EndpointChanged
   | EndpointRemoved
--- a/packages/ryeworks-gateway/src/core/createFetchHandlers.ts
+++ b/packages/ryeworks-gateway/src/core/createFetchHandlers.ts
@@ -28,6 +28,8 @@
   } catch (error) {
     const detail = (error as Error).message;
     logger.warn('desired_state_not_fetched', {address, detail});
+  } finally {
+    loop.submit({kind: 'desiredStateFetchEnded'});
   }
 }
 
@@ -63,6 +65,8 @@
   } catch (error) {
     const detail = (error as Error).message;
     logger.warn('desired_state_not_read', {version, detail});
+  } finally {
+    loop.submit({kind: 'desiredStateFetchEnded'});
   }
 }
 
--- a/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
+++ b/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
@@ -5,7 +5,7 @@
 export const desiredStatePath = '/v1/desired-state';
 /** Path from which peers fetch a VM's view of the store. */
 export const storeViewPath = '/v1/store-view';
-/** Timeout of a fetch from a peer, in ms. */
+/** Time limit for the beginning of a peer's answer, in ms. */
 const fetchTimeoutMs = 500;
 
 /** Thrown when a peer's answer cannot be used. */
--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,6 +1,11 @@
 import {request} from 'node:http';
 import {parseHostPort} from './hostPort.js';
 
+/** Longest pause between two parts of an answer, in ms. */
+const maxPauseMs = 1000;
+/** Longest duration of an answer from its beginning to its end, in ms. */
+const maxAnswerDurationMs = 15_000;
+
 /** An HTTP call, with or without a JSON body. */
 export interface HttpCall {
   /** `host:port`. */
@@ -8,7 +13,11 @@
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
-  /** Time limit for the complete answer, in ms. */
+  /**
+   * Time limit for the beginning of the answer, in ms. The rest may take longer
+   * as long as bytes arrive: a large answer over a slow link would otherwise
+   * fail on each retry.
+   */
   readonly timeoutMs: number;
 }
 
@@ -43,16 +52,28 @@
     const chunks: Buffer[] = [];
     let receivedBytes = 0;
     let expectedBytes = 'unknown';
+    const stopTimers = () => {
+      clearTimeout(progressTimer);
+      clearTimeout(durationTimer);
+    };
     const fail = (reason: string) => {
-      clearTimeout(timer);
+      stopTimers();
       const progress = `received ${receivedBytes} of ${expectedBytes} bytes`;
       reject(new HttpCallError(`${name}: ${reason}, ${progress}`));
       outgoing.destroy();
     };
-    const timer = setTimeout(
+    let durationTimer: NodeJS.Timeout | undefined;
+    let progressTimer = setTimeout(
       () => fail(`no answer in ${timeoutMs} ms`),
       timeoutMs,
     );
+    const restartProgressTimer = () => {
+      clearTimeout(progressTimer);
+      progressTimer = setTimeout(
+        () => fail(`no bytes in ${maxPauseMs} ms`),
+        maxPauseMs,
+      );
+    };
     const outgoing = request({
       host,
       port,
@@ -63,15 +84,21 @@
     });
     outgoing.on('error', error => fail(error.message));
     outgoing.on('response', response => {
+      restartProgressTimer();
+      durationTimer = setTimeout(
+        () => fail(`no complete answer in ${maxAnswerDurationMs} ms`),
+        maxAnswerDurationMs,
+      );
       expectedBytes = response.headers['content-length'] ?? expectedBytes;
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         receivedBytes += chunk.length;
+        restartProgressTimer();
       });
       response.on('error', error => fail(error.message));
       response.on('end', () => {
         if (!response.complete) return fail('the answer was aborted');
-        clearTimeout(timer);
+        stopTimers();
         try {
           const status = response.statusCode ?? 0;
           const body = parseBody(Buffer.concat(chunks));
