A read of the store that failed is repeated

A VM that does not watch the store read each new version from it once.

A fetch from a peer that brings nothing is now followed by a read of the store, and the reverse.

--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -126,7 +126,7 @@
   t.equal(createStoreView(state).revision, 9);
 });
 
-t.test('a non-watching VM first reads the store, then asks peers', async t => {
+t.test('a non-watching VM reads the store and asks peers in turn', async t => {
   const state = createReadyState([modelEndpoint]);
   sendFleetDigests(state, 'a', 10);
   runDigestTimer(state, 20);
@@ -142,4 +142,12 @@
   );
   t.equal(listEffects(later, 'readDesiredState').length, 0);
   t.equal(listEffects(later, 'fetchDesiredState').length, 1);
+  runInput(state, {kind: 'desiredStateFetchEnded'}, 1200);
+  const last = {...message, sequence: 3};
+  const effectsAfter = runInput(
+    state,
+    {kind: 'peerMessageReceived', message: last},
+    1400,
+  );
+  t.match(listEffects(effectsAfter, 'readDesiredState'), [{version: 4}]);
 });
--- a/packages/ryeworks-dispatch/src/desired/desiredStateTracker.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredStateTracker.ts
@@ -1,6 +1,12 @@
 import {Customer, DesiredState, Route} from './desiredState.js';
 import {createRouteTable, RouteTable} from './routeTable.js';
 
+/** Where a VM fetches a newer version of the desired state. */
+export const fetchSource = {peer: 'peer', store: 'store'} as const;
+
+/** One of the sources. */
+export type FetchSource = (typeof fetchSource)[keyof typeof fetchSource];
+
 /**
  * The current desired state, its lookup tables and the progress of its updates.
  */
@@ -19,11 +25,11 @@
   newerSeenAtMs: number | undefined;
   /**
    * Newest version that a peer reported and that this VM then requested from
-   * the store; -1 if none.
+   * the store; -1 if none, or after a fetch from a peer.
    */
   storeReadVersion: number;
-  /** Whether a version is being fetched from a peer or read from the store. */
-  isFetching: boolean;
+  /** Where a version is being fetched from; undefined if no fetch runs. */
+  fetchSource: FetchSource | undefined;
   /** When the last fetch of a newer version ended, in ms. */
   fetchEndedAtMs: number;
 }
@@ -37,7 +43,7 @@
     highestTierByService: new Map(),
     newerSeenAtMs: undefined,
     storeReadVersion: -1,
-    isFetching: false,
+    fetchSource: undefined,
     fetchEndedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/packages/ryeworks-dispatch/src/desired/fetchNewerVersion.ts
+++ b/packages/ryeworks-dispatch/src/desired/fetchNewerVersion.ts
@@ -1,6 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
 import {DesiredStateFetchEnded} from '../input.js';
+import {fetchSource} from './desiredStateTracker.js';
 
 /** Time to wait for the store to deliver a version that a peer has, in ms. */
 const storeWaitMs = 150;
@@ -44,7 +45,7 @@
   const ownVersion = tracker.current?.version ?? -1;
   if (holder.desiredVersion <= ownVersion) return [];
   if (tracker.newerSeenAtMs === undefined) tracker.newerSeenAtMs = nowMs;
-  if (tracker.isFetching) return [];
+  if (tracker.fetchSource !== undefined) return [];
   const isInitial = tracker.current === undefined;
   // A version can be too large for a peer to send it to its whole zone, so a VM
   // that does not watch the store reads the store first.
@@ -54,21 +55,28 @@
     isInitial || shouldReadStore ? 0 : getFetchDelayMs(state, holder);
   if (nowMs - tracker.newerSeenAtMs < delayMs) return [];
   if (nowMs - tracker.fetchEndedAtMs < fetchPauseMs) return [];
-  tracker.isFetching = true;
   if (shouldReadStore) {
+    tracker.fetchSource = fetchSource.store;
     tracker.storeReadVersion = holder.desiredVersion;
     return [{kind: 'readDesiredState', version: holder.desiredVersion}];
   }
+  tracker.fetchSource = fetchSource.peer;
   return [{kind: 'fetchDesiredState', address: holder.address}];
 }
 
-/** Records that a fetch of the desired state has ended, so that another can start. */
+/**
+ * Records that a fetch of the desired state has ended, so that another can
+ * start. A fetch from a peer that brought no newer version is followed by a read
+ * of the store, and the reverse, so that neither source alone is relied on.
+ */
 export function handleDesiredStateFetchEnded(
   state: DispatchState,
   _input: DesiredStateFetchEnded,
   nowMs: number,
 ): Effect[] {
-  state.desiredState.isFetching = false;
-  state.desiredState.fetchEndedAtMs = nowMs;
+  const tracker = state.desiredState;
+  if (tracker.fetchSource === fetchSource.peer) tracker.storeReadVersion = -1;
+  tracker.fetchSource = undefined;
+  tracker.fetchEndedAtMs = nowMs;
   return [];
 }
