Own interface: a large list may take as long as its bytes keep arriving

Found by reading, not seen.

The limit now holds for the beginning of the answer; after that a call fails if no byte arrives for 1 s.

--- a/packages/ryeworks-platform/src/createHttpPlatform.ts
+++ b/packages/ryeworks-platform/src/createHttpPlatform.ts
@@ -7,8 +7,10 @@
 import {Agent, Dispatcher, request} from 'undici';
 import {ObjectKind, PlatformObjectList, PlatformPort} from './platformPort.js';
 
-/** Timeout of a call other than a watch, in ms. */
+/** Time limit for the beginning of the answer to a call, in ms. */
 const callTimeoutMs = 1500;
+/** Longest pause between two parts of an answer, in ms. */
+const maxPauseMs = 1000;
 /** Time after the timeout of a watch until its call is aborted, in ms. */
 const watchGracePeriodMs = 500;
 
@@ -24,6 +26,10 @@
   readonly method: 'GET' | 'PUT';
   readonly path: string;
   readonly body?: string;
+  /**
+   * Time limit for the beginning of the answer, in ms. A large list may take
+   * longer, as long as bytes arrive.
+   */
   readonly timeoutMs: number;
 }
 
@@ -46,6 +52,8 @@
 
   /** Makes a call; throws `PlatformAnswerLostError` when it may have run. */
   async function makeCall(call: PlatformCall): Promise<PlatformAnswer> {
+    const controller = new AbortController();
+    const timer = setTimeout(() => controller.abort(), call.timeoutMs);
     try {
       const answer = await request(options.url + call.path, {
         dispatcher: agent,
@@ -55,8 +63,10 @@
           authorization: `Bearer ${options.token}`,
           'content-type': 'application/json',
         },
-        signal: AbortSignal.timeout(call.timeoutMs),
+        signal: controller.signal,
+        bodyTimeout: maxPauseMs,
       });
+      clearTimeout(timer);
       const text = await answer.body.text();
       return {status: answer.statusCode, body: JSON.parse(text || 'null')};
     } catch (error) {
@@ -66,6 +76,8 @@
       throw new ErrorClass(`platform ${call.method} ${call.path} failed`, {
         cause: error,
       });
+    } finally {
+      clearTimeout(timer);
     }
   }
 
