Only one store view is fetched at a time

The core now learns that a fetch has ended.

"only one store view is fetched at a time" failed before.

--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -91,9 +91,23 @@
   t.equal(sendRevision(state, 5, 'zone-b', 30), 0);
   t.equal(sendRevision(state, 5, 'zone-a', 40), 1);
   t.equal(sendRevision(state, 5, 'zone-a', 50), 0, 'no second fetch yet');
+  runInput(state, {kind: 'storeViewFetchEnded'}, 300);
   t.equal(sendRevision(state, 5, 'zone-b', 400), 1, 'after the delay');
 });
 
+// Guards against fetches that pile up on a slow link until none ends in time.
+t.test('only one store view is fetched at a time', async t => {
+  const state = createReadyState([modelEndpoint]);
+  sendFleetDigests(state, 'a', 10);
+  runDigestTimer(state, 20);
+  t.equal(sendRevision(state, 5, 'zone-a', 40), 1);
+  for (let nowMs = 50; nowMs < 5000; nowMs += 50) {
+    t.equal(sendRevision(state, 5, 'zone-a', nowMs), 0, `none at ${nowMs} ms`);
+  }
+  runInput(state, {kind: 'storeViewFetchEnded'}, 5000);
+  t.equal(sendRevision(state, 5, 'zone-a', 5050), 1);
+});
+
 t.test('a newer store view from a peer replaces the endpoints', async t => {
   const state = createReadyState([modelEndpoint]);
   sendFleetDigests(state, 'a', 10);
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -96,6 +96,8 @@
   newerRevisionSeenAtMs: number | undefined;
   /** When a peer's view of the store was last requested, in ms. */
   storeViewRequestedAtMs: number;
+  /** Whether a peer's store view is being fetched. */
+  isFetchingStoreView: boolean;
   /** Digests from other zones that are to be relayed in this zone, by VM. */
   readonly digestsToRelay: Map<string, Digest>;
   /** Sequence number of the last digest that was sent. */
@@ -133,6 +135,7 @@
     storeRevision: 0,
     newerRevisionSeenAtMs: undefined,
     storeViewRequestedAtMs: Number.NEGATIVE_INFINITY,
+    isFetchingStoreView: false,
     digestsToRelay: new Map(),
     digestSequence: 0,
     lastDigestText: '',
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -30,6 +30,7 @@
 } from './peers/handlePeerMessage.js';
 import {
   handleStoreRevisionRead,
+  handleStoreViewFetchEnded,
   handleStoreViewRead,
 } from './peers/storeWatching.js';
 import {sendDigest} from './peers/sendDigest.js';
@@ -162,6 +163,7 @@
   movesRead: handleMovesRead,
   storeRevisionRead: handleStoreRevisionRead,
   storeViewRead: handleStoreViewRead,
+  storeViewFetchEnded: handleStoreViewFetchEnded,
   peerMessageReceived: handlePeerMessage,
   stopRequested: handleStopRequested,
   boundsChanged: handleBoundsChanged,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -164,6 +164,14 @@
   readonly orders: readonly MoveOrder[];
 }
 
+/**
+ * A fetch of a peer's store view ended, successfully or not. Follows each
+ * `fetchStoreView` effect.
+ */
+export interface StoreViewFetchEnded {
+  readonly kind: 'storeViewFetchEnded';
+}
+
 /** A message from a peer arrived. */
 export interface PeerMessageReceived {
   readonly kind: 'peerMessageReceived';
@@ -207,6 +215,7 @@
   | MovesRead
   | StoreRevisionRead
   | StoreViewRead
+  | StoreViewFetchEnded
   | PeerMessageReceived
   | StopRequested
   | BoundsChanged
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -77,7 +77,7 @@
 
 /**
  * Fetches the store view of a digest's sender if it is newer, from peers in the
- * local zone first. VMs that watch the store never fetch.
+ * local zone first and only one at a time. VMs that watch the store never fetch.
  */
 export function fetchStoreView(
   state: DispatchState,
@@ -92,11 +92,19 @@
     digest.availabilityZone === state.options.availabilityZone;
   const delayMs = isInLocalZone ? 0 : remoteFetchDelayMs;
   if (nowMs - state.newerRevisionSeenAtMs < delayMs) return [];
+  if (state.isFetchingStoreView) return [];
   if (nowMs - state.storeViewRequestedAtMs < minFetchIntervalMs) return [];
+  state.isFetchingStoreView = true;
   state.storeViewRequestedAtMs = nowMs;
   return [{kind: 'fetchStoreView', address: digest.address}];
 }
 
+/** Records that the fetch of a store view has ended, so that another can start. */
+export function handleStoreViewFetchEnded(state: DispatchState): Effect[] {
+  state.isFetchingStoreView = false;
+  return [];
+}
+
 /**
  * Applies a peer's store view unless it is outdated or this VM watches the
  * store.
--- a/packages/ryeworks-gateway/src/core/createFetchHandlers.ts
+++ b/packages/ryeworks-gateway/src/core/createFetchHandlers.ts
@@ -81,6 +81,8 @@
   } catch (error) {
     const detail = (error as Error).message;
     logger.warn('store_view_not_fetched', {address, detail});
+  } finally {
+    loop.submit({kind: 'storeViewFetchEnded'});
   }
 }
 
