Peers send large answers compressed, each desired state encoded once

Peers now compress answers of 1 kB and more for clients that accept it (an older build does not ask for it and gets them plain, so that both can run in one fleet), and encode and compress a desired state once rather than for each peer.

--- a/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
+++ b/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
@@ -16,7 +16,7 @@
 /** Content that a peer sent. */
 export interface FetchedContent<T> {
   readonly content: T;
-  /** Size of the peer's answer in bytes. */
+  /** Size of the peer's answer as received, in bytes. */
   readonly sizeBytes: number;
 }
 
@@ -30,7 +30,8 @@
   versionField: keyof T,
 ): Promise<FetchedContent<T>> {
   const timeoutMs = fetchTimeoutMs;
-  const call = {address, method: 'GET', path, timeoutMs} as const;
+  const acceptsGzip = true;
+  const call = {address, method: 'GET', path, acceptsGzip, timeoutMs} as const;
   const {body, sizeBytes, status} = await callHttp(call);
   const content = body as T;
   if (status === 200 && Number.isInteger(content[versionField])) {
--- a/packages/ryeworks-gateway/src/reports/startStatusServers.ts
+++ b/packages/ryeworks-gateway/src/reports/startStatusServers.ts
@@ -3,6 +3,7 @@
 import {DisposableStore} from '@ryeworks/utils';
 import {GatewaySettings} from '../gatewaySettings.js';
 import {desiredStatePath, storeViewPath} from '../peers/fetchFromPeer.js';
+import {DesiredStateAnswer} from './desiredStateAnswer.js';
 import {createJsonAnswer, startTextServer} from './textServer.js';
 
 const metricsPath = '/metrics';
@@ -28,6 +29,7 @@
   const {getDesiredState, getStoreView, isReady, metrics, readyPath, settings} =
     options;
   const {metricsListen, peerListen, readyListen} = settings;
+  const desiredStateAnswer = new DesiredStateAnswer();
   disposables.add(
     await startTextServer(readyListen, {
       [readyPath]: () => createJsonAnswer(isReady() ? 200 : 503, {}),
@@ -35,13 +37,7 @@
   );
   disposables.add(
     await startTextServer(peerListen, {
-      [desiredStatePath]: () => {
-        const desiredState = getDesiredState();
-        return createJsonAnswer(
-          desiredState === undefined ? 404 : 200,
-          desiredState,
-        );
-      },
+      [desiredStatePath]: () => desiredStateAnswer.getAnswer(getDesiredState()),
       [storeViewPath]: () => createJsonAnswer(200, getStoreView()),
     }),
   );
--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,4 +1,5 @@
-import {request} from 'node:http';
+import {IncomingMessage, request} from 'node:http';
+import {gunzipSync} from 'node:zlib';
 import {parseHostPort} from './hostPort.js';
 
 /** Longest pause between two parts of an answer, in ms. */
@@ -13,6 +14,8 @@
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
+  /** Whether the answer may be compressed. */
+  readonly acceptsGzip?: boolean;
   /**
    * Time limit for the beginning of the answer, in ms. The rest may take longer
    * as long as bytes arrive: a large answer over a slow link would otherwise
@@ -26,7 +29,7 @@
   readonly status: number;
   /** Parsed JSON body; undefined if the body is empty. */
   readonly body: unknown;
-  /** Size of the body in bytes. */
+  /** Size of the body as received, in bytes. */
   readonly sizeBytes: number;
 }
 
@@ -36,8 +39,11 @@
 }
 
 /** Parses the body of an answer. */
-function parseBody(bytes: Buffer): unknown {
-  return bytes.length === 0 ? undefined : JSON.parse(bytes.toString('utf8'));
+function parseBody({headers}: IncomingMessage, bytes: Buffer): unknown {
+  if (bytes.length === 0) return undefined;
+  const isCompressed = headers['content-encoding'] === 'gzip';
+  const text = isCompressed ? gunzipSync(bytes) : bytes;
+  return JSON.parse(text.toString('utf8'));
 }
 
 /**
@@ -80,7 +86,10 @@
       method,
       path,
       agent: false,
-      headers: {'content-type': 'application/json'},
+      headers: {
+        'content-type': 'application/json',
+        ...(call.acceptsGzip ? {'accept-encoding': 'gzip'} : {}),
+      },
     });
     outgoing.on('error', error => fail(error.message));
     outgoing.on('response', response => {
@@ -101,10 +110,10 @@
         stopTimers();
         try {
           const status = response.statusCode ?? 0;
-          const body = parseBody(Buffer.concat(chunks));
+          const body = parseBody(response, Buffer.concat(chunks));
           resolve({status, body, sizeBytes: receivedBytes});
         } catch (error) {
-          fail(`not JSON: ${(error as Error).message}`);
+          fail(`unreadable answer: ${(error as Error).message}`);
         }
       });
     });
