Lab: deployments listen on a loopback address of their own

The lab looked for ports that were free on 127.0.0.1, released them and let its processes bind them later; a connection of another process can take such a port as its own in between. 2,000 rounds of 12 lookups at the same time never gave a port twice, so that the race within one deployment is not the cause; the race with others is not shown either.

--- a/packages/ryeworks-lab/src/__tests__/badInput.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/badInput.test.ts
@@ -3,6 +3,7 @@
 import {request} from 'undici';
 import {Deployment, operatorKey} from '../deployment/deployment.js';
 import {desatorosPlan} from '../deployment/deploymentPlan.js';
+import {loopbackHost} from '../deployment/pickPorts.js';
 import {createCall, makeCall} from '../load/makeCall.js';
 
 const plan = {
@@ -90,7 +91,7 @@
 
 t.test('a VM keeps serving after invalid bytes on its peer port', async t => {
   await new Promise<void>((resolve, reject) => {
-    const socket = connect(vm.peerPort, '127.0.0.1', () => {
+    const socket = connect(vm.peerPort, loopbackHost, () => {
       socket.end('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\u0000garbage');
     });
     socket.on('close', () => resolve());
--- a/packages/ryeworks-lab/src/deployment/deployment.ts
+++ b/packages/ryeworks-lab/src/deployment/deployment.ts
@@ -11,10 +11,9 @@
   createPlansList,
   DeploymentPlan,
 } from './deploymentPlan.js';
-import {findFreePorts} from './findFreePorts.js';
 import {ProcessGroup, waitUntilReady} from './processGroup.js';
+import {loopbackHost as host, pickPorts} from './pickPorts.js';
 
-const host = '127.0.0.1';
 const resolveModule = createRequire(import.meta.url).resolve;
 
 /** Path of the program that runs an entry VM. */
@@ -138,7 +137,7 @@
 
   /** Starts an entry VM and waits until it is ready. */
   async startVm(name: string, availabilityZone: string): Promise<StartedVm> {
-    const [callerPort, peerPort] = await findFreePorts(2);
+    const [callerPort, peerPort] = pickPorts(2);
     const vm: StartedVm = {
       name,
       availabilityZone,
@@ -223,8 +222,8 @@
   }
 
   private async startPlatform(): Promise<void> {
-    const [port] = await findFreePorts(1);
-    const args = ['platform', '--port', `${port}`];
+    const [port] = pickPorts(1);
+    const args = ['platform', '--host', host, '--port', `${port}`];
     this.processes.start('platform', standinProgram, args);
     const directUrl = `http://${host}:${port}`;
     await waitUntilReady(`${directUrl}/control/calls`);
@@ -239,9 +238,10 @@
 
   /** Starts a fault proxy in front of a port. Returns the port of the proxy. */
   private async startProxy(name: string, targetPort: number): Promise<number> {
-    const [port, controlPort] = await findFreePorts(2);
-    const args = ['proxy', '--port', `${port}`, '--control-port'];
-    args.push(`${controlPort}`, '--target-port', `${targetPort}`);
+    const [port, controlPort] = pickPorts(2);
+    const args = ['proxy', '--host', host, '--port', `${port}`];
+    args.push('--control-port', `${controlPort}`);
+    args.push('--target-port', `${targetPort}`);
     this.processes.start(`proxy-${name}`, standinProgram, args);
     const controlUrl = `http://${host}:${controlPort}`;
     this.controlUrls.set(name, controlUrl);
@@ -255,9 +255,9 @@
     availabilityZone: string,
     generation: number,
   ): Promise<void> {
-    const [port] = await findFreePorts(1);
-    const args = ['engine', '--port', `${port}`, '--engine-version', version];
-    args.push('--generation', `${generation}`);
+    const [port] = pickPorts(1);
+    const args = ['engine', '--host', host, '--port', `${port}`];
+    args.push('--engine-version', version, '--generation', `${generation}`);
     this.processes.start(name, standinProgram, args);
     const directUrl = `http://${host}:${port}`;
     await waitUntilReady(`${directUrl}/version`);
@@ -285,8 +285,8 @@
     name: string,
     availabilityZone: string,
   ): Promise<void> {
-    const [port] = await findFreePorts(1);
-    const args = ['service', '--port', `${port}`];
+    const [port] = pickPorts(1);
+    const args = ['service', '--host', host, '--port', `${port}`];
     this.processes.start(name, standinProgram, args);
     const address = `http://${host}:${port}`;
     await waitUntilReady(`${address}/runs`);
--- a/packages/ryeworks-lab/src/measure/capacity/peerLinkCosts.ts
+++ b/packages/ryeworks-lab/src/measure/capacity/peerLinkCosts.ts
@@ -10,7 +10,7 @@
   SchedulerLoop,
   systemClock,
 } from 'ryeworksd';
-import {findFreePorts} from '../../deployment/findFreePorts.js';
+import {loopbackHost, pickPorts} from '../../deployment/pickPorts.js';
 import {createLineFit, LineFit} from './createLineFit.js';
 
 /** How long each message rate is measured, in ms. */
@@ -35,7 +35,7 @@
  * one message.
  */
 export async function measurePeerLinkCost(): Promise<LineFit> {
-  const [port] = await findFreePorts(1);
+  const [port] = pickPorts(1);
   const peerKey = 'peer-key-of-the-lab';
   const state = createSchedulerState(
     {
@@ -43,7 +43,7 @@
       vm: 'vm-b',
       availabilityZone: 'lowland-1',
       availabilityZones: ['lowland-1'],
-      peerAddress: `127.0.0.1:${port}`,
+      peerAddress: `${loopbackHost}:${port}`,
       initialIncarnation: 1,
       seedPeers: [],
       seed: 1,
@@ -55,7 +55,7 @@
   const answers = new AnswerRegistry(0, 0);
   const peerServer = createPeerServer({peerKey, loop, answers});
   await new Promise<void>(resolve =>
-    peerServer.server.listen(port, '127.0.0.1', () => resolve()),
+    peerServer.server.listen(port, loopbackHost, () => resolve()),
   );
   const client = new PeerClient({vm: 'vm-a', peerKey});
   const points: [number, number][] = [];
@@ -67,7 +67,7 @@
         index < (messagesPerSecond * sendIntervalMs) / 1000;
         index++
       ) {
-        const address = `127.0.0.1:${port}`;
+        const address = `${loopbackHost}:${port}`;
         client.send({kind: 'sendPeer', to: 'vm-b', address, message});
       }
     }, sendIntervalMs);
