--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,12 +1,8 @@
 import {IncomingMessage, request} from 'node:http';
 import {gunzipSync} from 'node:zlib';
+import {AnswerTimers} from './answerTimers.js';
 import {parseHostPort} from './hostPort.js';
 
-/** Longest pause between two parts of an answer, in ms. */
-const maxPauseMs = 1000;
-/** Longest duration of an answer from its beginning to its end, in ms. */
-const maxAnswerDurationMs = 15_000;
-
 /** An HTTP call, with or without a JSON body. */
 export interface HttpCall {
   /** `host:port`. */
@@ -58,28 +54,13 @@
     const chunks: Buffer[] = [];
     let receivedBytes = 0;
     let expectedBytes = 'unknown';
-    const stopTimers = () => {
-      clearTimeout(progressTimer);
-      clearTimeout(durationTimer);
-    };
     const fail = (reason: string) => {
-      stopTimers();
+      timers.stop();
       const progress = `received ${receivedBytes} of ${expectedBytes} bytes`;
       reject(new HttpCallError(`${name}: ${reason}, ${progress}`));
       outgoing.destroy();
     };
-    let durationTimer: NodeJS.Timeout | undefined;
-    let progressTimer = setTimeout(
-      () => fail(`no answer in ${timeoutMs} ms`),
-      timeoutMs,
-    );
-    const restartProgressTimer = () => {
-      clearTimeout(progressTimer);
-      progressTimer = setTimeout(
-        () => fail(`no bytes in ${maxPauseMs} ms`),
-        maxPauseMs,
-      );
-    };
+    const timers = new AnswerTimers(timeoutMs, fail);
     const outgoing = request({
       host,
       port,
@@ -93,21 +74,17 @@
     });
     outgoing.on('error', error => fail(error.message));
     outgoing.on('response', response => {
-      restartProgressTimer();
-      durationTimer = setTimeout(
-        () => fail(`no complete answer in ${maxAnswerDurationMs} ms`),
-        maxAnswerDurationMs,
-      );
+      timers.handleBeginning();
       expectedBytes = response.headers['content-length'] ?? expectedBytes;
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         receivedBytes += chunk.length;
-        restartProgressTimer();
+        timers.handleProgress();
       });
       response.on('error', error => fail(error.message));
       response.on('end', () => {
         if (!response.complete) return fail('the answer was aborted');
-        stopTimers();
+        timers.stop();
         try {
           const status = response.statusCode ?? 0;
           const body = parseBody(response, Buffer.concat(chunks));
