Answers' rate limits in the logs: rate_limit_named, rate_limit_lifted, limitPerSecond

Change: the adapter reads the header; the core logs each change of what an endpoint names, and call_started tells the limit as last named. No decision depends on it yet.

--- a/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
@@ -27,6 +27,11 @@
   consecutiveUnanswered: number;
   /** End of the cool-down, in ms; no calls are sent before this time. */
   cooldownUntilMs: number;
+  /**
+   * Rate limit that its last answer named, in requests per second; undefined if
+   * it named none.
+   */
+  namedLimitPerSecond: number | undefined;
   /** Whether its entry in the store disappeared, possibly only for a while. */
   isMissing: boolean;
 }
@@ -52,6 +57,7 @@
     failureRate: 0,
     consecutiveUnanswered: 0,
     cooldownUntilMs: 0,
+    namedLimitPerSecond: undefined,
     isMissing: false,
   };
 }
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -34,6 +34,7 @@
   handleStoreViewRead,
 } from './peers/storeWatching.js';
 import {sendDigest} from './peers/sendDigest.js';
+import {handleCallAnswered} from './rateLimits/handleCallAnswered.js';
 import {
   expireRequest,
   handleCallDone,
@@ -149,6 +150,7 @@
   requestReceived: handleRequestReceived,
   callerGone: handleCallerGone,
   callSent: handleCallSent,
+  callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
   callDone: handleCallDone,
   callFailed: handleCallFailed,
--- a/packages/ryeworks-dispatch/src/index.ts
+++ b/packages/ryeworks-dispatch/src/index.ts
@@ -9,4 +9,5 @@
 export * from './peers/peerMessage.js';
 export {createStoreView} from './peers/storeWatching.js';
 export {RetryBounds} from './retries/retryBudget.js';
+export * from './rateLimits/limitStatement.js';
 export {LimitBounds} from './limits/customerUsage.js';
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -3,6 +3,7 @@
 import {Endpoint} from './endpoints/endpoint.js';
 import {MoveOrder} from './moves/moveOrder.js';
 import {PeerMessage} from './peers/peerMessage.js';
+import {LimitStatement} from './rateLimits/limitStatement.js';
 
 /** A caller's request was read completely. */
 export interface RequestReceived {
@@ -45,6 +46,12 @@
   readonly kind: 'callSent';
 }
 
+/** The head of an endpoint's answer arrived. */
+export interface CallAnswered extends CallEvent {
+  readonly kind: 'callAnswered';
+  readonly limitStatement: LimitStatement;
+}
+
 /**
  * Part of the response arrived: events of a stream or bytes of a plain
  * response.
@@ -201,6 +208,7 @@
   | RequestReceived
   | CallerGone
   | CallSent
+  | CallAnswered
   | CallProgressed
   | CallDone
   | CallFailed
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -51,6 +51,7 @@
       ownCalls: entry.inFlight,
       allCalls: countCalls(state, entry, nowMs),
       promptTokens: request.promptTokens,
+      limitPerSecond: entry.namedLimitPerSecond ?? 'none',
     }),
   ];
 }
--- a/packages/ryeworks-gateway/src/deploymentInterfaces.ts
+++ b/packages/ryeworks-gateway/src/deploymentInterfaces.ts
@@ -1,6 +1,7 @@
 import {
   DesiredState,
   Endpoint,
+  LimitStatement,
   MoveOrder,
   MoveResult,
 } from '@ryeworks/dispatch';
@@ -74,6 +75,8 @@
   createEndpointHeaders(raw: RawHeaders, callInfo: EndpointCallInfo): string[];
   /** Classifies an endpoint's answer to the attempt with the given ID. */
   classifyAnswer(head: AnswerHead, attemptId: string): AnswerClass;
+  /** Reads what an endpoint's answer states about its rate limit. */
+  readLimitStatement(headers: IncomingHttpHeaders): LimitStatement;
   /** Creates the headers of the answer to the caller. */
   createCallerHeaders(head: AnswerHead): Record<string, string | string[]>;
 }
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,4 +1,9 @@
-import {CallFailure, Input, StartCall} from '@ryeworks/dispatch';
+import {
+  CallFailure,
+  Input,
+  LimitStatement,
+  StartCall,
+} from '@ryeworks/dispatch';
 import {parseHostPort} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {
@@ -117,6 +122,13 @@
       this.head,
       openRequest.requestInfo.attemptId,
     );
+    // Another endpoint's answer says nothing about the limit of this one.
+    if (answerClass === 'own' || answerClass === 'refused') {
+      const limitStatement = wire.readLimitStatement(response.headers);
+      this.submitEvent({kind: 'callAnswered', limitStatement});
+      // The input may have ended this call.
+      if (this.isFinished) return;
+    }
     if (answerClass === 'refused' || answerClass === 'wrongEndpoint') {
       this.fail(answerClass, `${status}`);
       return;
@@ -184,6 +196,7 @@
   private submitEvent(
     event:
       | {kind: 'callSent'}
+      | {kind: 'callAnswered'; limitStatement: LimitStatement}
       | {kind: 'callProgressed'; events: number}
       | {kind: 'callDone'; status: number},
   ): void {
