--- /dev/null
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -0,0 +1,290 @@
+import {
+  AnswerError,
+  DesiredState,
+  Effect,
+  Endpoint,
+  RequestReceived,
+  Route,
+  SendPeer,
+  StartCall,
+} from '@ryeworks/dispatch';
+import {createRandomSource, RandomSource} from '@ryeworks/utils';
+import {EventQueue} from '../harness/eventQueue.js';
+import {FleetEndpoint} from './fleetEndpoint.js';
+import {FleetVm} from './fleetVm.js';
+
+/** Time of a message between two VMs or to an endpoint, in ms. */
+const linkDelayMs = 1;
+/** Time from a call's arrival until its answer begins and until it ends, in ms. */
+const answerBeginsMs = 40;
+const answerEndsMs = 120;
+/** Time after which a VM gives up connecting to an endpoint, in ms. */
+const connectTimeoutMs = 150;
+/** How long callers wait for an answer, in ms. */
+const callerDeadlineMs = 8000;
+const host = 'calls.example';
+const apiKey = 'key-1';
+
+/** Size and load of a fleet. */
+export interface FleetOptions {
+  readonly zones: readonly string[];
+  readonly vmsPerZone: number;
+  readonly endpoints: ReadonlyArray<
+    Pick<Endpoint, 'id' | 'service' | 'availabilityZone'>
+  >;
+  readonly routes: readonly Route[];
+  readonly seed: number;
+}
+
+/** A caller that was told to come back later. */
+export interface FleetRefusal {
+  readonly atMs: number;
+  readonly route: string;
+  readonly retryAfterMs: number;
+}
+
+/** Counts of what callers and VMs did. */
+export interface FleetCounts {
+  sent: number;
+  served: number;
+  messages: number;
+  messageBytes: number;
+}
+
+/** Creates a route of a fleet's desired state. */
+export function createFleetRoute(
+  name: string,
+  service: string,
+  changes: Partial<Route> = {},
+): Route {
+  return {
+    name,
+    host,
+    pathPrefix: `/${name}/`,
+    kind: 'idempotent',
+    timeoutMs: callerDeadlineMs,
+    latencyTargetMs: 1000,
+    maxGapMs: 400,
+    tier: 0,
+    maxAttempts: 2,
+    isAnonymous: false,
+    isResumable: false,
+    targets: [{service, weight: 1}],
+    ...changes,
+  };
+}
+
+/** Creates the desired state of a fleet. */
+function createFleetDesiredState(routes: readonly Route[]): DesiredState {
+  const customer = {name: 'clinic', apiKeys: [apiKey]};
+  return {
+    version: 1,
+    routes,
+    customers: [{...customer, tier: undefined, limit: undefined}],
+    bounds: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/**
+ * Runs the dispatch cores of all VMs of a deployment in virtual time, with
+ * stand-ins for the network, the endpoints and the callers. The same seed gives
+ * the same run.
+ */
+export class DispatchFleet {
+  readonly events = new EventQueue();
+  readonly vms = new Map<string, FleetVm>();
+  readonly endpoints = new Map<string, FleetEndpoint>();
+  readonly refusals: FleetRefusal[] = [];
+  readonly counts: FleetCounts = {
+    sent: 0,
+    served: 0,
+    messages: 0,
+    messageBytes: 0,
+  };
+  /** Whether messages are encoded to count their bytes. */
+  countsBytes = false;
+  private readonly random: RandomSource;
+  /** Zones that are cut off from all others. */
+  private readonly cutZones = new Set<string>();
+  private readonly routeByRequestId = new Map<string, string>();
+  private nextRequestNumber = 1;
+
+  constructor(private readonly options: FleetOptions) {
+    this.random = createRandomSource(options.seed);
+    for (const endpoint of options.endpoints) {
+      const port = 8000 + this.endpoints.size;
+      const listed: Endpoint = {
+        ...endpoint,
+        address: `10.0.0.1:${port}`,
+        version: 'v1',
+        slots: 8,
+        isDraining: false,
+        startedAtMs: 1,
+        coldForMs: 0,
+      };
+      this.endpoints.set(endpoint.id, new FleetEndpoint(listed));
+    }
+    for (const zone of options.zones) {
+      for (let index = 0; index < options.vmsPerZone; index++) {
+        this.startVm(`${zone}-${index}`, zone);
+      }
+    }
+  }
+
+  /** Returns an endpoint. */
+  getEndpoint(id: string): FleetEndpoint {
+    return this.endpoints.get(id)!;
+  }
+
+  /** Starts a VM, which the others learn of from the store's list. */
+  startVm(name: string, zone: string): FleetVm {
+    const vm = new FleetVm(
+      {
+        vm: name,
+        peerAddress: name,
+        availabilityZone: zone,
+        incarnation: 1 + Math.floor(this.events.nowMs),
+        seed: this.random.nextInt(1_000_000),
+        retryBounds: {ratio: 0.2, windowMs: 10_000, allowance: 50},
+        limitBounds: {windowMs: 8000, overrunRatio: 0.1, allowance: 1000},
+        trialRatio: 0.1,
+        trialAllowance: 50,
+      },
+      this.events,
+      (sender, effect) => this.handleEffect(sender, effect),
+    );
+    this.vms.set(name, vm);
+    const desiredState = createFleetDesiredState(this.options.routes);
+    vm.submit({kind: 'storeReachabilityChanged', isReachable: true});
+    vm.submit({kind: 'desiredStateRead', desiredState});
+    const endpoints = [...this.endpoints.values()].map(item => item.endpoint);
+    vm.submit({kind: 'endpointsListed', endpoints});
+    for (const other of this.vms.values()) {
+      const {availabilityZone, peerAddress} = other.options;
+      const listed = {vm: other.options.vm, address: peerAddress};
+      vm.submit({kind: 'vmListed', ...listed, availabilityZone});
+    }
+    // VMs do not all start, and send their digests, at the same moment.
+    this.events.schedule(this.random.nextInt(100), () => vm.start());
+    return vm;
+  }
+
+  /** Ends the process of a VM. */
+  killVm(name: string): void {
+    this.vms.get(name)!.isDead = true;
+  }
+
+  /** Cuts a zone off from all others, or connects it again. */
+  setZoneCut(zone: string, isCut: boolean): void {
+    if (isCut) this.cutZones.add(zone);
+    else this.cutZones.delete(zone);
+  }
+
+  /** Sends requests on a route at a rate until a time, to random live VMs. */
+  startCallers(routeName: string, perSecond: number, untilMs: number): void {
+    const intervalMs = 1000 / perSecond;
+    const sendNext = () => {
+      if (this.events.nowMs >= untilMs) return;
+      this.sendRequest(routeName);
+      const spread = 0.5 + this.random.next();
+      this.events.schedule(intervalMs * spread, sendNext);
+    };
+    this.events.schedule(this.random.next() * intervalMs, sendNext);
+  }
+
+  /** Sends one request to a random live VM. */
+  sendRequest(routeName: string): void {
+    const live = [...this.vms.values()].filter(vm => !vm.isDead);
+    const vm = live[this.random.nextInt(live.length)];
+    const requestId = `r${this.nextRequestNumber++}`;
+    this.routeByRequestId.set(requestId, routeName);
+    this.counts.sent += 1;
+    const input: Omit<RequestReceived, 'receivedAtMs'> = {
+      kind: 'requestReceived',
+      requestId,
+      attemptId: requestId,
+      host,
+      path: `/${routeName}/1`,
+      apiKey,
+      deadlineInMs: callerDeadlineMs,
+      promptTokens: 100,
+      totalTokens: 200,
+    };
+    vm.submitRequest(input);
+  }
+
+  private handleEffect(vm: FleetVm, effect: Effect): void {
+    const handlers: {
+      [K in Effect['kind']]?: (effect: Extract<Effect, {kind: K}>) => void;
+    } = {
+      sendPeer: sent => this.sendMessage(vm, sent),
+      startCall: call => this.startCall(vm, call),
+      answerError: answer => this.recordRefusal(answer),
+    };
+    const handler = handlers[effect.kind] as
+      ((effect: Effect) => void) | undefined;
+    handler?.(effect);
+  }
+
+  private isCut(zone: string, other: string): boolean {
+    if (zone === other) return false;
+    return this.cutZones.has(zone) || this.cutZones.has(other);
+  }
+
+  private sendMessage(sender: FleetVm, {address, message}: SendPeer): void {
+    const target = this.vms.get(address);
+    if (target === undefined) return;
+    this.counts.messages += 1;
+    if (this.countsBytes) {
+      this.counts.messageBytes += JSON.stringify(message).length;
+    }
+    const {availabilityZone: from} = sender.options;
+    if (this.isCut(from, target.options.availabilityZone)) return;
+    this.events.schedule(linkDelayMs, () =>
+      target.submit({kind: 'peerMessageReceived', message}),
+    );
+  }
+
+  private startCall(vm: FleetVm, {callNumber, endpoint, requestId}: StartCall) {
+    const fake = this.getEndpoint(endpoint.id);
+    const call = {requestId, callNumber};
+    const {availabilityZone: zone, vm: name} = vm.options;
+    if (this.isCut(zone, endpoint.availabilityZone)) {
+      this.events.schedule(connectTimeoutMs, () =>
+        vm.submit({
+          kind: 'callFailed',
+          ...call,
+          failure: 'notSent',
+          hasResponseStarted: false,
+          detail: 'cut',
+        }),
+      );
+      return;
+    }
+    const {tier} = vm.state.requests.get(requestId)!;
+    this.events.schedule(linkDelayMs, () => {
+      const atMs = this.events.nowMs;
+      fake.addArrival({atMs, vm: name, tier});
+      vm.submit({kind: 'callSent', ...call});
+      this.events.schedule(answerBeginsMs, () => {
+        const limitStatement = fake.createStatement(name, this.events.nowMs);
+        vm.submit({kind: 'callAnswered', ...call, limitStatement});
+        vm.submit({kind: 'callProgressed', ...call, events: 1});
+      });
+      this.events.schedule(answerEndsMs, () => {
+        this.counts.served += 1;
+        vm.submit({kind: 'callDone', ...call, status: 200});
+      });
+    });
+  }
+
+  private recordRefusal({requestId, retryAfterMs}: AnswerError): void {
+    const route = this.routeByRequestId.get(requestId) ?? '';
+    this.refusals.push({atMs: this.events.nowMs, route, retryAfterMs});
+  }
+}
