--- a/packages/ryeworks-dispatch/src/admission/assignFreedSlot.ts
+++ b/packages/ryeworks-dispatch/src/admission/assignFreedSlot.ts
@@ -88,7 +88,8 @@
 
 /**
  * Assigns a freed slot: offers it to a peer if the peer's waiting request is
- * more urgent, otherwise dispatches this VM's own waiting requests.
+ * more urgent, otherwise dispatches this VM's own waiting requests. A slot of an
+ * endpoint with a rate limit is of no use to a peer without a permit.
  */
 export function assignFreedSlot(
   state: DispatchState,
@@ -96,6 +97,7 @@
   nowMs: number,
 ): Effect[] {
   const {service, slots} = entry.endpoint;
+  if (entry.limit !== undefined) return admitWaiting(state, service, nowMs);
   const hasFreeSlot = countCalls(state, entry, nowMs) < slots;
   if (hasFreeSlot && isUsable(entry, nowMs)) {
     const waitingPeer = findWaitingPeer(state, service, nowMs);
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -8,6 +8,7 @@
 import {listAllowedEndpoints} from '../moves/decideTrial.js';
 import {countPeerCalls} from '../peers/peerTable.js';
 import {isLargeFleet} from '../peers/relayDigests.js';
+import {hasPermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 
 /**
@@ -85,6 +86,17 @@
   return !entry.endpoint.isDraining && entry.cooldownUntilMs <= nowMs;
 }
 
+/** Returns whether an endpoint has capacity for a request of this tier. */
+export function hasCapacity(
+  state: DispatchState,
+  entry: EndpointEntry,
+  request: ActiveRequest,
+  nowMs: number,
+): boolean {
+  const calls = countCalls(state, entry, nowMs);
+  return calls < getCapacity(state, entry, request);
+}
+
 /** An endpoint that could take a request, and the cost of using it. */
 interface Candidate {
   readonly entry: EndpointEntry;
@@ -150,6 +162,7 @@
   for (const entry of listAllowedEndpoints(state, service, entries, isTrial)) {
     if (!isUsable(entry, nowMs)) continue;
     if (request.avoidedEndpoints.has(entry.endpoint.id)) continue;
+    if (!hasPermit(state, entry, request.rank, nowMs)) continue;
     const cost = estimateCost(state, entry, request, firstEventMs, nowMs);
     if (cost !== undefined) candidates.push({entry, cost});
   }
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -3,28 +3,19 @@
 import {countPeersWithRecentDigest} from '../peers/peerTable.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 import {failRequest} from '../requests/endRequest.js';
+import {askForPermits, isServiceLimited} from '../rateLimits/requestPermits.js';
 import {admitWaiting} from './admitWaiting.js';
+import {getMaxWaitMs} from './maxWait.js';
 import {countAhead, insertWaiting} from './waitingQueue.js';
 
 /** Time between two checks of the waiting requests, in ms. */
 const sweepPeriodMs = 20;
-/**
- * Fraction of the latency target for which a request may wait for an endpoint.
- */
-const maxWaitFraction = 0.8;
 /** Minimum number of requests ahead for the waiting time to be estimated. */
 const minAheadForEstimate = 4;
 /** Limits of the time after which a refused caller should retry, in ms. */
 const minRetryAfterMs = 150;
 const maxRetryAfterMs = 5000;
 
-/**
- * Returns how long after its arrival a request may wait for an endpoint, in ms.
- */
-function getMaxWaitMs(request: ActiveRequest): number {
-  return request.route.latencyTargetMs * maxWaitFraction;
-}
-
 /** Estimates how long a new request of a rank will wait, in ms. */
 function estimateWaitMs(
   state: DispatchState,
@@ -55,13 +46,19 @@
   return Math.min(maxRetryAfterMs, wantedMs);
 }
 
-/** Queues a request, or refuses it if the wait would be too long. */
+/**
+ * Queues a request, or refuses it if the wait would be too long. If it can run
+ * on a permit only, the owners of the limits tell how long it would wait.
+ */
 export function refuseOrQueue(
   state: DispatchState,
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
   const {rank, service} = request;
+  if (isServiceLimited(state, service, nowMs)) {
+    return startWaiting(state, request, nowMs);
+  }
   const waitMs = estimateWaitMs(state, service, rank, nowMs);
   const waitedMs = nowMs - request.receivedAtMs;
   if (waitedMs + waitMs > getMaxWaitMs(request)) {
@@ -86,9 +83,12 @@
   nowMs: number,
 ): Effect[] {
   request.phase = 'waiting';
+  request.permitAsks = 0;
+  request.nextPermitAskAtMs = nowMs;
   const queue = getQueue(state, request.service);
   insertWaiting(queue, request);
   const effects = admitWaiting(state, request.service, nowMs);
+  effects.push(...askForPermits(state, request.service, nowMs));
   if (queue.length > 0) {
     state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
   }
@@ -132,7 +132,10 @@
         ),
       );
     }
-    effects.push(...admitWaiting(state, service, nowMs));
+    effects.push(
+      ...admitWaiting(state, service, nowMs),
+      ...askForPermits(state, service, nowMs),
+    );
     queued += queue.length;
   }
   if (queued > 0) state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -13,6 +13,7 @@
 import {createMoveTable, MoveTable} from './moves/moveTable.js';
 import {createPeerTable, PeerTable} from './peers/peerTable.js';
 import {Digest} from './peers/peerMessage.js';
+import {LimitOwners} from './rateLimits/limitOwners.js';
 import {ActiveRequest} from './requests/activeRequest.js';
 import {RetryBudget} from './retries/retryBudget.js';
 
@@ -33,6 +34,8 @@
   | 'digest'
   /** Checks the endpoints that are missing from the store. */
   | 'sweepMissing'
+  /** Grants permits of an endpoint with a rate limit. */
+  | 'permits'
   /** Checks the progress of the moves. */
   | 'moves';
 
@@ -98,6 +101,10 @@
   storeViewRequestedAtMs: number;
   /** Whether a peer's store view is being fetched. */
   isFetchingStoreView: boolean;
+  /** Ids of the endpoints with rate limits. */
+  readonly limitedEndpoints: Set<string>;
+  /** The VMs that can own limits; kept up to date while there are limits. */
+  limitOwners: LimitOwners;
   /** Digests from other zones that are to be relayed in this zone, by VM. */
   readonly digestsToRelay: Map<string, Digest>;
   /** Sequence number of the last digest that was sent. */
@@ -136,6 +143,8 @@
     newerRevisionSeenAtMs: undefined,
     storeViewRequestedAtMs: Number.NEGATIVE_INFINITY,
     isFetchingStoreView: false,
+    limitedEndpoints: new Set(),
+    limitOwners: {all: [], byZone: new Map(), knownRatio: 1},
     digestsToRelay: new Map(),
     digestSequence: 0,
     lastDigestText: '',
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -124,6 +124,8 @@
   calls_failed: ['failure'],
   calls_repeated: ['reason'],
   calls_not_repeated: ['reason'],
+  permits_asked: [],
+  permit_answers: ['outcome'],
   slots_offered: [],
   slots_taken: [],
   desired_state_applied: [],
--- a/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
@@ -1,3 +1,4 @@
+import {RateLimit} from '../rateLimits/rateLimit.js';
 import {Endpoint} from './endpoint.js';
 
 /** Weight of a new outcome in the failure rate. */
@@ -27,11 +28,10 @@
   consecutiveUnanswered: number;
   /** End of the cool-down, in ms; no calls are sent before this time. */
   cooldownUntilMs: number;
-  /**
-   * Rate limit that its last answer named, in requests per second; undefined if
-   * it named none.
-   */
-  namedLimitPerSecond: number | undefined;
+  /** The rate limit that it has named; undefined if it has none. */
+  limit: RateLimit | undefined;
+  /** When an answer to this VM last named no limit, in ms. */
+  unlimitedAtMs: number;
   /** Whether its entry in the store disappeared, possibly only for a while. */
   isMissing: boolean;
 }
@@ -57,7 +57,8 @@
     failureRate: 0,
     consecutiveUnanswered: 0,
     cooldownUntilMs: 0,
-    namedLimitPerSecond: undefined,
+    limit: undefined,
+    unlimitedAtMs: Number.NEGATIVE_INFINITY,
     isMissing: false,
   };
 }
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -34,6 +34,7 @@
   handleStoreViewRead,
 } from './peers/storeWatching.js';
 import {sendDigest} from './peers/sendDigest.js';
+import {expirePermitWait} from './rateLimits/grantPermits.js';
 import {handleCallAnswered} from './rateLimits/handleCallAnswered.js';
 import {
   expireRequest,
@@ -69,6 +70,7 @@
   earlyRequest: expireEarlyRequest,
   digest: sendDigest,
   sweepMissing,
+  permits: expirePermitWait,
   moves: updateMoves,
 };
 
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -4,6 +4,9 @@
 import {createCount, createLog, Effect} from '../effect.js';
 import {PeerMessageReceived, SeedListed, VmListed} from '../input.js';
 import {addPeerUsage} from '../limits/customerUsage.js';
+import {handlePermitAsk} from '../rateLimits/grantPermits.js';
+import {applyLimitReports} from '../rateLimits/limitReports.js';
+import {handlePermitAnswer} from '../rateLimits/requestPermits.js';
 import {addPeer, applyDigest, setPeerCalls} from './peerTable.js';
 import {Digest, DigestBatch, PeerMessage, SlotOffer} from './peerMessage.js';
 import {fetchStoreView} from './storeWatching.js';
@@ -36,6 +39,7 @@
     addPeerUsage(state.usageByCustomer, usage.customer, usage.units, nowMs);
   }
   effects.push(
+    ...applyLimitReports(state, digest.limits ?? {}, vm, nowMs),
     ...fetchNewerVersion(state, digest, nowMs),
     ...fetchStoreView(state, digest, nowMs),
   );
@@ -108,6 +112,8 @@
   digest: handleDigest,
   digestBatch: handleDigestBatch,
   slotOffer: handleSlotOffer,
+  permitAsk: handlePermitAsk,
+  permitAnswer: handlePermitAnswer,
 };
 
 /** Handles a message from a peer. */
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -18,6 +18,16 @@
   readonly slow: number;
 }
 
+/** What a VM knows of an endpoint's rate limit. */
+export interface LimitReport {
+  /** Requests per second from all VMs together, as last named. */
+  readonly perSecond: number;
+  /** Whether the endpoint names no limit any more. */
+  readonly isLifted: boolean;
+  /** How long ago an answer stated it, in ms. */
+  readonly ageMs: number;
+}
+
 /**
  * State of one VM, sent to all others several times a second. Each digest
  * replaces all earlier ones, so a lost digest does no harm.
@@ -49,6 +59,11 @@
   readonly unitsTaken: Readonly<Record<string, number>>;
   /** Call outcomes by move and version; see `createEvidenceKey`. */
   readonly evidence: Readonly<Record<string, VersionCounts>>;
+  /**
+   * Rate limits of endpoints that this VM owns or has just observed, by endpoint
+   * id; undefined from a build that knows no limits.
+   */
+  readonly limits?: Readonly<Record<string, LimitReport>>;
 }
 
 /** A VM's own digest and the digests of other zones that it relays. */
@@ -66,5 +81,53 @@
   readonly endpointId: string;
 }
 
+/** Asks the owner of an endpoint's rate limit for a permit to send a request. */
+export interface PermitAsk {
+  readonly kind: 'permitAsk';
+  readonly vm: string;
+  /** `host:port` to which the answer is sent. */
+  readonly address: string;
+  readonly endpointId: string;
+  readonly requestId: string;
+  /** Priority of the request; lower ranks go first. */
+  readonly rank: number;
+  /** How long the request can still wait, in ms. */
+  readonly maxWaitMs: number;
+  /** How long its caller waits in all, returns included, in ms. */
+  readonly deadlineInMs: number;
+  /**
+   * Whether the caller is told to come back if this owner refuses; otherwise
+   * the sender asks another owner.
+   */
+  readonly isLast: boolean;
+  /** What the sender knows of the limit. */
+  readonly limit: LimitReport;
+}
+
+/** The outcomes of an ask for a permit. */
+export const permitOutcome = {
+  /** The request may be sent to the endpoint at once. */
+  granted: 'granted',
+  /** A permit follows once it is the request's turn. */
+  queued: 'queued',
+  /** No permit can be granted while the request can wait. */
+  refused: 'refused',
+} as const;
+
+/** One of the outcomes of an ask for a permit. */
+export type PermitOutcome = (typeof permitOutcome)[keyof typeof permitOutcome];
+
+/** Answers an ask for a permit. */
+export interface PermitAnswer {
+  readonly kind: 'permitAnswer';
+  readonly vm: string;
+  readonly endpointId: string;
+  readonly requestId: string;
+  readonly outcome: PermitOutcome;
+  /** Time until a permit can be granted, in ms. */
+  readonly waitMs: number;
+}
+
 /** All messages that VMs send to each other. */
-export type PeerMessage = Digest | DigestBatch | SlotOffer;
+export type PeerMessage =
+  Digest | DigestBatch | SlotOffer | PermitAsk | PermitAnswer;
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -2,6 +2,8 @@
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
 import {createEvidenceKey} from '../moves/handleMoves.js';
+import {createLimitReports} from '../rateLimits/limitReports.js';
+import {updateRateLimits} from '../rateLimits/updateRateLimits.js';
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
 import {getReportedRevision, updateStoreWatching} from './storeWatching.js';
 import {
@@ -80,6 +82,7 @@
     heads: createQueueHeads(state, nowMs),
     unitsTaken: createUnitsTaken(state),
     evidence: createEvidence(state),
+    limits: createLimitReports(state, nowMs),
   };
 }
 
@@ -114,7 +117,7 @@
 
 /**
  * Returns whether a digest need not be sent: it equals the previous one, apart
- * from `sequence` and `storeReachedForMs`, is not due for resending, and no
+ * from `sequence` and times, is not due for resending, and no
  * digests are waiting to be relayed. Stores its content for the next
  * comparison.
  */
@@ -123,7 +126,11 @@
   digest: Digest,
   nowMs: number,
 ): boolean {
-  const text = JSON.stringify({...digest, storeReachedForMs: 0, sequence: 0});
+  const limits = Object.entries(digest.limits ?? {}).map(
+    ([id, {isLifted, perSecond}]) => [id, isLifted, perSecond],
+  );
+  const compared = {...digest, storeReachedForMs: 0, sequence: 0, limits};
+  const text = JSON.stringify(compared);
   const isUnchanged = text === state.lastDigestText;
   state.lastDigestText = text;
   const resendAfterMs = Math.max(
@@ -143,16 +150,19 @@
   nowMs: number,
 ): Effect[] {
   state.timers.set('digest', '', nowMs + getDigestPeriodMs(state));
-  const watchEffects = updateStoreWatching(state, nowMs);
+  const updates = [
+    ...updateStoreWatching(state, nowMs),
+    ...updateRateLimits(state, nowMs),
+  ];
   const digest = createDigest(state, nowMs);
-  if (isDigestRedundant(state, digest, nowMs)) return watchEffects;
+  if (isDigestRedundant(state, digest, nowMs)) return updates;
   state.lastDigestAtMs = nowMs;
   state.digestSequence += 1;
   const message = {...digest, sequence: state.digestSequence};
   if (isLargeFleet(state)) {
-    return [...watchEffects, ...sendThroughRelays(state, message, nowMs)];
+    return [...updates, ...sendThroughRelays(state, message, nowMs)];
   }
-  const effects = [...watchEffects];
+  const effects: Effect[] = [...updates];
   for (const address of listPeerAddresses(state)) {
     effects.push({kind: 'sendPeer', address, message});
   }
--- a/packages/ryeworks-dispatch/src/rateLimits/handleCallAnswered.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/handleCallAnswered.ts
@@ -1,37 +1,66 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
+import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {CallAnswered} from '../input.js';
 import {
   findRequestByCall,
   getEndpointEntry,
 } from '../requests/findRequestByCall.js';
+import {applyLift, applyNamedLimit} from './applyLimit.js';
+import {LimitStatement} from './limitStatement.js';
 
-/** Records the rate limit that an endpoint's answer names, or that it has none. */
+/** Handles one kind of statement in the answer to a request. */
+type StatementHandler<K extends LimitStatement['kind']> = (
+  state: DispatchState,
+  entry: EndpointEntry,
+  statement: Extract<LimitStatement, {kind: K}>,
+  attemptId: string,
+  nowMs: number,
+) => Effect[];
+
+const statementHandlers: {
+  [K in LimitStatement['kind']]: StatementHandler<K>;
+} = {
+  unlimited: (_state, entry, _statement, attemptId, nowMs) => {
+    entry.unlimitedAtMs = nowMs;
+    if (entry.limit !== undefined) entry.limit.ownObservedAtMs = nowMs;
+    const observation = {observedAtMs: nowMs, source: attemptId};
+    return applyLift(entry, observation, nowMs);
+  },
+  limited: (state, entry, {perSecond}, attemptId, nowMs) => {
+    const observation = {observedAtMs: nowMs, source: attemptId};
+    const effects = applyNamedLimit(
+      state,
+      entry,
+      perSecond,
+      observation,
+      nowMs,
+    );
+    entry.limit!.ownObservedAtMs = nowMs;
+    return effects;
+  },
+  unreadable: (_state, {endpoint}, {text}, attemptId) => [
+    createLog('rate_limit_unreadable', {
+      endpoint: endpoint.id,
+      request: attemptId,
+      text,
+    }),
+  ],
+};
+
+/** Applies what an endpoint's answer states about its rate limit. */
 export function handleCallAnswered(
   state: DispatchState,
   input: CallAnswered,
+  nowMs: number,
 ): Effect[] {
   const request = findRequestByCall(state, input);
   if (request === undefined) return [];
   const entry = getEndpointEntry(state, request);
   if (entry === undefined) return [];
-  const {limitStatement: statement} = input;
-  const fields = {endpoint: entry.endpoint.id, request: request.attemptId};
-  if (statement.kind === 'unreadable') {
-    const {text} = statement;
-    return [createLog('rate_limit_unreadable', {...fields, text})];
-  }
-  const previous = entry.namedLimitPerSecond;
-  const named = statement.kind === 'limited' ? statement.perSecond : undefined;
-  if (named === previous) return [];
-  entry.namedLimitPerSecond = named;
-  if (named === undefined) return [createLog('rate_limit_lifted', fields)];
-  const previousPerSecond = previous ?? 0;
-  return [
-    createLog('rate_limit_named', {
-      ...fields,
-      perSecond: named,
-      previousPerSecond,
-    }),
-  ];
+  const {limitStatement} = input;
+  const handler = statementHandlers[limitStatement.kind] as StatementHandler<
+    LimitStatement['kind']
+  >;
+  return handler(state, entry, limitStatement, request.attemptId, nowMs);
 }
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/rateLimits/limitOwners.ts
@@ -0,0 +1,72 @@
+import {getHash} from '@ryeworks/utils';
+import {DispatchState} from '../dispatchState.js';
+import {Endpoint} from '../endpoints/endpoint.js';
+import {getDigestPeriodMs} from '../peers/relayDigests.js';
+
+/**
+ * Age of a VM's last digest above which it owns no limits: a number of digest
+ * periods, and at least this time in ms.
+ */
+const maxAgePeriods = 3;
+const minMaxAgeMs = 1000;
+
+/** The VMs that can own limits, as this VM knows them. */
+export interface LimitOwners {
+  readonly all: readonly string[];
+  readonly byZone: ReadonlyMap<string, readonly string[]>;
+  /**
+   * Fraction of all VMs that this VM hears from, itself included, 0 to 1. An
+   * owner grants this part of a limit, so that both sides of a partition
+   * together stay within it.
+   */
+  readonly knownRatio: number;
+}
+
+/** Determines the VMs that can own limits. */
+export function createLimitOwners(
+  state: DispatchState,
+  nowMs: number,
+): LimitOwners {
+  const {availabilityZone, vm} = state.options;
+  const maxAgeMs = Math.max(
+    minMaxAgeMs,
+    maxAgePeriods * getDigestPeriodMs(state),
+  );
+  const all = [vm];
+  const byZone = new Map([[availabilityZone, [vm]]]);
+  for (const peer of state.peers.byVm.values()) {
+    if (nowMs - peer.digestReceivedAtMs > maxAgeMs) continue;
+    all.push(peer.vm);
+    const inZone = byZone.get(peer.availabilityZone) ?? [];
+    inZone.push(peer.vm);
+    byZone.set(peer.availabilityZone, inZone);
+  }
+  const knownRatio = all.length / (state.peers.byVm.size + 1);
+  return {all, byZone, knownRatio};
+}
+
+/**
+ * Finds the owner of an endpoint's limit by rendezvous hashing over the VMs of
+ * the endpoint's zone, because a VM there reaches the endpoint whenever any VM
+ * does; over all VMs if none of its zone is known.
+ */
+export function findLimitOwner(
+  {all, byZone}: LimitOwners,
+  {availabilityZone, id}: Endpoint,
+): string {
+  let owner = '';
+  let bestHash = -1;
+  for (const vm of byZone.get(availabilityZone) ?? all) {
+    const hash = getHash(`${id}|${vm}`);
+    if (hash < bestHash || (hash === bestHash && vm > owner)) continue;
+    bestHash = hash;
+    owner = vm;
+  }
+  return owner;
+}
+
+/** Returns whether the same VMs can own limits as before. */
+export function hasSameVms(a: LimitOwners, b: LimitOwners): boolean {
+  if (a.all.length !== b.all.length) return false;
+  return a.all.every((vm, index) => vm === b.all[index]);
+}
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/rateLimits/rateLimit.ts
@@ -0,0 +1,82 @@
+import {PermitBucket} from './permitBucket.js';
+import {ReturnSchedule} from './returnSchedule.js';
+
+/** Lowest rate that is assumed: its calls find out when a limit is lifted. */
+const minPerSecond = 0.1;
+/** Time in which the rate doubles after a limit was lifted, in ms. */
+const rampDoublingMs = 1000;
+/** Time from the end of a limit until the endpoint is called without one, in ms. */
+const rampMs = 5000;
+
+/** A request that waits for a permit of this VM. */
+export interface PendingAsk {
+  readonly vm: string;
+  /** `host:port` of that VM. */
+  readonly address: string;
+  readonly requestId: string;
+  readonly rank: number;
+  /** When the request no longer waits, in ms. */
+  readonly expiresAtMs: number;
+}
+
+/** The rate limit that an endpoint has named. */
+export interface RateLimit {
+  /** Requests per second from all VMs together, as last named. */
+  perSecond: number;
+  /** When an answer to any VM last stated it, in ms. */
+  observedAtMs: number;
+  /** When an answer to this VM last stated it, in ms; -Infinity if none did. */
+  ownObservedAtMs: number;
+  /** When an answer or a peer last confirmed it, in ms. */
+  confirmedAtMs: number;
+  /** When it was lifted, in ms; undefined while it applies. */
+  liftedAtMs: number | undefined;
+  /** Name of the VM that grants the permits. */
+  owner: string;
+  /** Permits that this VM can grant while it is the owner. */
+  readonly bucket: PermitBucket;
+  /** Requests that wait for a permit of this VM, most urgent first. */
+  pendingAsks: PendingAsk[];
+  /** Callers that this VM has told when to come back. */
+  readonly returns: ReturnSchedule;
+  /** Permits granted to this VM by the owner that it has yet to use. */
+  heldPermits: number;
+}
+
+/** Creates the state of a limit that was just learned of. */
+export function createRateLimit(
+  perSecond: number,
+  observedAtMs: number,
+  owner: string,
+  nowMs: number,
+): RateLimit {
+  return {
+    perSecond,
+    observedAtMs,
+    ownObservedAtMs: Number.NEGATIVE_INFINITY,
+    confirmedAtMs: nowMs,
+    liftedAtMs: undefined,
+    owner,
+    bucket: new PermitBucket(nowMs),
+    pendingAsks: [],
+    returns: new ReturnSchedule(),
+    heldPermits: 0,
+  };
+}
+
+/**
+ * Returns the requests per second that all VMs together may send now. After the
+ * limit was lifted, the rate rises step by step, so that the VMs do not all
+ * rush to an endpoint that has just recovered.
+ */
+export function getAllowedPerSecond(limit: RateLimit, nowMs: number): number {
+  const perSecond = Math.max(minPerSecond, limit.perSecond);
+  if (limit.liftedAtMs === undefined) return perSecond;
+  return perSecond * 2 ** ((nowMs - limit.liftedAtMs) / rampDoublingMs);
+}
+
+/** Returns whether a lifted limit no longer applies at all. */
+export function isOver(limit: RateLimit, nowMs: number): boolean {
+  const {liftedAtMs} = limit;
+  return liftedAtMs !== undefined && nowMs - liftedAtMs >= rampMs;
+}
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -47,6 +47,12 @@
   lastProgressAtMs: number;
   /** Number of events received in the current call. */
   events: number;
+  /** Number of asks for a permit since it began to wait. */
+  permitAsks: number;
+  /** When it next asks for a permit, in ms. */
+  nextPermitAskAtMs: number;
+  /** Endpoint of the last ask for a permit; empty if none. */
+  askedEndpointId: string;
   /** Ids of the endpoints that a retry avoids. */
   readonly avoidedEndpoints: Set<string>;
 }
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -177,6 +177,9 @@
     firstEventAtMs: 0,
     lastProgressAtMs: 0,
     events: 0,
+    permitAsks: 0,
+    nextPermitAskAtMs: 0,
+    askedEndpointId: '',
     avoidedEndpoints: new Set(),
   };
 }
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -3,6 +3,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {consumePermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from './activeRequest.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
 
@@ -15,6 +16,7 @@
 ): Effect[] {
   const {requestId, attemptId, route} = request;
   const {endpoint} = entry;
+  consumePermit(state, entry, nowMs);
   entry.inFlight += 1;
   request.phase = 'calling';
   request.callNumber += 1;
@@ -51,7 +53,7 @@
       ownCalls: entry.inFlight,
       allCalls: countCalls(state, entry, nowMs),
       promptTokens: request.promptTokens,
-      limitPerSecond: entry.namedLimitPerSecond ?? 'none',
+      limitPerSecond: entry.limit?.perSecond ?? 'none',
     }),
   ];
 }
--- a/packages/ryeworks-gateway/src/peers/peerSocket.ts
+++ b/packages/ryeworks-gateway/src/peers/peerSocket.ts
@@ -12,6 +12,8 @@
   'digest',
   'digestBatch',
   'slotOffer',
+  'permitAsk',
+  'permitAnswer',
 ]);
 
 /** Parses a datagram; returns undefined if it is not a peer message. */
--- a/packages/ryeworks-lab/src/fleet/fleetVm.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetVm.ts
@@ -59,7 +59,9 @@
     const dueMs = getNextDueMs(this.state);
     if (dueMs === undefined || dueMs >= this.wakeAtMs) return;
     this.wakeAtMs = dueMs;
-    this.events.schedule(dueMs - this.readNowMs(), () => {
+    // In whole ms, like the timers of a process, so that a timer is never early.
+    const delayMs = Math.ceil(dueMs - this.readNowMs());
+    this.events.schedule(delayMs, () => {
       // A wake at an earlier time has replaced this one.
       if (this.wakeAtMs !== dueMs) return;
       this.wakeAtMs = Number.POSITIVE_INFINITY;
