An endpoint that sends interim responses without end is cut off

What callers saw: 504 at the time limit, while the VM read 6.5 MB of 1xx heads in 2 s and had no time for others. Cause: interim responses are not answers, so that no bound on an answer applied. Change: after 16 of them the call fails as cut. Endless heads, unsigned bodies and bodies that look like answers were cut off before; their tests stay as guards. Test: endlessAnswers.test.ts, 'interim heads without end is cut off': 504 and 6,509,160 bytes before, 502 and 4,320 bytes after.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -22,6 +22,11 @@
 const maxHeldAnswerBytes = 262_144;
 /** Minimum time between two progress reports of a call, in ms. */
 const minProgressIntervalMs = 30;
+/**
+ * Maximum number of interim responses (status 1xx) to a call; an endpoint that
+ * sends more is not going to answer.
+ */
+const maxInterimResponses = 16;
 /** Lowest HTTP status that reports a failure of the endpoint. */
 const minFailureStatus = 500;
 /** HTTP statuses from which a caller concludes that a request did not run. */
@@ -62,6 +67,7 @@
   /** Number of forwarded events; in mode `bytes`, of forwarded chunks. */
   private events = 0;
   private lastReportAtMs = Number.NEGATIVE_INFINITY;
+  private interimResponses = 0;
   private isSent = false;
   private isFinished = false;
 
@@ -95,6 +101,7 @@
     call.on('error', (error: Error & {code?: string}) =>
       this.fail(this.isSent ? 'cut' : 'notSent', error.code ?? error.message),
     );
+    call.on('information', () => this.countInterimResponse());
     call.on('response', response => this.handleResponse(response));
     call.end(openRequest.body.length > 0 ? openRequest.body : undefined);
   }
@@ -111,6 +118,12 @@
     this.submitEvent({kind: 'callSent'});
   }
 
+  private countInterimResponse(): void {
+    this.interimResponses += 1;
+    if (this.interimResponses <= maxInterimResponses) return;
+    this.fail('cut', 'too_many_interim_responses');
+  }
+
   private handleResponse(response: IncomingMessage): void {
     if (this.isFinished) return;
     const status = response.statusCode ?? 0;
