A failure answer without end is cut off at 1 MiB

What callers saw: 504 at the time limit; the VM read and kept 85 MB in 2 s, so that a few such answers at once exceed its memory. Cause: an answer that reports a failure is held whole, because its call may be repeated; the bound on held answers left these out. Change: above 1 MiB the call fails as cut, and is repeated if it may be. Test: endlessAnswers.test.ts, 'the body of a failure without end is cut off': 504 and 85,340,160 bytes before, 502 and 1,060,864 after.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -20,6 +20,11 @@
  * bytes. Applies to answers that are not streams and report no failure.
  */
 const maxHeldAnswerBytes = 262_144;
+/**
+ * Maximum size of an answer that reports a failure, in bytes. Such an answer is
+ * held until its call is not repeated, so that a larger one cannot be passed on.
+ */
+const maxFailureBytes = 1_048_576;
 /** Minimum time between two progress reports of a call, in ms. */
 const minProgressIntervalMs = 30;
 /**
@@ -166,7 +171,7 @@
     if (this.mode === 'held') this.holdChunk(chunk);
     else if (this.mode === 'events') this.forwardEvents(chunk);
     else this.forwardBytes(chunk);
-    this.reportProgress();
+    if (!this.isFinished) this.reportProgress();
   }
 
   /** Reports the first data at once, and later data at limited intervals. */
@@ -252,13 +257,16 @@
 
   /**
    * Holds part of the body in memory. Once it exceeds the maximum size, forwards
-   * everything received so far and switches to `bytes`; answers that report a
-   * failure are held at any size.
+   * everything received so far and switches to `bytes`. An answer that reports a
+   * failure is held up to a larger size, beyond which the call fails.
    */
   private holdChunk(chunk: Buffer): void {
     this.held.push(chunk);
     this.heldBytes += chunk.length;
     const isFailure = this.head!.status >= minFailureStatus;
+    if (isFailure && this.heldBytes > maxFailureBytes) {
+      this.fail('cut', 'failure_too_large');
+    }
     if (this.heldBytes <= maxHeldAnswerBytes || isFailure) return;
     this.mode = 'bytes';
     const body = Buffer.concat(this.held, this.heldBytes);
