A stream whose event has no end is resumed elsewhere

What callers saw: the stream stood still until its time limit. The VM kept all bytes of the event and looked through them again for each chunk. Cause: the splitter holds the start of an event until its end, without a bound; each chunk counts as progress, so that the call was never silent. Change: above 256 KiB of one event the call fails as cut, and the stream is resumed. Test: endlessAnswers.test.ts, 'a stream whose event has no end is resumed elsewhere': no complete answer before; events 1 to 3 after.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -25,6 +25,8 @@
  * held until its call is not repeated, so that a larger one cannot be passed on.
  */
 const maxFailureBytes = 1_048_576;
+/** Maximum size of an incomplete event of a stream, in bytes. */
+const maxPartialEventBytes = 262_144;
 /** Minimum time between two progress reports of a call, in ms. */
 const minProgressIntervalMs = 30;
 /**
@@ -184,7 +186,7 @@
 
   private handleEnd(): void {
     if (this.isFinished) return;
-    if (this.response?.complete !== true || this.splitter.hasPartialEvent) {
+    if (this.response?.complete !== true || this.splitter.partialBytes > 0) {
       this.fail('cut', 'answer_incomplete');
       return;
     }
@@ -307,10 +309,14 @@
       if (id !== '') openRequest.lastEventId = id;
       newEvents.push(bytes);
     }
-    if (newEvents.length === 0) return;
-    this.sendHead();
-    this.events += newEvents.length;
-    this.write(Buffer.concat(newEvents));
+    if (newEvents.length > 0) {
+      this.sendHead();
+      this.events += newEvents.length;
+      this.write(Buffer.concat(newEvents));
+    }
+    if (this.splitter.partialBytes > maxPartialEventBytes) {
+      this.fail('cut', 'event_too_large');
+    }
   }
 
   private write(bytes: Buffer): void {
--- a/packages/ryeworks-gateway/src/endpoints/eventSplitter.ts
+++ b/packages/ryeworks-gateway/src/endpoints/eventSplitter.ts
@@ -32,9 +32,9 @@
 export class EventSplitter {
   private remainder: Buffer = Buffer.alloc(0);
 
-  /** Whether an incomplete event was received. */
-  get hasPartialEvent(): boolean {
-    return this.remainder.length > 0;
+  /** Size of the incomplete event that was received, in bytes; 0 if none. */
+  get partialBytes(): number {
+    return this.remainder.length;
   }
 
   /** Adds received bytes and returns the events that they complete. */
