Rate limits: only VMs of a build that knows them own limits; unit tests

Cause: while a fleet is updated, a VM of the build before answers no asks for permits, so that endpoints whose limit it would own got no calls on permits. Change: a VM owns limits only if its digests carry reports of limits (even none). Test: rateLimits.test.ts, 'a VM of a build without limits owns none'; it also covers permits, ranks, the newest report, a limit that ends unseen and restarted endpoints.

--- a/packages/ryeworks-dispatch/src/peers/peerTable.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerTable.ts
@@ -32,6 +32,8 @@
   heads: Map<string, QueueHead>;
   unitsTaken: Readonly<Record<string, number>>;
   evidence: Readonly<Record<string, VersionCounts>>;
+  /** Whether the VM runs a build that keeps to the rate limits of endpoints. */
+  knowsLimits: boolean;
 }
 
 /** All other VMs known to this VM. */
@@ -82,6 +84,7 @@
     heads: new Map(),
     unitsTaken: {},
     evidence: {},
+    knowsLimits: false,
   };
   table.byVm.set(vm, peer);
   return peer;
@@ -229,5 +232,6 @@
   peer.heads = new Map(Object.entries(digest.heads));
   peer.unitsTaken = digest.unitsTaken;
   peer.evidence = digest.evidence;
+  peer.knowsLimits = digest.limits !== undefined;
   return usages;
 }
--- a/packages/ryeworks-dispatch/src/rateLimits/limitOwners.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/limitOwners.ts
@@ -22,7 +22,10 @@
   readonly knownRatio: number;
 }
 
-/** Determines the VMs that can own limits. */
+/**
+ * Determines the VMs that can own limits: those that this VM hears from and that
+ * run a build with limits.
+ */
 export function createLimitOwners(
   state: DispatchState,
   nowMs: number,
@@ -36,6 +39,7 @@
   const byZone = new Map([[availabilityZone, [vm]]]);
   for (const peer of state.peers.byVm.values()) {
     if (nowMs - peer.digestReceivedAtMs > maxAgeMs) continue;
+    if (!peer.knowsLimits) continue;
     all.push(peer.vm);
     const inZone = byZone.get(peer.availabilityZone) ?? [];
     inZone.push(peer.vm);
