Stand-in of a rate limit, shared by the fleet's tests and the soak

The check of the fleet's tests moves to packages/ryeworks-standins and is made on each call instead of at the end; windows, graces and bounds are the same.

--- a/packages/ryeworks-lab/src/__tests__/endpointLimits.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/endpointLimits.test.ts
@@ -4,7 +4,6 @@
   DispatchFleet,
   FleetOptions,
 } from '../fleet/dispatchFleet.js';
-import {countMostCalls, getAllowedCalls} from '../fleet/limitRule.js';
 
 const service = 'narratives';
 /** Limit that endpoints name, in requests per second. */
@@ -44,15 +43,11 @@
   });
 }
 
-/** Lists the endpoints that got more calls than their limits allow. */
+/** Lists the windows in which endpoints got more calls than they allow. */
 function listExceeded(fleet: DispatchFleet): string[] {
   const exceeded: string[] = [];
-  for (const [id, endpoint] of fleet.endpoints) {
-    const perSecond = endpoint.getLimitPerSecond();
-    if (perSecond === undefined) continue;
-    const calls = countMostCalls(endpoint);
-    const allowed = Math.floor(getAllowedCalls(perSecond));
-    if (calls > allowed) exceeded.push(`${id}: ${calls} of ${allowed}`);
+  for (const endpoint of fleet.endpoints.values()) {
+    exceeded.push(...endpoint.exceeded);
   }
   return exceeded;
 }
--- a/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
@@ -1,4 +1,5 @@
 import {Endpoint, LimitStatement} from '@ryeworks/dispatch';
+import {NamedRateLimit} from '@ryeworks/standins';
 
 /** A call that an endpoint got. */
 export interface FleetArrival {
@@ -11,39 +12,32 @@
 /** Stand-in for an endpoint that may name a rate limit in its answers. */
 export class FleetEndpoint {
   readonly arrivals: FleetArrival[] = [];
-  /** When a VM first passed on an answer with a limit, in ms, by VM. */
-  readonly toldAtMs = new Map<string, number>();
-  /** Since when it has named a limit, in ms; undefined while it names none. */
-  limitedSinceMs: number | undefined;
-  private limitPerSecond: number | undefined;
+  /** Descriptions of the windows in which its limit was exceeded. */
+  readonly exceeded: string[] = [];
+  private readonly limit = new NamedRateLimit();
 
   constructor(readonly endpoint: Endpoint) {}
 
   /** Names a limit from now on, changes it, or withdraws it (undefined). */
   setLimit(perSecond: number | undefined, nowMs: number): void {
-    this.limitPerSecond = perSecond;
-    if (perSecond !== undefined) {
-      this.limitedSinceMs ??= nowMs;
-      return;
-    }
-    this.limitedSinceMs = undefined;
-    this.toldAtMs.clear();
-  }
-
-  /** Returns the rate limit that it names, in requests per second. */
-  getLimitPerSecond(): number | undefined {
-    return this.limitPerSecond;
+    this.limit.setPerSecond(perSecond, nowMs);
   }
 
   /** Records a call. */
   addArrival(arrival: FleetArrival): void {
     this.arrivals.push(arrival);
+    const excess = this.limit.recordCall(arrival.vm, arrival.atMs);
+    if (excess === undefined) return;
+    const {allowed, calls} = excess;
+    this.exceeded.push(`${this.endpoint.id}: ${calls} calls of ${allowed}`);
   }
 
-  /** Creates what an answer to a VM states, and records that the VM gets it. */
+  /** Creates what an answer to a VM states about the limit. */
   createStatement(vm: string, nowMs: number): LimitStatement {
-    if (this.limitPerSecond === undefined) return {kind: 'unlimited'};
-    if (!this.toldAtMs.has(vm)) this.toldAtMs.set(vm, nowMs);
-    return {kind: 'limited', perSecond: this.limitPerSecond};
+    this.limit.recordAnswer(vm, nowMs);
+    const {perSecond} = this.limit;
+    return perSecond === undefined
+      ? {kind: 'unlimited'}
+      : {kind: 'limited', perSecond};
   }
 }
