--- a/packages/ryeworks-standins/src/rateLimit/namedRateLimit.ts
+++ b/packages/ryeworks-standins/src/rateLimit/namedRateLimit.ts
@@ -69,8 +69,8 @@
     return calls > allowed ? {calls, allowed} : undefined;
   }
 
-  /** Removes the calls of a VM that was restarted, paused or cut off. */
-  excuseVm(vm: string): void {
+  /** Removes a VM that was restarted, paused or cut off, and its calls. */
+  removeVm(vm: string): void {
     this.toldAtMs.delete(vm);
     this.calls = this.calls.filter(call => call.vm !== vm);
   }
