--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,7 +1,8 @@
 const scheduler = 'packages/ryeworks-scheduler/dist';
+const dispatch = 'packages/ryeworks-dispatch/dist';
 
 /**
- * Mutations of the compiled scheduler. Each one disables the mechanism behind a
+ * Mutations of the compiled decision cores. Each one disables the mechanism behind a
  * promise, so that the given scenario or test must fail.
  */
 export const proofMutations = [
@@ -106,4 +107,25 @@
     to: 'claims.isComplete = true;',
     test: `${scheduler}/__tests__/processPause.test.js`,
   },
+  {
+    promise: 'an endpoint gets no more requests than the limit that it names',
+    file: `${dispatch}/rateLimits/permits.js`,
+    from: /if \(limit === undefined \|\| limit\.heldPermits > 0\)/,
+    to: 'if (true)',
+    scenario: 'endpoint-limits',
+  },
+  {
+    promise: 'one VM grants the permits of a limit, for all VMs together',
+    file: `${dispatch}/rateLimits/permits.js`,
+    from: /return limit\.owner === state\.options\.vm;/,
+    to: 'return true;',
+    scenario: 'endpoint-limits',
+  },
+  {
+    promise: 'an endpoint whose limit is lifted is not rushed',
+    file: `${dispatch}/rateLimits/rateLimit.js`,
+    from: /nowMs - liftedAtMs >= rampMs/,
+    to: 'true',
+    scenario: 'service-limited',
+  },
 ];
--- a/packages/ryeworks-lab/src/__tests__/endpointLimits.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/endpointLimits.test.ts
@@ -1,48 +1,13 @@
 import t from 'tap';
-import {
-  createFleetRoute,
-  DispatchFleet,
-  FleetOptions,
-} from '../fleet/dispatchFleet.js';
+import {createFleet, FleetSize} from '../fleet/createFleet.js';
+import {DispatchFleet} from '../fleet/dispatchFleet.js';
 
-const service = 'narratives';
+const seed = 11;
 /** Limit that endpoints name, in requests per second. */
 const limitPerSecond = 2;
 /** When endpoints name their limits, in ms. */
 const limitedAtMs = 4000;
 
-/** Creates zone names. */
-function createZones(count: number): string[] {
-  return Array.from({length: count}, (_, index) => `zone-${index}`);
-}
-
-/** Creates a fleet whose endpoints are spread over its zones. */
-function createFleet(
-  zoneCount: number,
-  vmsPerZone: number,
-  endpointCount: number,
-  changes: Partial<FleetOptions> = {},
-): DispatchFleet {
-  const zones = createZones(zoneCount);
-  const endpoints = Array.from({length: endpointCount}, (_, index) => ({
-    id: `e${index}`,
-    service,
-    availabilityZone: zones[index % zones.length],
-  }));
-  const routes = [
-    createFleetRoute('urgent', service),
-    createFleetRoute('relaxed', service, {tier: 2}),
-  ];
-  return new DispatchFleet({
-    zones,
-    vmsPerZone,
-    endpoints,
-    routes,
-    seed: 11,
-    ...changes,
-  });
-}
-
 /** Lists the windows in which endpoints got more calls than they allow. */
 function listExceeded(fleet: DispatchFleet): string[] {
   const exceeded: string[] = [];
@@ -68,11 +33,8 @@
 }
 
 /** One case of the table: a fleet, its load and what happens to it. */
-interface LimitCase {
+interface LimitCase extends FleetSize {
   readonly name: string;
-  readonly zones: number;
-  readonly vmsPerZone: number;
-  readonly endpoints: number;
   /** Number of endpoints that name the limit. */
   readonly limited: number;
   readonly requestsPerSecond: number;
@@ -150,12 +112,11 @@
 ];
 
 for (const limitCase of limitCases) {
-  const {endMs, endpoints, limited, name, requestsPerSecond, vmsPerZone} =
-    limitCase;
+  const {endMs, limited, name, requestsPerSecond} = limitCase;
   // Guards against VMs that ignore the limit of an endpoint, or that each keep
   // to it alone, so that the endpoint gets a multiple of what it takes.
   t.test(`a limit holds over all VMs: ${name}`, async t => {
-    const fleet = createFleet(limitCase.zones, vmsPerZone, endpoints);
+    const fleet = createFleet(limitCase, seed);
     fleet.startCallers('urgent', requestsPerSecond / 2, endMs);
     fleet.startCallers('relaxed', requestsPerSecond / 2, endMs);
     fleet.events.schedule(limitedAtMs, () => {
@@ -173,7 +134,7 @@
 // Guards against a limit that is kept at its first value, as when an endpoint
 // that recovers slowly raises it step by step, or lowers it further.
 t.test('a limit that changes is followed', async t => {
-  const fleet = createFleet(4, 2, 13);
+  const fleet = createFleet({zones: 4, vmsPerZone: 2, endpoints: 13}, seed);
   const endpoint = fleet.getEndpoint('e0');
   fleet.startCallers('urgent', 90, 20_000);
   for (const [atMs, perSecond] of [
@@ -190,7 +151,7 @@
 
 // Guards against limits that are kept by giving the endpoint almost no calls.
 t.test('a limited endpoint gets most of what it takes', async t => {
-  const fleet = createFleet(4, 2, 4);
+  const fleet = createFleet({zones: 4, vmsPerZone: 2, endpoints: 4}, seed);
   fleet.startCallers('urgent', 40, 20_000);
   for (const endpoint of fleet.endpoints.values()) {
     fleet.events.schedule(limitedAtMs, () =>
@@ -206,7 +167,7 @@
 
 // Guards against a limited service that serves its lower tiers first.
 t.test('a limited service serves its highest tier first', async t => {
-  const fleet = createFleet(4, 2, 4);
+  const fleet = createFleet({zones: 4, vmsPerZone: 2, endpoints: 4}, seed);
   fleet.startCallers('urgent', 6, 20_000);
   fleet.startCallers('relaxed', 40, 20_000);
   for (const endpoint of fleet.endpoints.values()) {
@@ -223,7 +184,7 @@
 
 // Guards against a rush of all VMs to an endpoint that has just recovered.
 t.test('a limit that is lifted is followed by no rush', async t => {
-  const fleet = createFleet(4, 2, 4);
+  const fleet = createFleet({zones: 4, vmsPerZone: 2, endpoints: 4}, seed);
   const liftedAtMs = 14_000;
   fleet.startCallers('urgent', 60, 26_000);
   fleet.events.schedule(limitedAtMs, () => {
@@ -248,7 +209,7 @@
 // Guards against refusals that give every caller the same time, or one at which
 // the limit is still used up.
 t.test('callers that come back when told are served', async t => {
-  const fleet = createFleet(4, 2, 4);
+  const fleet = createFleet({zones: 4, vmsPerZone: 2, endpoints: 4}, seed);
   for (const endpoint of fleet.endpoints.values()) {
     endpoint.setLimit(limitPerSecond, 0);
   }
--- a/packages/ryeworks-lab/src/__tests__/scenarios.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/scenarios.test.ts
@@ -18,7 +18,7 @@
 t.test('the same seed gives the same run', async t => {
   const [{text}] = findScenarios('vm-killed');
   const [first, second] = [7, 7].map(seed => {
-    const {ledger} = runScenario(text, 'vm-killed', seed).harness;
+    const {ledger} = runScenario(text, 'vm-killed', seed).harness!;
     return JSON.stringify(ledger.dispatches);
   });
   t.equal(first, second);
--- /dev/null
+++ b/packages/ryeworks-lab/src/fleet/createFleet.ts
@@ -0,0 +1,31 @@
+import {createFleetRoute, DispatchFleet} from './dispatchFleet.js';
+
+/** Name of the service of all endpoints of a fleet. */
+const service = 'narratives';
+
+/** Size of a fleet. */
+export interface FleetSize {
+  readonly zones: number;
+  readonly vmsPerZone: number;
+  readonly endpoints: number;
+}
+
+/**
+ * Creates a fleet with the routes `urgent` and `relaxed` to one service. Its
+ * endpoints `e0`, `e1` and so on are spread over the zones `zone-0`, `zone-1` and
+ * so on.
+ */
+export function createFleet(size: FleetSize, seed: number): DispatchFleet {
+  const zones = Array.from({length: size.zones}, (_, index) => `zone-${index}`);
+  const endpoints = Array.from({length: size.endpoints}, (_, index) => ({
+    id: `e${index}`,
+    service,
+    availabilityZone: zones[index % zones.length],
+  }));
+  const routes = [
+    createFleetRoute('urgent', service),
+    createFleetRoute('relaxed', service, {tier: 2}),
+  ];
+  const {vmsPerZone} = size;
+  return new DispatchFleet({zones, vmsPerZone, endpoints, routes, seed});
+}
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -185,6 +185,11 @@
     else this.cutZones.delete(zone);
   }
 
+  /** Connects all zones again. */
+  clearCuts(): void {
+    this.cutZones.clear();
+  }
+
   /** Sends requests on a route at a rate until a time, to random live VMs. */
   startCallers(routeName: string, perSecond: number, untilMs: number): void {
     const intervalMs = 1000 / perSecond;
--- a/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
+++ b/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
@@ -170,69 +170,75 @@
   const peg$c2 = "vms";
   const peg$c3 = "per";
   const peg$c4 = "zone";
-  const peg$c5 = "engines";
-  const peg$c6 = "option";
-  const peg$c7 = "=";
-  const peg$c8 = "run";
-  const peg$c9 = "from";
-  const peg$c10 = "to";
-  const peg$c11 = "call";
-  const peg$c12 = "second";
-  const peg$c13 = "in";
-  const peg$c14 = "due";
-  const peg$c15 = "retrying";
-  const peg$c16 = "unmarked";
-  const peg$c17 = "at";
-  const peg$c18 = "kill";
-  const peg$c19 = "stop";
-  const peg$c20 = "start";
-  const peg$c21 = "resume";
-  const peg$c22 = "vm";
-  const peg$c23 = "pause";
-  const peg$c24 = "for";
-  const peg$c25 = "cut";
-  const peg$c26 = "heal";
-  const peg$c27 = "lose";
-  const peg$c28 = "of";
-  const peg$c29 = "messages";
-  const peg$c30 = "repeat";
-  const peg$c31 = "platform";
-  const peg$c32 = "down";
-  const peg$c33 = "up";
-  const peg$c34 = "loses";
-  const peg$c35 = "answers";
-  const peg$c36 = "slow";
-  const peg$c37 = "by";
-  const peg$c38 = "silence";
-  const peg$c39 = "unsilence";
-  const peg$c40 = "crash";
-  const peg$c41 = "leave";
-  const peg$c42 = "version";
-  const peg$c43 = "fails";
-  const peg$c44 = "slows";
-  const peg$c45 = "move";
-  const peg$c46 = "within";
-  const peg$c47 = "change";
-  const peg$c48 = "plans";
-  const peg$c49 = "invalid";
-  const peg$c50 = "operators";
-  const peg$c51 = "race";
-  const peg$c52 = "after";
-  const peg$c53 = "calls";
-  const peg$c54 = "batch";
-  const peg$c55 = "on";
-  const peg$c56 = "expect";
-  const peg$c57 = "tier";
-  const peg$c58 = "endpoint";
-  const peg$c59 = "since";
-  const peg$c60 = "until";
-  const peg$c61 = ">=";
-  const peg$c62 = "<=";
-  const peg$c63 = "ms";
-  const peg$c64 = ".";
-  const peg$c65 = "\"";
-  const peg$c66 = "#";
-  const peg$c67 = "\n";
+  const peg$c5 = "fleet";
+  const peg$c6 = "of";
+  const peg$c7 = "zones";
+  const peg$c8 = "each";
+  const peg$c9 = "endpoints";
+  const peg$c10 = "engines";
+  const peg$c11 = "option";
+  const peg$c12 = "=";
+  const peg$c13 = "run";
+  const peg$c14 = "from";
+  const peg$c15 = "to";
+  const peg$c16 = "call";
+  const peg$c17 = "second";
+  const peg$c18 = "in";
+  const peg$c19 = "due";
+  const peg$c20 = "retrying";
+  const peg$c21 = "unmarked";
+  const peg$c22 = "at";
+  const peg$c23 = "kill";
+  const peg$c24 = "stop";
+  const peg$c25 = "start";
+  const peg$c26 = "resume";
+  const peg$c27 = "vm";
+  const peg$c28 = "pause";
+  const peg$c29 = "for";
+  const peg$c30 = "cut";
+  const peg$c31 = "heal";
+  const peg$c32 = "lose";
+  const peg$c33 = "messages";
+  const peg$c34 = "repeat";
+  const peg$c35 = "platform";
+  const peg$c36 = "down";
+  const peg$c37 = "up";
+  const peg$c38 = "loses";
+  const peg$c39 = "answers";
+  const peg$c40 = "slow";
+  const peg$c41 = "by";
+  const peg$c42 = "silence";
+  const peg$c43 = "unsilence";
+  const peg$c44 = "crash";
+  const peg$c45 = "limit";
+  const peg$c46 = "unlimit";
+  const peg$c47 = "leave";
+  const peg$c48 = "version";
+  const peg$c49 = "fails";
+  const peg$c50 = "slows";
+  const peg$c51 = "move";
+  const peg$c52 = "within";
+  const peg$c53 = "change";
+  const peg$c54 = "plans";
+  const peg$c55 = "invalid";
+  const peg$c56 = "operators";
+  const peg$c57 = "race";
+  const peg$c58 = "after";
+  const peg$c59 = "calls";
+  const peg$c60 = "batch";
+  const peg$c61 = "on";
+  const peg$c62 = "expect";
+  const peg$c63 = "tier";
+  const peg$c64 = "endpoint";
+  const peg$c65 = "since";
+  const peg$c66 = "until";
+  const peg$c67 = ">=";
+  const peg$c68 = "<=";
+  const peg$c69 = "ms";
+  const peg$c70 = ".";
+  const peg$c71 = "\"";
+  const peg$c72 = "#";
+  const peg$c73 = "\n";
 
   const peg$r0 = /^[ms]/;
   const peg$r1 = /^[0-9]/;
@@ -249,84 +255,90 @@
   const peg$e2 = peg$literalExpectation("vms", false);
   const peg$e3 = peg$literalExpectation("per", false);
   const peg$e4 = peg$literalExpectation("zone", false);
-  const peg$e5 = peg$literalExpectation("engines", false);
-  const peg$e6 = peg$literalExpectation("option", false);
-  const peg$e7 = peg$literalExpectation("=", false);
-  const peg$e8 = peg$literalExpectation("run", false);
-  const peg$e9 = peg$literalExpectation("from", false);
-  const peg$e10 = peg$literalExpectation("to", false);
-  const peg$e11 = peg$literalExpectation("call", false);
-  const peg$e12 = peg$literalExpectation("second", false);
-  const peg$e13 = peg$literalExpectation("in", false);
-  const peg$e14 = peg$literalExpectation("due", false);
-  const peg$e15 = peg$literalExpectation("retrying", false);
-  const peg$e16 = peg$literalExpectation("unmarked", false);
-  const peg$e17 = peg$literalExpectation("at", false);
-  const peg$e18 = peg$literalExpectation("kill", false);
-  const peg$e19 = peg$literalExpectation("stop", false);
-  const peg$e20 = peg$literalExpectation("start", false);
-  const peg$e21 = peg$literalExpectation("resume", false);
-  const peg$e22 = peg$literalExpectation("vm", false);
-  const peg$e23 = peg$literalExpectation("pause", false);
-  const peg$e24 = peg$literalExpectation("for", false);
-  const peg$e25 = peg$literalExpectation("cut", false);
-  const peg$e26 = peg$literalExpectation("heal", false);
-  const peg$e27 = peg$literalExpectation("lose", false);
-  const peg$e28 = peg$literalExpectation("of", false);
-  const peg$e29 = peg$literalExpectation("messages", false);
-  const peg$e30 = peg$literalExpectation("repeat", false);
-  const peg$e31 = peg$literalExpectation("platform", false);
-  const peg$e32 = peg$literalExpectation("down", false);
-  const peg$e33 = peg$literalExpectation("up", false);
-  const peg$e34 = peg$literalExpectation("loses", false);
-  const peg$e35 = peg$literalExpectation("answers", false);
-  const peg$e36 = peg$literalExpectation("slow", false);
-  const peg$e37 = peg$literalExpectation("by", false);
-  const peg$e38 = peg$literalExpectation("silence", false);
-  const peg$e39 = peg$literalExpectation("unsilence", false);
-  const peg$e40 = peg$literalExpectation("crash", false);
-  const peg$e41 = peg$literalExpectation("leave", false);
-  const peg$e42 = peg$literalExpectation("version", false);
-  const peg$e43 = peg$literalExpectation("fails", false);
-  const peg$e44 = peg$literalExpectation("slows", false);
-  const peg$e45 = peg$literalExpectation("move", false);
-  const peg$e46 = peg$literalExpectation("within", false);
-  const peg$e47 = peg$literalExpectation("change", false);
-  const peg$e48 = peg$literalExpectation("plans", false);
-  const peg$e49 = peg$literalExpectation("invalid", false);
-  const peg$e50 = peg$literalExpectation("operators", false);
-  const peg$e51 = peg$literalExpectation("race", false);
-  const peg$e52 = peg$literalExpectation("after", false);
-  const peg$e53 = peg$literalExpectation("calls", false);
-  const peg$e54 = peg$literalExpectation("batch", false);
-  const peg$e55 = peg$literalExpectation("on", false);
-  const peg$e56 = peg$literalExpectation("expect", false);
-  const peg$e57 = peg$literalExpectation("tier", false);
-  const peg$e58 = peg$literalExpectation("endpoint", false);
-  const peg$e59 = peg$literalExpectation("since", false);
-  const peg$e60 = peg$literalExpectation("until", false);
-  const peg$e61 = peg$literalExpectation(">=", false);
-  const peg$e62 = peg$literalExpectation("<=", false);
-  const peg$e63 = peg$otherExpectation("a duration such as 500ms or 3s");
-  const peg$e64 = peg$literalExpectation("ms", false);
-  const peg$e65 = peg$classExpectation(["m", "s"], false, false, false);
-  const peg$e66 = peg$otherExpectation("a whole number");
-  const peg$e67 = peg$classExpectation([["0", "9"]], false, false, false);
-  const peg$e68 = peg$otherExpectation("a number");
-  const peg$e69 = peg$literalExpectation(".", false);
-  const peg$e70 = peg$otherExpectation("a text in quotes");
-  const peg$e71 = peg$literalExpectation("\"", false);
-  const peg$e72 = peg$classExpectation(["\"", "\n"], true, false, false);
-  const peg$e73 = peg$otherExpectation("a name");
-  const peg$e74 = peg$classExpectation([["A", "Z"], ["a", "z"]], false, false, false);
-  const peg$e75 = peg$otherExpectation("a word");
-  const peg$e76 = peg$classExpectation([["a", "z"]], false, false, false);
-  const peg$e77 = peg$classExpectation([["a", "z"], "-"], false, false, false);
-  const peg$e78 = peg$classExpectation([["A", "Z"], ["a", "z"], ["0", "9"], "_", ".", "-"], false, false, false);
-  const peg$e79 = peg$literalExpectation("#", false);
-  const peg$e80 = peg$classExpectation(["\n"], true, false, false);
-  const peg$e81 = peg$literalExpectation("\n", false);
-  const peg$e82 = peg$classExpectation([" ", "\t"], false, false, false);
+  const peg$e5 = peg$literalExpectation("fleet", false);
+  const peg$e6 = peg$literalExpectation("of", false);
+  const peg$e7 = peg$literalExpectation("zones", false);
+  const peg$e8 = peg$literalExpectation("each", false);
+  const peg$e9 = peg$literalExpectation("endpoints", false);
+  const peg$e10 = peg$literalExpectation("engines", false);
+  const peg$e11 = peg$literalExpectation("option", false);
+  const peg$e12 = peg$literalExpectation("=", false);
+  const peg$e13 = peg$literalExpectation("run", false);
+  const peg$e14 = peg$literalExpectation("from", false);
+  const peg$e15 = peg$literalExpectation("to", false);
+  const peg$e16 = peg$literalExpectation("call", false);
+  const peg$e17 = peg$literalExpectation("second", false);
+  const peg$e18 = peg$literalExpectation("in", false);
+  const peg$e19 = peg$literalExpectation("due", false);
+  const peg$e20 = peg$literalExpectation("retrying", false);
+  const peg$e21 = peg$literalExpectation("unmarked", false);
+  const peg$e22 = peg$literalExpectation("at", false);
+  const peg$e23 = peg$literalExpectation("kill", false);
+  const peg$e24 = peg$literalExpectation("stop", false);
+  const peg$e25 = peg$literalExpectation("start", false);
+  const peg$e26 = peg$literalExpectation("resume", false);
+  const peg$e27 = peg$literalExpectation("vm", false);
+  const peg$e28 = peg$literalExpectation("pause", false);
+  const peg$e29 = peg$literalExpectation("for", false);
+  const peg$e30 = peg$literalExpectation("cut", false);
+  const peg$e31 = peg$literalExpectation("heal", false);
+  const peg$e32 = peg$literalExpectation("lose", false);
+  const peg$e33 = peg$literalExpectation("messages", false);
+  const peg$e34 = peg$literalExpectation("repeat", false);
+  const peg$e35 = peg$literalExpectation("platform", false);
+  const peg$e36 = peg$literalExpectation("down", false);
+  const peg$e37 = peg$literalExpectation("up", false);
+  const peg$e38 = peg$literalExpectation("loses", false);
+  const peg$e39 = peg$literalExpectation("answers", false);
+  const peg$e40 = peg$literalExpectation("slow", false);
+  const peg$e41 = peg$literalExpectation("by", false);
+  const peg$e42 = peg$literalExpectation("silence", false);
+  const peg$e43 = peg$literalExpectation("unsilence", false);
+  const peg$e44 = peg$literalExpectation("crash", false);
+  const peg$e45 = peg$literalExpectation("limit", false);
+  const peg$e46 = peg$literalExpectation("unlimit", false);
+  const peg$e47 = peg$literalExpectation("leave", false);
+  const peg$e48 = peg$literalExpectation("version", false);
+  const peg$e49 = peg$literalExpectation("fails", false);
+  const peg$e50 = peg$literalExpectation("slows", false);
+  const peg$e51 = peg$literalExpectation("move", false);
+  const peg$e52 = peg$literalExpectation("within", false);
+  const peg$e53 = peg$literalExpectation("change", false);
+  const peg$e54 = peg$literalExpectation("plans", false);
+  const peg$e55 = peg$literalExpectation("invalid", false);
+  const peg$e56 = peg$literalExpectation("operators", false);
+  const peg$e57 = peg$literalExpectation("race", false);
+  const peg$e58 = peg$literalExpectation("after", false);
+  const peg$e59 = peg$literalExpectation("calls", false);
+  const peg$e60 = peg$literalExpectation("batch", false);
+  const peg$e61 = peg$literalExpectation("on", false);
+  const peg$e62 = peg$literalExpectation("expect", false);
+  const peg$e63 = peg$literalExpectation("tier", false);
+  const peg$e64 = peg$literalExpectation("endpoint", false);
+  const peg$e65 = peg$literalExpectation("since", false);
+  const peg$e66 = peg$literalExpectation("until", false);
+  const peg$e67 = peg$literalExpectation(">=", false);
+  const peg$e68 = peg$literalExpectation("<=", false);
+  const peg$e69 = peg$otherExpectation("a duration such as 500ms or 3s");
+  const peg$e70 = peg$literalExpectation("ms", false);
+  const peg$e71 = peg$classExpectation(["m", "s"], false, false, false);
+  const peg$e72 = peg$otherExpectation("a whole number");
+  const peg$e73 = peg$classExpectation([["0", "9"]], false, false, false);
+  const peg$e74 = peg$otherExpectation("a number");
+  const peg$e75 = peg$literalExpectation(".", false);
+  const peg$e76 = peg$otherExpectation("a text in quotes");
+  const peg$e77 = peg$literalExpectation("\"", false);
+  const peg$e78 = peg$classExpectation(["\"", "\n"], true, false, false);
+  const peg$e79 = peg$otherExpectation("a name");
+  const peg$e80 = peg$classExpectation([["A", "Z"], ["a", "z"]], false, false, false);
+  const peg$e81 = peg$otherExpectation("a word");
+  const peg$e82 = peg$classExpectation([["a", "z"]], false, false, false);
+  const peg$e83 = peg$classExpectation([["a", "z"], "-"], false, false, false);
+  const peg$e84 = peg$classExpectation([["A", "Z"], ["a", "z"], ["0", "9"], "_", ".", "-"], false, false, false);
+  const peg$e85 = peg$literalExpectation("#", false);
+  const peg$e86 = peg$classExpectation(["\n"], true, false, false);
+  const peg$e87 = peg$literalExpectation("\n", false);
+  const peg$e88 = peg$classExpectation([" ", "\t"], false, false, false);
 
   function peg$f0(first, line) {    return line;  }
   function peg$f1(first, rest) {
@@ -338,65 +350,70 @@
   function peg$f3(text) {    return {kind: 'title', text};  }
   function peg$f4(name) {    return {kind: 'deployment', name};  }
   function peg$f5(count) {    return {kind: 'vms', count};  }
-  function peg$f6(first, n) {    return n;  }
-  function peg$f7(first, rest) {
+  function peg$f6(zones, vmsPerZone, endpoints) {
+    return {kind: 'fleet', zones, vmsPerZone, endpoints};
+  }
+  function peg$f7(first, n) {    return n;  }
+  function peg$f8(first, rest) {
     return {kind: 'engines', generations: [first, ...rest]};
   }
-  function peg$f8(name, value) {
+  function peg$f9(name, value) {
     return {kind: 'option', name, value};
   }
-  function peg$f9(durationMs) {    return {kind: 'run', durationMs};  }
-  function peg$f10(fromMs, toMs, call, rate, zone) {    return zone;  }
-  function peg$f11(fromMs, toMs, call, rate, zone, due) {    return due;  }
-  function peg$f12(fromMs, toMs, call, rate, zone, deadlineMs, behavior) {
+  function peg$f10(durationMs) {    return {kind: 'run', durationMs};  }
+  function peg$f11(fromMs, toMs, call, rate, zone) {    return zone;  }
+  function peg$f12(fromMs, toMs, call, rate, zone, due) {    return due;  }
+  function peg$f13(fromMs, toMs, call, rate, zone, deadlineMs, behavior) {
     return {kind: 'load', fromMs, toMs, call, rate, zone: zone ?? '', deadlineMs, ...behavior};
   }
-  function peg$f13() {    return {isRetrying: true, marksAttempts: false};  }
-  function peg$f14() {    return {isRetrying: true, marksAttempts: true};  }
-  function peg$f15() {    return {isRetrying: false, marksAttempts: true};  }
-  function peg$f16(atMs, action) {    return {kind: 'fault', atMs, action};  }
-  function peg$f17(verb, vm) {    return {verb: `${verb}Vm`, vm};  }
-  function peg$f18(vm, durationMs) {    return {verb: 'pauseVm', vm, durationMs};  }
-  function peg$f19(a, b) {    return {verb: 'cut', a, b};  }
-  function peg$f20() {    return {verb: 'heal'};  }
-  function peg$f21(rate) {    return {verb: 'loseMessages', rate};  }
-  function peg$f22(rate) {    return {verb: 'repeatMessages', rate};  }
-  function peg$f23() {    return {verb: 'platformDown'};  }
-  function peg$f24() {    return {verb: 'platformUp'};  }
-  function peg$f25(count) {    return {verb: 'platformLoses', count};  }
-  function peg$f26(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
-  function peg$f27(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
-  function peg$f28(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
-  function peg$f29(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
-  function peg$f30(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
-  function peg$f31(version) {    return {verb: 'startVersion', version};  }
-  function peg$f32(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
-  function peg$f33(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
-  function peg$f34(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
-  function peg$f35() {    return {verb: 'changePlans'};  }
-  function peg$f36() {    return {verb: 'invalidPlans'};  }
-  function peg$f37() {    return {verb: 'operatorsRace'};  }
-  function peg$f38(calls) {    return {afterCalls: calls};  }
-  function peg$f39(batch) {    return {fromBatch: batch};  }
-  function peg$f40(route) {    return {route};  }
-  function peg$f41() {    return {};  }
-  function peg$f42(metric, qualifiers, operator, value) {
+  function peg$f14() {    return {isRetrying: true, marksAttempts: false};  }
+  function peg$f15() {    return {isRetrying: true, marksAttempts: true};  }
+  function peg$f16() {    return {isRetrying: false, marksAttempts: true};  }
+  function peg$f17(atMs, action) {    return {kind: 'fault', atMs, action};  }
+  function peg$f18(verb, vm) {    return {verb: `${verb}Vm`, vm};  }
+  function peg$f19(vm, durationMs) {    return {verb: 'pauseVm', vm, durationMs};  }
+  function peg$f20(a, b) {    return {verb: 'cut', a, b};  }
+  function peg$f21() {    return {verb: 'heal'};  }
+  function peg$f22(rate) {    return {verb: 'loseMessages', rate};  }
+  function peg$f23(rate) {    return {verb: 'repeatMessages', rate};  }
+  function peg$f24() {    return {verb: 'platformDown'};  }
+  function peg$f25() {    return {verb: 'platformUp'};  }
+  function peg$f26(count) {    return {verb: 'platformLoses', count};  }
+  function peg$f27(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
+  function peg$f28(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
+  function peg$f29(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
+  function peg$f30(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
+  function peg$f31(endpoint, rate) {    return {verb: 'limitEndpoint', endpoint, rate};  }
+  function peg$f32(endpoint) {    return {verb: 'unlimitEndpoint', endpoint};  }
+  function peg$f33(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
+  function peg$f34(version) {    return {verb: 'startVersion', version};  }
+  function peg$f35(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
+  function peg$f36(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
+  function peg$f37(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
+  function peg$f38() {    return {verb: 'changePlans'};  }
+  function peg$f39() {    return {verb: 'invalidPlans'};  }
+  function peg$f40() {    return {verb: 'operatorsRace'};  }
+  function peg$f41(calls) {    return {afterCalls: calls};  }
+  function peg$f42(batch) {    return {fromBatch: batch};  }
+  function peg$f43(route) {    return {route};  }
+  function peg$f44() {    return {};  }
+  function peg$f45(metric, qualifiers, operator, value) {
     return {kind: 'expect', metric, qualifiers: Object.assign({}, ...qualifiers), operator, value};
   }
-  function peg$f43(first, w) {    return w;  }
-  function peg$f44(first, rest) {    return [first, ...rest].join(' ');  }
-  function peg$f45(w) {    return w;  }
-  function peg$f46(tier) {    return {tier};  }
-  function peg$f47(version) {    return {version};  }
-  function peg$f48(endpoint) {    return {endpoint};  }
-  function peg$f49(sinceMs) {    return {sinceMs};  }
-  function peg$f50(untilMs) {    return {untilMs};  }
-  function peg$f51(value, unit) {
+  function peg$f46(first, w) {    return w;  }
+  function peg$f47(first, rest) {    return [first, ...rest].join(' ');  }
+  function peg$f48(w) {    return w;  }
+  function peg$f49(tier) {    return {tier};  }
+  function peg$f50(version) {    return {version};  }
+  function peg$f51(endpoint) {    return {endpoint};  }
+  function peg$f52(sinceMs) {    return {sinceMs};  }
+  function peg$f53(untilMs) {    return {untilMs};  }
+  function peg$f54(value, unit) {
     return value * {ms: 1, s: 1000, m: 60000}[unit];
   }
-  function peg$f52(digits) {    return Number(digits);  }
-  function peg$f53(digits) {    return Number(digits);  }
-  function peg$f54(text) {    return text;  }
+  function peg$f55(digits) {    return Number(digits);  }
+  function peg$f56(digits) {    return Number(digits);  }
+  function peg$f57(text) {    return text;  }
   let peg$currPos = options.peg$currPos | 0;
   let peg$savedPos = peg$currPos;
   const peg$posDetailsCache = [{ line: 1, column: 1 }];
@@ -640,7 +657,7 @@
   }
 
   function peg$parseSetUp() {
-    let s0, s1, s2, s3, s4, s5, s6, s7, s8;
+    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10, s11, s12, s13, s14, s15, s16, s17;
 
     s0 = peg$currPos;
     if (input.substr(peg$currPos, 5) === peg$c0) {
@@ -763,9 +780,9 @@
         }
         if (s0 === peg$FAILED) {
           s0 = peg$currPos;
-          if (input.substr(peg$currPos, 7) === peg$c5) {
+          if (input.substr(peg$currPos, 5) === peg$c5) {
             s1 = peg$c5;
-            peg$currPos += 7;
+            peg$currPos += 5;
           } else {
             s1 = peg$FAILED;
             if (peg$silentFails === 0) { peg$fail(peg$e5); }
@@ -773,64 +790,108 @@
           if (s1 !== peg$FAILED) {
             s2 = peg$parse__();
             if (s2 !== peg$FAILED) {
-              s3 = peg$parseInteger();
+              if (input.substr(peg$currPos, 2) === peg$c6) {
+                s3 = peg$c6;
+                peg$currPos += 2;
+              } else {
+                s3 = peg$FAILED;
+                if (peg$silentFails === 0) { peg$fail(peg$e6); }
+              }
               if (s3 !== peg$FAILED) {
-                s4 = [];
-                s5 = peg$currPos;
-                s6 = peg$parse__();
-                if (s6 !== peg$FAILED) {
-                  s7 = peg$parseInteger();
-                  if (s7 !== peg$FAILED) {
-                    peg$savedPos = s5;
-                    s5 = peg$f6(s3, s7);
-                  } else {
-                    peg$currPos = s5;
-                    s5 = peg$FAILED;
-                  }
-                } else {
-                  peg$currPos = s5;
-                  s5 = peg$FAILED;
-                }
-                while (s5 !== peg$FAILED) {
-                  s4.push(s5);
-                  s5 = peg$currPos;
-                  s6 = peg$parse__();
-                  if (s6 !== peg$FAILED) {
-                    s7 = peg$parseInteger();
-                    if (s7 !== peg$FAILED) {
-                      peg$savedPos = s5;
-                      s5 = peg$f6(s3, s7);
-                    } else {
-                      peg$currPos = s5;
-                      s5 = peg$FAILED;
-                    }
-                  } else {
-                    peg$currPos = s5;
-                    s5 = peg$FAILED;
-                  }
-                }
-                s5 = peg$parse__();
-                if (s5 !== peg$FAILED) {
-                  if (input.substr(peg$currPos, 3) === peg$c3) {
-                    s6 = peg$c3;
-                    peg$currPos += 3;
-                  } else {
-                    s6 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e3); }
-                  }
-                  if (s6 !== peg$FAILED) {
-                    s7 = peg$parse__();
-                    if (s7 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 4) === peg$c4) {
-                        s8 = peg$c4;
-                        peg$currPos += 4;
+                s4 = peg$parse__();
+                if (s4 !== peg$FAILED) {
+                  s5 = peg$parseInteger();
+                  if (s5 !== peg$FAILED) {
+                    s6 = peg$parse__();
+                    if (s6 !== peg$FAILED) {
+                      if (input.substr(peg$currPos, 5) === peg$c7) {
+                        s7 = peg$c7;
+                        peg$currPos += 5;
                       } else {
-                        s8 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e4); }
+                        s7 = peg$FAILED;
+                        if (peg$silentFails === 0) { peg$fail(peg$e7); }
                       }
-                      if (s8 !== peg$FAILED) {
-                        peg$savedPos = s0;
-                        s0 = peg$f7(s3, s4);
+                      if (s7 !== peg$FAILED) {
+                        s8 = peg$parse__();
+                        if (s8 !== peg$FAILED) {
+                          s9 = peg$parseInteger();
+                          if (s9 !== peg$FAILED) {
+                            s10 = peg$parse__();
+                            if (s10 !== peg$FAILED) {
+                              if (input.substr(peg$currPos, 3) === peg$c2) {
+                                s11 = peg$c2;
+                                peg$currPos += 3;
+                              } else {
+                                s11 = peg$FAILED;
+                                if (peg$silentFails === 0) { peg$fail(peg$e2); }
+                              }
+                              if (s11 !== peg$FAILED) {
+                                s12 = peg$parse__();
+                                if (s12 !== peg$FAILED) {
+                                  if (input.substr(peg$currPos, 4) === peg$c8) {
+                                    s13 = peg$c8;
+                                    peg$currPos += 4;
+                                  } else {
+                                    s13 = peg$FAILED;
+                                    if (peg$silentFails === 0) { peg$fail(peg$e8); }
+                                  }
+                                  if (s13 !== peg$FAILED) {
+                                    s14 = peg$parse__();
+                                    if (s14 !== peg$FAILED) {
+                                      s15 = peg$parseInteger();
+                                      if (s15 !== peg$FAILED) {
+                                        s16 = peg$parse__();
+                                        if (s16 !== peg$FAILED) {
+                                          if (input.substr(peg$currPos, 9) === peg$c9) {
+                                            s17 = peg$c9;
+                                            peg$currPos += 9;
+                                          } else {
+                                            s17 = peg$FAILED;
+                                            if (peg$silentFails === 0) { peg$fail(peg$e9); }
+                                          }
+                                          if (s17 !== peg$FAILED) {
+                                            peg$savedPos = s0;
+                                            s0 = peg$f6(s5, s9, s15);
+                                          } else {
+                                            peg$currPos = s0;
+                                            s0 = peg$FAILED;
+                                          }
+                                        } else {
+                                          peg$currPos = s0;
+                                          s0 = peg$FAILED;
+                                        }
+                                      } else {
+                                        peg$currPos = s0;
+                                        s0 = peg$FAILED;
+                                      }
+                                    } else {
+                                      peg$currPos = s0;
+                                      s0 = peg$FAILED;
+                                    }
+                                  } else {
+                                    peg$currPos = s0;
+                                    s0 = peg$FAILED;
+                                  }
+                                } else {
+                                  peg$currPos = s0;
+                                  s0 = peg$FAILED;
+                                }
+                              } else {
+                                peg$currPos = s0;
+                                s0 = peg$FAILED;
+                              }
+                            } else {
+                              peg$currPos = s0;
+                              s0 = peg$FAILED;
+                            }
+                          } else {
+                            peg$currPos = s0;
+                            s0 = peg$FAILED;
+                          }
+                        } else {
+                          peg$currPos = s0;
+                          s0 = peg$FAILED;
+                        }
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -861,38 +922,82 @@
           }
           if (s0 === peg$FAILED) {
             s0 = peg$currPos;
-            if (input.substr(peg$currPos, 6) === peg$c6) {
-              s1 = peg$c6;
-              peg$currPos += 6;
+            if (input.substr(peg$currPos, 7) === peg$c10) {
+              s1 = peg$c10;
+              peg$currPos += 7;
             } else {
               s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e6); }
+              if (peg$silentFails === 0) { peg$fail(peg$e10); }
             }
             if (s1 !== peg$FAILED) {
               s2 = peg$parse__();
               if (s2 !== peg$FAILED) {
-                s3 = peg$parseName();
+                s3 = peg$parseInteger();
                 if (s3 !== peg$FAILED) {
-                  s4 = peg$parse_();
-                  if (input.charCodeAt(peg$currPos) === 61) {
-                    s5 = peg$c7;
-                    peg$currPos++;
+                  s4 = [];
+                  s5 = peg$currPos;
+                  s6 = peg$parse__();
+                  if (s6 !== peg$FAILED) {
+                    s7 = peg$parseInteger();
+                    if (s7 !== peg$FAILED) {
+                      peg$savedPos = s5;
+                      s5 = peg$f7(s3, s7);
+                    } else {
+                      peg$currPos = s5;
+                      s5 = peg$FAILED;
+                    }
                   } else {
+                    peg$currPos = s5;
                     s5 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e7); }
                   }
-                  if (s5 !== peg$FAILED) {
-                    s6 = peg$parse_();
-                    s7 = peg$parseDuration();
-                    if (s7 === peg$FAILED) {
-                      s7 = peg$parseNumber();
-                      if (s7 === peg$FAILED) {
-                        s7 = peg$parseName();
+                  while (s5 !== peg$FAILED) {
+                    s4.push(s5);
+                    s5 = peg$currPos;
+                    s6 = peg$parse__();
+                    if (s6 !== peg$FAILED) {
+                      s7 = peg$parseInteger();
+                      if (s7 !== peg$FAILED) {
+                        peg$savedPos = s5;
+                        s5 = peg$f7(s3, s7);
+                      } else {
+                        peg$currPos = s5;
+                        s5 = peg$FAILED;
                       }
+                    } else {
+                      peg$currPos = s5;
+                      s5 = peg$FAILED;
                     }
-                    if (s7 !== peg$FAILED) {
-                      peg$savedPos = s0;
-                      s0 = peg$f8(s3, s7);
+                  }
+                  s5 = peg$parse__();
+                  if (s5 !== peg$FAILED) {
+                    if (input.substr(peg$currPos, 3) === peg$c3) {
+                      s6 = peg$c3;
+                      peg$currPos += 3;
+                    } else {
+                      s6 = peg$FAILED;
+                      if (peg$silentFails === 0) { peg$fail(peg$e3); }
+                    }
+                    if (s6 !== peg$FAILED) {
+                      s7 = peg$parse__();
+                      if (s7 !== peg$FAILED) {
+                        if (input.substr(peg$currPos, 4) === peg$c4) {
+                          s8 = peg$c4;
+                          peg$currPos += 4;
+                        } else {
+                          s8 = peg$FAILED;
+                          if (peg$silentFails === 0) { peg$fail(peg$e4); }
+                        }
+                        if (s8 !== peg$FAILED) {
+                          peg$savedPos = s0;
+                          s0 = peg$f8(s3, s4);
+                        } else {
+                          peg$currPos = s0;
+                          s0 = peg$FAILED;
+                        }
+                      } else {
+                        peg$currPos = s0;
+                        s0 = peg$FAILED;
+                      }
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -915,20 +1020,46 @@
             }
             if (s0 === peg$FAILED) {
               s0 = peg$currPos;
-              if (input.substr(peg$currPos, 3) === peg$c8) {
-                s1 = peg$c8;
-                peg$currPos += 3;
+              if (input.substr(peg$currPos, 6) === peg$c11) {
+                s1 = peg$c11;
+                peg$currPos += 6;
               } else {
                 s1 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e8); }
+                if (peg$silentFails === 0) { peg$fail(peg$e11); }
               }
               if (s1 !== peg$FAILED) {
                 s2 = peg$parse__();
                 if (s2 !== peg$FAILED) {
-                  s3 = peg$parseDuration();
+                  s3 = peg$parseName();
                   if (s3 !== peg$FAILED) {
-                    peg$savedPos = s0;
-                    s0 = peg$f9(s3);
+                    s4 = peg$parse_();
+                    if (input.charCodeAt(peg$currPos) === 61) {
+                      s5 = peg$c12;
+                      peg$currPos++;
+                    } else {
+                      s5 = peg$FAILED;
+                      if (peg$silentFails === 0) { peg$fail(peg$e12); }
+                    }
+                    if (s5 !== peg$FAILED) {
+                      s6 = peg$parse_();
+                      s7 = peg$parseDuration();
+                      if (s7 === peg$FAILED) {
+                        s7 = peg$parseNumber();
+                        if (s7 === peg$FAILED) {
+                          s7 = peg$parseName();
+                        }
+                      }
+                      if (s7 !== peg$FAILED) {
+                        peg$savedPos = s0;
+                        s0 = peg$f9(s3, s7);
+                      } else {
+                        peg$currPos = s0;
+                        s0 = peg$FAILED;
+                      }
+                    } else {
+                      peg$currPos = s0;
+                      s0 = peg$FAILED;
+                    }
                   } else {
                     peg$currPos = s0;
                     s0 = peg$FAILED;
@@ -941,6 +1072,35 @@
                 peg$currPos = s0;
                 s0 = peg$FAILED;
               }
+              if (s0 === peg$FAILED) {
+                s0 = peg$currPos;
+                if (input.substr(peg$currPos, 3) === peg$c13) {
+                  s1 = peg$c13;
+                  peg$currPos += 3;
+                } else {
+                  s1 = peg$FAILED;
+                  if (peg$silentFails === 0) { peg$fail(peg$e13); }
+                }
+                if (s1 !== peg$FAILED) {
+                  s2 = peg$parse__();
+                  if (s2 !== peg$FAILED) {
+                    s3 = peg$parseDuration();
+                    if (s3 !== peg$FAILED) {
+                      peg$savedPos = s0;
+                      s0 = peg$f10(s3);
+                    } else {
+                      peg$currPos = s0;
+                      s0 = peg$FAILED;
+                    }
+                  } else {
+                    peg$currPos = s0;
+                    s0 = peg$FAILED;
+                  }
+                } else {
+                  peg$currPos = s0;
+                  s0 = peg$FAILED;
+                }
+              }
             }
           }
         }
@@ -954,12 +1114,12 @@
     let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10, s11, s12, s13, s14, s15, s16, s17, s18, s19, s20, s21, s22, s23, s24, s25;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 4) === peg$c9) {
-      s1 = peg$c9;
+    if (input.substr(peg$currPos, 4) === peg$c14) {
+      s1 = peg$c14;
       peg$currPos += 4;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e9); }
+      if (peg$silentFails === 0) { peg$fail(peg$e14); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
@@ -968,12 +1128,12 @@
         if (s3 !== peg$FAILED) {
           s4 = peg$parse__();
           if (s4 !== peg$FAILED) {
-            if (input.substr(peg$currPos, 2) === peg$c10) {
-              s5 = peg$c10;
+            if (input.substr(peg$currPos, 2) === peg$c15) {
+              s5 = peg$c15;
               peg$currPos += 2;
             } else {
               s5 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e10); }
+              if (peg$silentFails === 0) { peg$fail(peg$e15); }
             }
             if (s5 !== peg$FAILED) {
               s6 = peg$parse__();
@@ -982,12 +1142,12 @@
                 if (s7 !== peg$FAILED) {
                   s8 = peg$parse__();
                   if (s8 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 4) === peg$c11) {
-                      s9 = peg$c11;
+                    if (input.substr(peg$currPos, 4) === peg$c16) {
+                      s9 = peg$c16;
                       peg$currPos += 4;
                     } else {
                       s9 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e11); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e16); }
                     }
                     if (s9 !== peg$FAILED) {
                       s10 = peg$parse__();
@@ -1010,23 +1170,23 @@
                                 if (s15 !== peg$FAILED) {
                                   s16 = peg$parse__();
                                   if (s16 !== peg$FAILED) {
-                                    if (input.substr(peg$currPos, 6) === peg$c12) {
-                                      s17 = peg$c12;
+                                    if (input.substr(peg$currPos, 6) === peg$c17) {
+                                      s17 = peg$c17;
                                       peg$currPos += 6;
                                     } else {
                                       s17 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e12); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e17); }
                                     }
                                     if (s17 !== peg$FAILED) {
                                       s18 = peg$currPos;
                                       s19 = peg$parse__();
                                       if (s19 !== peg$FAILED) {
-                                        if (input.substr(peg$currPos, 2) === peg$c13) {
-                                          s20 = peg$c13;
+                                        if (input.substr(peg$currPos, 2) === peg$c18) {
+                                          s20 = peg$c18;
                                           peg$currPos += 2;
                                         } else {
                                           s20 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e13); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e18); }
                                         }
                                         if (s20 !== peg$FAILED) {
                                           s21 = peg$parse__();
@@ -1034,7 +1194,7 @@
                                             s22 = peg$parseName();
                                             if (s22 !== peg$FAILED) {
                                               peg$savedPos = s18;
-                                              s18 = peg$f10(s3, s7, s11, s13, s22);
+                                              s18 = peg$f11(s3, s7, s11, s13, s22);
                                             } else {
                                               peg$currPos = s18;
                                               s18 = peg$FAILED;
@@ -1057,22 +1217,22 @@
                                       s19 = peg$currPos;
                                       s20 = peg$parse__();
                                       if (s20 !== peg$FAILED) {
-                                        if (input.substr(peg$currPos, 3) === peg$c14) {
-                                          s21 = peg$c14;
+                                        if (input.substr(peg$currPos, 3) === peg$c19) {
+                                          s21 = peg$c19;
                                           peg$currPos += 3;
                                         } else {
                                           s21 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e14); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e19); }
                                         }
                                         if (s21 !== peg$FAILED) {
                                           s22 = peg$parse__();
                                           if (s22 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 2) === peg$c13) {
-                                              s23 = peg$c13;
+                                            if (input.substr(peg$currPos, 2) === peg$c18) {
+                                              s23 = peg$c18;
                                               peg$currPos += 2;
                                             } else {
                                               s23 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e13); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e18); }
                                             }
                                             if (s23 !== peg$FAILED) {
                                               s24 = peg$parse__();
@@ -1080,7 +1240,7 @@
                                                 s25 = peg$parseDuration();
                                                 if (s25 !== peg$FAILED) {
                                                   peg$savedPos = s19;
-                                                  s19 = peg$f11(s3, s7, s11, s13, s18, s25);
+                                                  s19 = peg$f12(s3, s7, s11, s13, s18, s25);
                                                 } else {
                                                   peg$currPos = s19;
                                                   s19 = peg$FAILED;
@@ -1111,7 +1271,7 @@
                                       s20 = peg$parseBehavior();
                                       if (s20 !== peg$FAILED) {
                                         peg$savedPos = s0;
-                                        s0 = peg$f12(s3, s7, s11, s13, s18, s19, s20);
+                                        s0 = peg$f13(s3, s7, s11, s13, s18, s19, s20);
                                       } else {
                                         peg$currPos = s0;
                                         s0 = peg$FAILED;
@@ -1194,26 +1354,26 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 8) === peg$c15) {
-        s2 = peg$c15;
+      if (input.substr(peg$currPos, 8) === peg$c20) {
+        s2 = peg$c20;
         peg$currPos += 8;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e15); }
+        if (peg$silentFails === 0) { peg$fail(peg$e20); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
         if (s3 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 8) === peg$c16) {
-            s4 = peg$c16;
+          if (input.substr(peg$currPos, 8) === peg$c21) {
+            s4 = peg$c21;
             peg$currPos += 8;
           } else {
             s4 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e16); }
+            if (peg$silentFails === 0) { peg$fail(peg$e21); }
           }
           if (s4 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f13();
+            s0 = peg$f14();
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -1234,16 +1394,16 @@
       s0 = peg$currPos;
       s1 = peg$parse__();
       if (s1 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 8) === peg$c15) {
-          s2 = peg$c15;
+        if (input.substr(peg$currPos, 8) === peg$c20) {
+          s2 = peg$c20;
           peg$currPos += 8;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e15); }
+          if (peg$silentFails === 0) { peg$fail(peg$e20); }
         }
         if (s2 !== peg$FAILED) {
           peg$savedPos = s0;
-          s0 = peg$f14();
+          s0 = peg$f15();
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -1256,7 +1416,7 @@
         s0 = peg$currPos;
         s1 = '';
         peg$savedPos = s0;
-        s1 = peg$f15();
+        s1 = peg$f16();
         s0 = s1;
       }
     }
@@ -1268,12 +1428,12 @@
     let s0, s1, s2, s3, s4, s5;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 2) === peg$c17) {
-      s1 = peg$c17;
+    if (input.substr(peg$currPos, 2) === peg$c22) {
+      s1 = peg$c22;
       peg$currPos += 2;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e17); }
+      if (peg$silentFails === 0) { peg$fail(peg$e22); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
@@ -1285,7 +1445,7 @@
             s5 = peg$parseAction();
             if (s5 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f16(s3, s5);
+              s0 = peg$f17(s3, s5);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -1311,39 +1471,39 @@
   }
 
   function peg$parseAction() {
-    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9;
+    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10, s11;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 4) === peg$c18) {
-      s1 = peg$c18;
+    if (input.substr(peg$currPos, 4) === peg$c23) {
+      s1 = peg$c23;
       peg$currPos += 4;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e18); }
+      if (peg$silentFails === 0) { peg$fail(peg$e23); }
     }
     if (s1 === peg$FAILED) {
-      if (input.substr(peg$currPos, 4) === peg$c19) {
-        s1 = peg$c19;
+      if (input.substr(peg$currPos, 4) === peg$c24) {
+        s1 = peg$c24;
         peg$currPos += 4;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e19); }
+        if (peg$silentFails === 0) { peg$fail(peg$e24); }
       }
       if (s1 === peg$FAILED) {
-        if (input.substr(peg$currPos, 5) === peg$c20) {
-          s1 = peg$c20;
+        if (input.substr(peg$currPos, 5) === peg$c25) {
+          s1 = peg$c25;
           peg$currPos += 5;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e20); }
+          if (peg$silentFails === 0) { peg$fail(peg$e25); }
         }
         if (s1 === peg$FAILED) {
-          if (input.substr(peg$currPos, 6) === peg$c21) {
-            s1 = peg$c21;
+          if (input.substr(peg$currPos, 6) === peg$c26) {
+            s1 = peg$c26;
             peg$currPos += 6;
           } else {
             s1 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e21); }
+            if (peg$silentFails === 0) { peg$fail(peg$e26); }
           }
         }
       }
@@ -1351,12 +1511,12 @@
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
       if (s2 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 2) === peg$c22) {
-          s3 = peg$c22;
+        if (input.substr(peg$currPos, 2) === peg$c27) {
+          s3 = peg$c27;
           peg$currPos += 2;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e22); }
+          if (peg$silentFails === 0) { peg$fail(peg$e27); }
         }
         if (s3 !== peg$FAILED) {
           s4 = peg$parse__();
@@ -1364,7 +1524,7 @@
             s5 = peg$parseName();
             if (s5 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f17(s1, s5);
+              s0 = peg$f18(s1, s5);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -1387,22 +1547,22 @@
     }
     if (s0 === peg$FAILED) {
       s0 = peg$currPos;
-      if (input.substr(peg$currPos, 5) === peg$c23) {
-        s1 = peg$c23;
+      if (input.substr(peg$currPos, 5) === peg$c28) {
+        s1 = peg$c28;
         peg$currPos += 5;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e23); }
+        if (peg$silentFails === 0) { peg$fail(peg$e28); }
       }
       if (s1 !== peg$FAILED) {
         s2 = peg$parse__();
         if (s2 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 2) === peg$c22) {
-            s3 = peg$c22;
+          if (input.substr(peg$currPos, 2) === peg$c27) {
+            s3 = peg$c27;
             peg$currPos += 2;
           } else {
             s3 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e22); }
+            if (peg$silentFails === 0) { peg$fail(peg$e27); }
           }
           if (s3 !== peg$FAILED) {
             s4 = peg$parse__();
@@ -1411,12 +1571,12 @@
               if (s5 !== peg$FAILED) {
                 s6 = peg$parse__();
                 if (s6 !== peg$FAILED) {
-                  if (input.substr(peg$currPos, 3) === peg$c24) {
-                    s7 = peg$c24;
+                  if (input.substr(peg$currPos, 3) === peg$c29) {
+                    s7 = peg$c29;
                     peg$currPos += 3;
                   } else {
                     s7 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e24); }
+                    if (peg$silentFails === 0) { peg$fail(peg$e29); }
                   }
                   if (s7 !== peg$FAILED) {
                     s8 = peg$parse__();
@@ -1424,7 +1584,7 @@
                       s9 = peg$parseDuration();
                       if (s9 !== peg$FAILED) {
                         peg$savedPos = s0;
-                        s0 = peg$f18(s5, s9);
+                        s0 = peg$f19(s5, s9);
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -1463,12 +1623,12 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c25) {
-          s1 = peg$c25;
+        if (input.substr(peg$currPos, 3) === peg$c30) {
+          s1 = peg$c30;
           peg$currPos += 3;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e25); }
+          if (peg$silentFails === 0) { peg$fail(peg$e30); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
@@ -1477,12 +1637,12 @@
             if (s3 !== peg$FAILED) {
               s4 = peg$parse__();
               if (s4 !== peg$FAILED) {
-                if (input.substr(peg$currPos, 4) === peg$c9) {
-                  s5 = peg$c9;
+                if (input.substr(peg$currPos, 4) === peg$c14) {
+                  s5 = peg$c14;
                   peg$currPos += 4;
                 } else {
                   s5 = peg$FAILED;
-                  if (peg$silentFails === 0) { peg$fail(peg$e9); }
+                  if (peg$silentFails === 0) { peg$fail(peg$e14); }
                 }
                 if (s5 !== peg$FAILED) {
                   s6 = peg$parse__();
@@ -1490,7 +1650,7 @@
                     s7 = peg$parseName();
                     if (s7 !== peg$FAILED) {
                       peg$savedPos = s0;
-                      s0 = peg$f19(s3, s7);
+                      s0 = peg$f20(s3, s7);
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1521,26 +1681,26 @@
         }
         if (s0 === peg$FAILED) {
           s0 = peg$currPos;
-          if (input.substr(peg$currPos, 4) === peg$c26) {
-            s1 = peg$c26;
+          if (input.substr(peg$currPos, 4) === peg$c31) {
+            s1 = peg$c31;
             peg$currPos += 4;
           } else {
             s1 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e26); }
+            if (peg$silentFails === 0) { peg$fail(peg$e31); }
           }
           if (s1 !== peg$FAILED) {
             peg$savedPos = s0;
-            s1 = peg$f20();
+            s1 = peg$f21();
           }
           s0 = s1;
           if (s0 === peg$FAILED) {
             s0 = peg$currPos;
-            if (input.substr(peg$currPos, 4) === peg$c27) {
-              s1 = peg$c27;
+            if (input.substr(peg$currPos, 4) === peg$c32) {
+              s1 = peg$c32;
               peg$currPos += 4;
             } else {
               s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e27); }
+              if (peg$silentFails === 0) { peg$fail(peg$e32); }
             }
             if (s1 !== peg$FAILED) {
               s2 = peg$parse__();
@@ -1549,26 +1709,26 @@
                 if (s3 !== peg$FAILED) {
                   s4 = peg$parse__();
                   if (s4 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 2) === peg$c28) {
-                      s5 = peg$c28;
+                    if (input.substr(peg$currPos, 2) === peg$c6) {
+                      s5 = peg$c6;
                       peg$currPos += 2;
                     } else {
                       s5 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e28); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e6); }
                     }
                     if (s5 !== peg$FAILED) {
                       s6 = peg$parse__();
                       if (s6 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 8) === peg$c29) {
-                          s7 = peg$c29;
+                        if (input.substr(peg$currPos, 8) === peg$c33) {
+                          s7 = peg$c33;
                           peg$currPos += 8;
                         } else {
                           s7 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e29); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e33); }
                         }
                         if (s7 !== peg$FAILED) {
                           peg$savedPos = s0;
-                          s0 = peg$f21(s3);
+                          s0 = peg$f22(s3);
                         } else {
                           peg$currPos = s0;
                           s0 = peg$FAILED;
@@ -1599,12 +1759,12 @@
             }
             if (s0 === peg$FAILED) {
               s0 = peg$currPos;
-              if (input.substr(peg$currPos, 6) === peg$c30) {
-                s1 = peg$c30;
+              if (input.substr(peg$currPos, 6) === peg$c34) {
+                s1 = peg$c34;
                 peg$currPos += 6;
               } else {
                 s1 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e30); }
+                if (peg$silentFails === 0) { peg$fail(peg$e34); }
               }
               if (s1 !== peg$FAILED) {
                 s2 = peg$parse__();
@@ -1613,26 +1773,26 @@
                   if (s3 !== peg$FAILED) {
                     s4 = peg$parse__();
                     if (s4 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 2) === peg$c28) {
-                        s5 = peg$c28;
+                      if (input.substr(peg$currPos, 2) === peg$c6) {
+                        s5 = peg$c6;
                         peg$currPos += 2;
                       } else {
                         s5 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e28); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e6); }
                       }
                       if (s5 !== peg$FAILED) {
                         s6 = peg$parse__();
                         if (s6 !== peg$FAILED) {
-                          if (input.substr(peg$currPos, 8) === peg$c29) {
-                            s7 = peg$c29;
+                          if (input.substr(peg$currPos, 8) === peg$c33) {
+                            s7 = peg$c33;
                             peg$currPos += 8;
                           } else {
                             s7 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e29); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e33); }
                           }
                           if (s7 !== peg$FAILED) {
                             peg$savedPos = s0;
-                            s0 = peg$f22(s3);
+                            s0 = peg$f23(s3);
                           } else {
                             peg$currPos = s0;
                             s0 = peg$FAILED;
@@ -1663,26 +1823,26 @@
               }
               if (s0 === peg$FAILED) {
                 s0 = peg$currPos;
-                if (input.substr(peg$currPos, 8) === peg$c31) {
-                  s1 = peg$c31;
+                if (input.substr(peg$currPos, 8) === peg$c35) {
+                  s1 = peg$c35;
                   peg$currPos += 8;
                 } else {
                   s1 = peg$FAILED;
-                  if (peg$silentFails === 0) { peg$fail(peg$e31); }
+                  if (peg$silentFails === 0) { peg$fail(peg$e35); }
                 }
                 if (s1 !== peg$FAILED) {
                   s2 = peg$parse__();
                   if (s2 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 4) === peg$c32) {
-                      s3 = peg$c32;
+                    if (input.substr(peg$currPos, 4) === peg$c36) {
+                      s3 = peg$c36;
                       peg$currPos += 4;
                     } else {
                       s3 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e32); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e36); }
                     }
                     if (s3 !== peg$FAILED) {
                       peg$savedPos = s0;
-                      s0 = peg$f23();
+                      s0 = peg$f24();
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1697,26 +1857,26 @@
                 }
                 if (s0 === peg$FAILED) {
                   s0 = peg$currPos;
-                  if (input.substr(peg$currPos, 8) === peg$c31) {
-                    s1 = peg$c31;
+                  if (input.substr(peg$currPos, 8) === peg$c35) {
+                    s1 = peg$c35;
                     peg$currPos += 8;
                   } else {
                     s1 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e31); }
+                    if (peg$silentFails === 0) { peg$fail(peg$e35); }
                   }
                   if (s1 !== peg$FAILED) {
                     s2 = peg$parse__();
                     if (s2 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 2) === peg$c33) {
-                        s3 = peg$c33;
+                      if (input.substr(peg$currPos, 2) === peg$c37) {
+                        s3 = peg$c37;
                         peg$currPos += 2;
                       } else {
                         s3 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e33); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e37); }
                       }
                       if (s3 !== peg$FAILED) {
                         peg$savedPos = s0;
-                        s0 = peg$f24();
+                        s0 = peg$f25();
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -1731,22 +1891,22 @@
                   }
                   if (s0 === peg$FAILED) {
                     s0 = peg$currPos;
-                    if (input.substr(peg$currPos, 8) === peg$c31) {
-                      s1 = peg$c31;
+                    if (input.substr(peg$currPos, 8) === peg$c35) {
+                      s1 = peg$c35;
                       peg$currPos += 8;
                     } else {
                       s1 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e31); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e35); }
                     }
                     if (s1 !== peg$FAILED) {
                       s2 = peg$parse__();
                       if (s2 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 5) === peg$c34) {
-                          s3 = peg$c34;
+                        if (input.substr(peg$currPos, 5) === peg$c38) {
+                          s3 = peg$c38;
                           peg$currPos += 5;
                         } else {
                           s3 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e34); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e38); }
                         }
                         if (s3 !== peg$FAILED) {
                           s4 = peg$parse__();
@@ -1755,16 +1915,16 @@
                             if (s5 !== peg$FAILED) {
                               s6 = peg$parse__();
                               if (s6 !== peg$FAILED) {
-                                if (input.substr(peg$currPos, 7) === peg$c35) {
-                                  s7 = peg$c35;
+                                if (input.substr(peg$currPos, 7) === peg$c39) {
+                                  s7 = peg$c39;
                                   peg$currPos += 7;
                                 } else {
                                   s7 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                                  if (peg$silentFails === 0) { peg$fail(peg$e39); }
                                 }
                                 if (s7 !== peg$FAILED) {
                                   peg$savedPos = s0;
-                                  s0 = peg$f25(s5);
+                                  s0 = peg$f26(s5);
                                 } else {
                                   peg$currPos = s0;
                                   s0 = peg$FAILED;
@@ -1795,12 +1955,12 @@
                     }
                     if (s0 === peg$FAILED) {
                       s0 = peg$currPos;
-                      if (input.substr(peg$currPos, 4) === peg$c36) {
-                        s1 = peg$c36;
+                      if (input.substr(peg$currPos, 4) === peg$c40) {
+                        s1 = peg$c40;
                         peg$currPos += 4;
                       } else {
                         s1 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e40); }
                       }
                       if (s1 !== peg$FAILED) {
                         s2 = peg$parse__();
@@ -1809,12 +1969,12 @@
                           if (s3 !== peg$FAILED) {
                             s4 = peg$parse__();
                             if (s4 !== peg$FAILED) {
-                              if (input.substr(peg$currPos, 2) === peg$c37) {
-                                s5 = peg$c37;
+                              if (input.substr(peg$currPos, 2) === peg$c41) {
+                                s5 = peg$c41;
                                 peg$currPos += 2;
                               } else {
                                 s5 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e37); }
+                                if (peg$silentFails === 0) { peg$fail(peg$e41); }
                               }
                               if (s5 !== peg$FAILED) {
                                 s6 = peg$parse__();
@@ -1822,7 +1982,7 @@
                                   s7 = peg$parseNumber();
                                   if (s7 !== peg$FAILED) {
                                     peg$savedPos = s0;
-                                    s0 = peg$f26(s3, s7);
+                                    s0 = peg$f27(s3, s7);
                                   } else {
                                     peg$currPos = s0;
                                     s0 = peg$FAILED;
@@ -1853,12 +2013,12 @@
                       }
                       if (s0 === peg$FAILED) {
                         s0 = peg$currPos;
-                        if (input.substr(peg$currPos, 7) === peg$c38) {
-                          s1 = peg$c38;
+                        if (input.substr(peg$currPos, 7) === peg$c42) {
+                          s1 = peg$c42;
                           peg$currPos += 7;
                         } else {
                           s1 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e38); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e42); }
                         }
                         if (s1 !== peg$FAILED) {
                           s2 = peg$parse__();
@@ -1866,7 +2026,7 @@
                             s3 = peg$parseName();
                             if (s3 !== peg$FAILED) {
                               peg$savedPos = s0;
-                              s0 = peg$f27(s3);
+                              s0 = peg$f28(s3);
                             } else {
                               peg$currPos = s0;
                               s0 = peg$FAILED;
@@ -1881,12 +2041,12 @@
                         }
                         if (s0 === peg$FAILED) {
                           s0 = peg$currPos;
-                          if (input.substr(peg$currPos, 9) === peg$c39) {
-                            s1 = peg$c39;
+                          if (input.substr(peg$currPos, 9) === peg$c43) {
+                            s1 = peg$c43;
                             peg$currPos += 9;
                           } else {
                             s1 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e39); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e43); }
                           }
                           if (s1 !== peg$FAILED) {
                             s2 = peg$parse__();
@@ -1894,7 +2054,7 @@
                               s3 = peg$parseName();
                               if (s3 !== peg$FAILED) {
                                 peg$savedPos = s0;
-                                s0 = peg$f28(s3);
+                                s0 = peg$f29(s3);
                               } else {
                                 peg$currPos = s0;
                                 s0 = peg$FAILED;
@@ -1909,12 +2069,12 @@
                           }
                           if (s0 === peg$FAILED) {
                             s0 = peg$currPos;
-                            if (input.substr(peg$currPos, 5) === peg$c40) {
-                              s1 = peg$c40;
+                            if (input.substr(peg$currPos, 5) === peg$c44) {
+                              s1 = peg$c44;
                               peg$currPos += 5;
                             } else {
                               s1 = peg$FAILED;
-                              if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                              if (peg$silentFails === 0) { peg$fail(peg$e44); }
                             }
                             if (s1 !== peg$FAILED) {
                               s2 = peg$parse__();
@@ -1922,7 +2082,7 @@
                                 s3 = peg$parseName();
                                 if (s3 !== peg$FAILED) {
                                   peg$savedPos = s0;
-                                  s0 = peg$f29(s3);
+                                  s0 = peg$f30(s3);
                                 } else {
                                   peg$currPos = s0;
                                   s0 = peg$FAILED;
@@ -1937,20 +2097,86 @@
                             }
                             if (s0 === peg$FAILED) {
                               s0 = peg$currPos;
-                              if (input.substr(peg$currPos, 5) === peg$c41) {
-                                s1 = peg$c41;
+                              if (input.substr(peg$currPos, 5) === peg$c45) {
+                                s1 = peg$c45;
                                 peg$currPos += 5;
                               } else {
                                 s1 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                if (peg$silentFails === 0) { peg$fail(peg$e45); }
                               }
                               if (s1 !== peg$FAILED) {
                                 s2 = peg$parse__();
                                 if (s2 !== peg$FAILED) {
                                   s3 = peg$parseName();
                                   if (s3 !== peg$FAILED) {
-                                    peg$savedPos = s0;
-                                    s0 = peg$f30(s3);
+                                    s4 = peg$parse__();
+                                    if (s4 !== peg$FAILED) {
+                                      if (input.substr(peg$currPos, 2) === peg$c15) {
+                                        s5 = peg$c15;
+                                        peg$currPos += 2;
+                                      } else {
+                                        s5 = peg$FAILED;
+                                        if (peg$silentFails === 0) { peg$fail(peg$e15); }
+                                      }
+                                      if (s5 !== peg$FAILED) {
+                                        s6 = peg$parse__();
+                                        if (s6 !== peg$FAILED) {
+                                          s7 = peg$parseNumber();
+                                          if (s7 !== peg$FAILED) {
+                                            s8 = peg$parse__();
+                                            if (s8 !== peg$FAILED) {
+                                              if (input.substr(peg$currPos, 3) === peg$c3) {
+                                                s9 = peg$c3;
+                                                peg$currPos += 3;
+                                              } else {
+                                                s9 = peg$FAILED;
+                                                if (peg$silentFails === 0) { peg$fail(peg$e3); }
+                                              }
+                                              if (s9 !== peg$FAILED) {
+                                                s10 = peg$parse__();
+                                                if (s10 !== peg$FAILED) {
+                                                  if (input.substr(peg$currPos, 6) === peg$c17) {
+                                                    s11 = peg$c17;
+                                                    peg$currPos += 6;
+                                                  } else {
+                                                    s11 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e17); }
+                                                  }
+                                                  if (s11 !== peg$FAILED) {
+                                                    peg$savedPos = s0;
+                                                    s0 = peg$f31(s3, s7);
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                              } else {
+                                                peg$currPos = s0;
+                                                s0 = peg$FAILED;
+                                              }
+                                            } else {
+                                              peg$currPos = s0;
+                                              s0 = peg$FAILED;
+                                            }
+                                          } else {
+                                            peg$currPos = s0;
+                                            s0 = peg$FAILED;
+                                          }
+                                        } else {
+                                          peg$currPos = s0;
+                                          s0 = peg$FAILED;
+                                        }
+                                      } else {
+                                        peg$currPos = s0;
+                                        s0 = peg$FAILED;
+                                      }
+                                    } else {
+                                      peg$currPos = s0;
+                                      s0 = peg$FAILED;
+                                    }
                                   } else {
                                     peg$currPos = s0;
                                     s0 = peg$FAILED;
@@ -1965,38 +2191,20 @@
                               }
                               if (s0 === peg$FAILED) {
                                 s0 = peg$currPos;
-                                if (input.substr(peg$currPos, 5) === peg$c20) {
-                                  s1 = peg$c20;
-                                  peg$currPos += 5;
+                                if (input.substr(peg$currPos, 7) === peg$c46) {
+                                  s1 = peg$c46;
+                                  peg$currPos += 7;
                                 } else {
                                   s1 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e20); }
+                                  if (peg$silentFails === 0) { peg$fail(peg$e46); }
                                 }
                                 if (s1 !== peg$FAILED) {
                                   s2 = peg$parse__();
                                   if (s2 !== peg$FAILED) {
-                                    if (input.substr(peg$currPos, 7) === peg$c42) {
-                                      s3 = peg$c42;
-                                      peg$currPos += 7;
-                                    } else {
-                                      s3 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e42); }
-                                    }
+                                    s3 = peg$parseName();
                                     if (s3 !== peg$FAILED) {
-                                      s4 = peg$parse__();
-                                      if (s4 !== peg$FAILED) {
-                                        s5 = peg$parseName();
-                                        if (s5 !== peg$FAILED) {
-                                          peg$savedPos = s0;
-                                          s0 = peg$f31(s5);
-                                        } else {
-                                          peg$currPos = s0;
-                                          s0 = peg$FAILED;
-                                        }
-                                      } else {
-                                        peg$currPos = s0;
-                                        s0 = peg$FAILED;
-                                      }
+                                      peg$savedPos = s0;
+                                      s0 = peg$f32(s3);
                                     } else {
                                       peg$currPos = s0;
                                       s0 = peg$FAILED;
@@ -2011,56 +2219,20 @@
                                 }
                                 if (s0 === peg$FAILED) {
                                   s0 = peg$currPos;
-                                  if (input.substr(peg$currPos, 7) === peg$c42) {
-                                    s1 = peg$c42;
-                                    peg$currPos += 7;
+                                  if (input.substr(peg$currPos, 5) === peg$c47) {
+                                    s1 = peg$c47;
+                                    peg$currPos += 5;
                                   } else {
                                     s1 = peg$FAILED;
-                                    if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                    if (peg$silentFails === 0) { peg$fail(peg$e47); }
                                   }
                                   if (s1 !== peg$FAILED) {
                                     s2 = peg$parse__();
                                     if (s2 !== peg$FAILED) {
                                       s3 = peg$parseName();
                                       if (s3 !== peg$FAILED) {
-                                        s4 = peg$parse__();
-                                        if (s4 !== peg$FAILED) {
-                                          if (input.substr(peg$currPos, 5) === peg$c43) {
-                                            s5 = peg$c43;
-                                            peg$currPos += 5;
-                                          } else {
-                                            s5 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e43); }
-                                          }
-                                          if (s5 !== peg$FAILED) {
-                                            s6 = peg$parse__();
-                                            if (s6 !== peg$FAILED) {
-                                              s7 = peg$parseNumber();
-                                              if (s7 !== peg$FAILED) {
-                                                s8 = peg$parseBadTail();
-                                                if (s8 !== peg$FAILED) {
-                                                  peg$savedPos = s0;
-                                                  s0 = peg$f32(s3, s7, s8);
-                                                } else {
-                                                  peg$currPos = s0;
-                                                  s0 = peg$FAILED;
-                                                }
-                                              } else {
-                                                peg$currPos = s0;
-                                                s0 = peg$FAILED;
-                                              }
-                                            } else {
-                                              peg$currPos = s0;
-                                              s0 = peg$FAILED;
-                                            }
-                                          } else {
-                                            peg$currPos = s0;
-                                            s0 = peg$FAILED;
-                                          }
-                                        } else {
-                                          peg$currPos = s0;
-                                          s0 = peg$FAILED;
-                                        }
+                                        peg$savedPos = s0;
+                                        s0 = peg$f33(s3);
                                       } else {
                                         peg$currPos = s0;
                                         s0 = peg$FAILED;
@@ -2075,48 +2247,30 @@
                                   }
                                   if (s0 === peg$FAILED) {
                                     s0 = peg$currPos;
-                                    if (input.substr(peg$currPos, 7) === peg$c42) {
-                                      s1 = peg$c42;
-                                      peg$currPos += 7;
+                                    if (input.substr(peg$currPos, 5) === peg$c25) {
+                                      s1 = peg$c25;
+                                      peg$currPos += 5;
                                     } else {
                                       s1 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e25); }
                                     }
                                     if (s1 !== peg$FAILED) {
                                       s2 = peg$parse__();
                                       if (s2 !== peg$FAILED) {
-                                        s3 = peg$parseName();
+                                        if (input.substr(peg$currPos, 7) === peg$c48) {
+                                          s3 = peg$c48;
+                                          peg$currPos += 7;
+                                        } else {
+                                          s3 = peg$FAILED;
+                                          if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                        }
                                         if (s3 !== peg$FAILED) {
                                           s4 = peg$parse__();
                                           if (s4 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 5) === peg$c44) {
-                                              s5 = peg$c44;
-                                              peg$currPos += 5;
-                                            } else {
-                                              s5 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e44); }
-                                            }
+                                            s5 = peg$parseName();
                                             if (s5 !== peg$FAILED) {
-                                              s6 = peg$parse__();
-                                              if (s6 !== peg$FAILED) {
-                                                s7 = peg$parseNumber();
-                                                if (s7 !== peg$FAILED) {
-                                                  s8 = peg$parseBadTail();
-                                                  if (s8 !== peg$FAILED) {
-                                                    peg$savedPos = s0;
-                                                    s0 = peg$f33(s3, s7, s8);
-                                                  } else {
-                                                    peg$currPos = s0;
-                                                    s0 = peg$FAILED;
-                                                  }
-                                                } else {
-                                                  peg$currPos = s0;
-                                                  s0 = peg$FAILED;
-                                                }
-                                              } else {
-                                                peg$currPos = s0;
-                                                s0 = peg$FAILED;
-                                              }
+                                              peg$savedPos = s0;
+                                              s0 = peg$f34(s5);
                                             } else {
                                               peg$currPos = s0;
                                               s0 = peg$FAILED;
@@ -2139,48 +2293,36 @@
                                     }
                                     if (s0 === peg$FAILED) {
                                       s0 = peg$currPos;
-                                      if (input.substr(peg$currPos, 4) === peg$c45) {
-                                        s1 = peg$c45;
-                                        peg$currPos += 4;
+                                      if (input.substr(peg$currPos, 7) === peg$c48) {
+                                        s1 = peg$c48;
+                                        peg$currPos += 7;
                                       } else {
                                         s1 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                       }
                                       if (s1 !== peg$FAILED) {
                                         s2 = peg$parse__();
                                         if (s2 !== peg$FAILED) {
-                                          if (input.substr(peg$currPos, 2) === peg$c10) {
-                                            s3 = peg$c10;
-                                            peg$currPos += 2;
-                                          } else {
-                                            s3 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e10); }
-                                          }
+                                          s3 = peg$parseName();
                                           if (s3 !== peg$FAILED) {
                                             s4 = peg$parse__();
                                             if (s4 !== peg$FAILED) {
-                                              s5 = peg$parseName();
+                                              if (input.substr(peg$currPos, 5) === peg$c49) {
+                                                s5 = peg$c49;
+                                                peg$currPos += 5;
+                                              } else {
+                                                s5 = peg$FAILED;
+                                                if (peg$silentFails === 0) { peg$fail(peg$e49); }
+                                              }
                                               if (s5 !== peg$FAILED) {
                                                 s6 = peg$parse__();
                                                 if (s6 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 6) === peg$c46) {
-                                                    s7 = peg$c46;
-                                                    peg$currPos += 6;
-                                                  } else {
-                                                    s7 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e46); }
-                                                  }
+                                                  s7 = peg$parseNumber();
                                                   if (s7 !== peg$FAILED) {
-                                                    s8 = peg$parse__();
+                                                    s8 = peg$parseBadTail();
                                                     if (s8 !== peg$FAILED) {
-                                                      s9 = peg$parseDuration();
-                                                      if (s9 !== peg$FAILED) {
-                                                        peg$savedPos = s0;
-                                                        s0 = peg$f34(s5, s9);
-                                                      } else {
-                                                        peg$currPos = s0;
-                                                        s0 = peg$FAILED;
-                                                      }
+                                                      peg$savedPos = s0;
+                                                      s0 = peg$f35(s3, s7, s8);
                                                     } else {
                                                       peg$currPos = s0;
                                                       s0 = peg$FAILED;
@@ -2215,26 +2357,56 @@
                                       }
                                       if (s0 === peg$FAILED) {
                                         s0 = peg$currPos;
-                                        if (input.substr(peg$currPos, 6) === peg$c47) {
-                                          s1 = peg$c47;
-                                          peg$currPos += 6;
+                                        if (input.substr(peg$currPos, 7) === peg$c48) {
+                                          s1 = peg$c48;
+                                          peg$currPos += 7;
                                         } else {
                                           s1 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e47); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                         }
                                         if (s1 !== peg$FAILED) {
                                           s2 = peg$parse__();
                                           if (s2 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 5) === peg$c48) {
-                                              s3 = peg$c48;
-                                              peg$currPos += 5;
-                                            } else {
-                                              s3 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e48); }
-                                            }
+                                            s3 = peg$parseName();
                                             if (s3 !== peg$FAILED) {
-                                              peg$savedPos = s0;
-                                              s0 = peg$f35();
+                                              s4 = peg$parse__();
+                                              if (s4 !== peg$FAILED) {
+                                                if (input.substr(peg$currPos, 5) === peg$c50) {
+                                                  s5 = peg$c50;
+                                                  peg$currPos += 5;
+                                                } else {
+                                                  s5 = peg$FAILED;
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e50); }
+                                                }
+                                                if (s5 !== peg$FAILED) {
+                                                  s6 = peg$parse__();
+                                                  if (s6 !== peg$FAILED) {
+                                                    s7 = peg$parseNumber();
+                                                    if (s7 !== peg$FAILED) {
+                                                      s8 = peg$parseBadTail();
+                                                      if (s8 !== peg$FAILED) {
+                                                        peg$savedPos = s0;
+                                                        s0 = peg$f36(s3, s7, s8);
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                              } else {
+                                                peg$currPos = s0;
+                                                s0 = peg$FAILED;
+                                              }
                                             } else {
                                               peg$currPos = s0;
                                               s0 = peg$FAILED;
@@ -2249,26 +2421,68 @@
                                         }
                                         if (s0 === peg$FAILED) {
                                           s0 = peg$currPos;
-                                          if (input.substr(peg$currPos, 7) === peg$c49) {
-                                            s1 = peg$c49;
-                                            peg$currPos += 7;
+                                          if (input.substr(peg$currPos, 4) === peg$c51) {
+                                            s1 = peg$c51;
+                                            peg$currPos += 4;
                                           } else {
                                             s1 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e49); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e51); }
                                           }
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 5) === peg$c48) {
-                                                s3 = peg$c48;
-                                                peg$currPos += 5;
+                                              if (input.substr(peg$currPos, 2) === peg$c15) {
+                                                s3 = peg$c15;
+                                                peg$currPos += 2;
                                               } else {
                                                 s3 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e15); }
                                               }
                                               if (s3 !== peg$FAILED) {
-                                                peg$savedPos = s0;
-                                                s0 = peg$f36();
+                                                s4 = peg$parse__();
+                                                if (s4 !== peg$FAILED) {
+                                                  s5 = peg$parseName();
+                                                  if (s5 !== peg$FAILED) {
+                                                    s6 = peg$parse__();
+                                                    if (s6 !== peg$FAILED) {
+                                                      if (input.substr(peg$currPos, 6) === peg$c52) {
+                                                        s7 = peg$c52;
+                                                        peg$currPos += 6;
+                                                      } else {
+                                                        s7 = peg$FAILED;
+                                                        if (peg$silentFails === 0) { peg$fail(peg$e52); }
+                                                      }
+                                                      if (s7 !== peg$FAILED) {
+                                                        s8 = peg$parse__();
+                                                        if (s8 !== peg$FAILED) {
+                                                          s9 = peg$parseDuration();
+                                                          if (s9 !== peg$FAILED) {
+                                                            peg$savedPos = s0;
+                                                            s0 = peg$f37(s5, s9);
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
                                               } else {
                                                 peg$currPos = s0;
                                                 s0 = peg$FAILED;
@@ -2283,26 +2497,26 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 9) === peg$c50) {
-                                              s1 = peg$c50;
-                                              peg$currPos += 9;
+                                            if (input.substr(peg$currPos, 6) === peg$c53) {
+                                              s1 = peg$c53;
+                                              peg$currPos += 6;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e50); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e53); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 4) === peg$c51) {
-                                                  s3 = peg$c51;
-                                                  peg$currPos += 4;
+                                                if (input.substr(peg$currPos, 5) === peg$c54) {
+                                                  s3 = peg$c54;
+                                                  peg$currPos += 5;
                                                 } else {
                                                   s3 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e51); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e54); }
                                                 }
                                                 if (s3 !== peg$FAILED) {
                                                   peg$savedPos = s0;
-                                                  s0 = peg$f37();
+                                                  s0 = peg$f38();
                                                 } else {
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
@@ -2315,6 +2529,76 @@
                                               peg$currPos = s0;
                                               s0 = peg$FAILED;
                                             }
+                                            if (s0 === peg$FAILED) {
+                                              s0 = peg$currPos;
+                                              if (input.substr(peg$currPos, 7) === peg$c55) {
+                                                s1 = peg$c55;
+                                                peg$currPos += 7;
+                                              } else {
+                                                s1 = peg$FAILED;
+                                                if (peg$silentFails === 0) { peg$fail(peg$e55); }
+                                              }
+                                              if (s1 !== peg$FAILED) {
+                                                s2 = peg$parse__();
+                                                if (s2 !== peg$FAILED) {
+                                                  if (input.substr(peg$currPos, 5) === peg$c54) {
+                                                    s3 = peg$c54;
+                                                    peg$currPos += 5;
+                                                  } else {
+                                                    s3 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e54); }
+                                                  }
+                                                  if (s3 !== peg$FAILED) {
+                                                    peg$savedPos = s0;
+                                                    s0 = peg$f39();
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                              } else {
+                                                peg$currPos = s0;
+                                                s0 = peg$FAILED;
+                                              }
+                                              if (s0 === peg$FAILED) {
+                                                s0 = peg$currPos;
+                                                if (input.substr(peg$currPos, 9) === peg$c56) {
+                                                  s1 = peg$c56;
+                                                  peg$currPos += 9;
+                                                } else {
+                                                  s1 = peg$FAILED;
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e56); }
+                                                }
+                                                if (s1 !== peg$FAILED) {
+                                                  s2 = peg$parse__();
+                                                  if (s2 !== peg$FAILED) {
+                                                    if (input.substr(peg$currPos, 4) === peg$c57) {
+                                                      s3 = peg$c57;
+                                                      peg$currPos += 4;
+                                                    } else {
+                                                      s3 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e57); }
+                                                    }
+                                                    if (s3 !== peg$FAILED) {
+                                                      peg$savedPos = s0;
+                                                      s0 = peg$f40();
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                              }
+                                            }
                                           }
                                         }
                                       }
@@ -2345,12 +2629,12 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 5) === peg$c52) {
-        s2 = peg$c52;
+      if (input.substr(peg$currPos, 5) === peg$c58) {
+        s2 = peg$c58;
         peg$currPos += 5;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e52); }
+        if (peg$silentFails === 0) { peg$fail(peg$e58); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
@@ -2359,16 +2643,16 @@
           if (s4 !== peg$FAILED) {
             s5 = peg$parse__();
             if (s5 !== peg$FAILED) {
-              if (input.substr(peg$currPos, 5) === peg$c53) {
-                s6 = peg$c53;
+              if (input.substr(peg$currPos, 5) === peg$c59) {
+                s6 = peg$c59;
                 peg$currPos += 5;
               } else {
                 s6 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e53); }
+                if (peg$silentFails === 0) { peg$fail(peg$e59); }
               }
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f38(s4);
+                s0 = peg$f41(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2397,22 +2681,22 @@
       s0 = peg$currPos;
       s1 = peg$parse__();
       if (s1 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 4) === peg$c9) {
-          s2 = peg$c9;
+        if (input.substr(peg$currPos, 4) === peg$c14) {
+          s2 = peg$c14;
           peg$currPos += 4;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e9); }
+          if (peg$silentFails === 0) { peg$fail(peg$e14); }
         }
         if (s2 !== peg$FAILED) {
           s3 = peg$parse__();
           if (s3 !== peg$FAILED) {
-            if (input.substr(peg$currPos, 5) === peg$c54) {
-              s4 = peg$c54;
+            if (input.substr(peg$currPos, 5) === peg$c60) {
+              s4 = peg$c60;
               peg$currPos += 5;
             } else {
               s4 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e54); }
+              if (peg$silentFails === 0) { peg$fail(peg$e60); }
             }
             if (s4 !== peg$FAILED) {
               s5 = peg$parse__();
@@ -2420,7 +2704,7 @@
                 s6 = peg$parseInteger();
                 if (s6 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f39(s6);
+                  s0 = peg$f42(s6);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -2449,12 +2733,12 @@
         s0 = peg$currPos;
         s1 = peg$parse__();
         if (s1 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 2) === peg$c55) {
-            s2 = peg$c55;
+          if (input.substr(peg$currPos, 2) === peg$c61) {
+            s2 = peg$c61;
             peg$currPos += 2;
           } else {
             s2 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e55); }
+            if (peg$silentFails === 0) { peg$fail(peg$e61); }
           }
           if (s2 !== peg$FAILED) {
             s3 = peg$parse__();
@@ -2462,7 +2746,7 @@
               s4 = peg$parseText();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f40(s4);
+                s0 = peg$f43(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2483,7 +2767,7 @@
           s0 = peg$currPos;
           s1 = '';
           peg$savedPos = s0;
-          s1 = peg$f41();
+          s1 = peg$f44();
           s0 = s1;
         }
       }
@@ -2496,12 +2780,12 @@
     let s0, s1, s2, s3, s4, s5, s6, s7, s8;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 6) === peg$c56) {
-      s1 = peg$c56;
+    if (input.substr(peg$currPos, 6) === peg$c62) {
+      s1 = peg$c62;
       peg$currPos += 6;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e56); }
+      if (peg$silentFails === 0) { peg$fail(peg$e62); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
@@ -2524,7 +2808,7 @@
             }
             if (s8 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f42(s3, s4, s6, s8);
+              s0 = peg$f45(s3, s4, s6, s8);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -2561,7 +2845,7 @@
       s5 = peg$parseQualifiedWord();
       if (s5 !== peg$FAILED) {
         peg$savedPos = s3;
-        s3 = peg$f43(s1, s5);
+        s3 = peg$f46(s1, s5);
       } else {
         peg$currPos = s3;
         s3 = peg$FAILED;
@@ -2573,14 +2857,14 @@
         s5 = peg$parseQualifiedWord();
         if (s5 !== peg$FAILED) {
           peg$savedPos = s3;
-          s3 = peg$f43(s1, s5);
+          s3 = peg$f46(s1, s5);
         } else {
           peg$currPos = s3;
           s3 = peg$FAILED;
         }
       }
       peg$savedPos = s0;
-      s0 = peg$f44(s1, s2);
+      s0 = peg$f47(s1, s2);
     } else {
       peg$currPos = s0;
       s0 = peg$FAILED;
@@ -2596,12 +2880,12 @@
     s1 = peg$currPos;
     peg$silentFails++;
     s2 = peg$currPos;
-    if (input.substr(peg$currPos, 4) === peg$c57) {
-      s3 = peg$c57;
+    if (input.substr(peg$currPos, 4) === peg$c63) {
+      s3 = peg$c63;
       peg$currPos += 4;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e57); }
+      if (peg$silentFails === 0) { peg$fail(peg$e63); }
     }
     if (s3 !== peg$FAILED) {
       s4 = peg$parse__();
@@ -2633,12 +2917,12 @@
       s2 = peg$currPos;
       peg$silentFails++;
       s3 = peg$currPos;
-      if (input.substr(peg$currPos, 7) === peg$c42) {
-        s4 = peg$c42;
+      if (input.substr(peg$currPos, 7) === peg$c48) {
+        s4 = peg$c48;
         peg$currPos += 7;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e42); }
+        if (peg$silentFails === 0) { peg$fail(peg$e48); }
       }
       if (s4 !== peg$FAILED) {
         s5 = peg$parse__();
@@ -2664,12 +2948,12 @@
         s3 = peg$currPos;
         peg$silentFails++;
         s4 = peg$currPos;
-        if (input.substr(peg$currPos, 8) === peg$c58) {
-          s5 = peg$c58;
+        if (input.substr(peg$currPos, 8) === peg$c64) {
+          s5 = peg$c64;
           peg$currPos += 8;
         } else {
           s5 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e58); }
+          if (peg$silentFails === 0) { peg$fail(peg$e64); }
         }
         if (s5 !== peg$FAILED) {
           s6 = peg$parse__();
@@ -2695,12 +2979,12 @@
           s4 = peg$currPos;
           peg$silentFails++;
           s5 = peg$currPos;
-          if (input.substr(peg$currPos, 5) === peg$c59) {
-            s6 = peg$c59;
+          if (input.substr(peg$currPos, 5) === peg$c65) {
+            s6 = peg$c65;
             peg$currPos += 5;
           } else {
             s6 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e59); }
+            if (peg$silentFails === 0) { peg$fail(peg$e65); }
           }
           if (s6 !== peg$FAILED) {
             s7 = peg$parse__();
@@ -2726,12 +3010,12 @@
             s5 = peg$currPos;
             peg$silentFails++;
             s6 = peg$currPos;
-            if (input.substr(peg$currPos, 5) === peg$c60) {
-              s7 = peg$c60;
+            if (input.substr(peg$currPos, 5) === peg$c66) {
+              s7 = peg$c66;
               peg$currPos += 5;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e60); }
+              if (peg$silentFails === 0) { peg$fail(peg$e66); }
             }
             if (s7 !== peg$FAILED) {
               s8 = peg$parse__();
@@ -2757,7 +3041,7 @@
               s6 = peg$parseWord();
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f45(s6);
+                s0 = peg$f48(s6);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2792,12 +3076,12 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 4) === peg$c57) {
-        s2 = peg$c57;
+      if (input.substr(peg$currPos, 4) === peg$c63) {
+        s2 = peg$c63;
         peg$currPos += 4;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e57); }
+        if (peg$silentFails === 0) { peg$fail(peg$e63); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
@@ -2805,7 +3089,7 @@
           s4 = peg$parseInteger();
           if (s4 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f46(s4);
+            s0 = peg$f49(s4);
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -2826,12 +3110,12 @@
       s0 = peg$currPos;
       s1 = peg$parse__();
       if (s1 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 7) === peg$c42) {
-          s2 = peg$c42;
+        if (input.substr(peg$currPos, 7) === peg$c48) {
+          s2 = peg$c48;
           peg$currPos += 7;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e42); }
+          if (peg$silentFails === 0) { peg$fail(peg$e48); }
         }
         if (s2 !== peg$FAILED) {
           s3 = peg$parse__();
@@ -2839,7 +3123,7 @@
             s4 = peg$parseName();
             if (s4 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f47(s4);
+              s0 = peg$f50(s4);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -2860,12 +3144,12 @@
         s0 = peg$currPos;
         s1 = peg$parse__();
         if (s1 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 8) === peg$c58) {
-            s2 = peg$c58;
+          if (input.substr(peg$currPos, 8) === peg$c64) {
+            s2 = peg$c64;
             peg$currPos += 8;
           } else {
             s2 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e58); }
+            if (peg$silentFails === 0) { peg$fail(peg$e64); }
           }
           if (s2 !== peg$FAILED) {
             s3 = peg$parse__();
@@ -2873,7 +3157,7 @@
               s4 = peg$parseName();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f48(s4);
+                s0 = peg$f51(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2894,12 +3178,12 @@
           s0 = peg$currPos;
           s1 = peg$parse__();
           if (s1 !== peg$FAILED) {
-            if (input.substr(peg$currPos, 5) === peg$c59) {
-              s2 = peg$c59;
+            if (input.substr(peg$currPos, 5) === peg$c65) {
+              s2 = peg$c65;
               peg$currPos += 5;
             } else {
               s2 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e59); }
+              if (peg$silentFails === 0) { peg$fail(peg$e65); }
             }
             if (s2 !== peg$FAILED) {
               s3 = peg$parse__();
@@ -2907,7 +3191,7 @@
                 s4 = peg$parseDuration();
                 if (s4 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f49(s4);
+                  s0 = peg$f52(s4);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -2928,12 +3212,12 @@
             s0 = peg$currPos;
             s1 = peg$parse__();
             if (s1 !== peg$FAILED) {
-              if (input.substr(peg$currPos, 5) === peg$c60) {
-                s2 = peg$c60;
+              if (input.substr(peg$currPos, 5) === peg$c66) {
+                s2 = peg$c66;
                 peg$currPos += 5;
               } else {
                 s2 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e60); }
+                if (peg$silentFails === 0) { peg$fail(peg$e66); }
               }
               if (s2 !== peg$FAILED) {
                 s3 = peg$parse__();
@@ -2941,7 +3225,7 @@
                   s4 = peg$parseDuration();
                   if (s4 !== peg$FAILED) {
                     peg$savedPos = s0;
-                    s0 = peg$f50(s4);
+                    s0 = peg$f53(s4);
                   } else {
                     peg$currPos = s0;
                     s0 = peg$FAILED;
@@ -2969,28 +3253,28 @@
   function peg$parseOperator() {
     let s0;
 
-    if (input.substr(peg$currPos, 2) === peg$c61) {
-      s0 = peg$c61;
+    if (input.substr(peg$currPos, 2) === peg$c67) {
+      s0 = peg$c67;
       peg$currPos += 2;
     } else {
       s0 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e61); }
+      if (peg$silentFails === 0) { peg$fail(peg$e67); }
     }
     if (s0 === peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c62) {
-        s0 = peg$c62;
+      if (input.substr(peg$currPos, 2) === peg$c68) {
+        s0 = peg$c68;
         peg$currPos += 2;
       } else {
         s0 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e62); }
+        if (peg$silentFails === 0) { peg$fail(peg$e68); }
       }
       if (s0 === peg$FAILED) {
         if (input.charCodeAt(peg$currPos) === 61) {
-          s0 = peg$c7;
+          s0 = peg$c12;
           peg$currPos++;
         } else {
           s0 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e7); }
+          if (peg$silentFails === 0) { peg$fail(peg$e12); }
         }
       }
     }
@@ -3005,12 +3289,12 @@
     s0 = peg$currPos;
     s1 = peg$parseNumber();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c63) {
-        s2 = peg$c63;
+      if (input.substr(peg$currPos, 2) === peg$c69) {
+        s2 = peg$c69;
         peg$currPos += 2;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e64); }
+        if (peg$silentFails === 0) { peg$fail(peg$e70); }
       }
       if (s2 === peg$FAILED) {
         s2 = input.charAt(peg$currPos);
@@ -3018,7 +3302,7 @@
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e65); }
+          if (peg$silentFails === 0) { peg$fail(peg$e71); }
         }
       }
       if (s2 !== peg$FAILED) {
@@ -3034,7 +3318,7 @@
         }
         if (s3 !== peg$FAILED) {
           peg$savedPos = s0;
-          s0 = peg$f51(s1, s2);
+          s0 = peg$f54(s1, s2);
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -3050,7 +3334,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e63); }
+      if (peg$silentFails === 0) { peg$fail(peg$e69); }
     }
 
     return s0;
@@ -3068,7 +3352,7 @@
       peg$currPos++;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e67); }
+      if (peg$silentFails === 0) { peg$fail(peg$e73); }
     }
     if (s3 !== peg$FAILED) {
       while (s3 !== peg$FAILED) {
@@ -3078,7 +3362,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e67); }
+          if (peg$silentFails === 0) { peg$fail(peg$e73); }
         }
       }
     } else {
@@ -3091,13 +3375,13 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f52(s1);
+      s1 = peg$f55(s1);
     }
     s0 = s1;
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e66); }
+      if (peg$silentFails === 0) { peg$fail(peg$e72); }
     }
 
     return s0;
@@ -3116,7 +3400,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e67); }
+      if (peg$silentFails === 0) { peg$fail(peg$e73); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -3126,7 +3410,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e67); }
+          if (peg$silentFails === 0) { peg$fail(peg$e73); }
         }
       }
     } else {
@@ -3135,11 +3419,11 @@
     if (s3 !== peg$FAILED) {
       s4 = peg$currPos;
       if (input.charCodeAt(peg$currPos) === 46) {
-        s5 = peg$c64;
+        s5 = peg$c70;
         peg$currPos++;
       } else {
         s5 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e69); }
+        if (peg$silentFails === 0) { peg$fail(peg$e75); }
       }
       if (s5 !== peg$FAILED) {
         s6 = [];
@@ -3148,7 +3432,7 @@
           peg$currPos++;
         } else {
           s7 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e67); }
+          if (peg$silentFails === 0) { peg$fail(peg$e73); }
         }
         if (s7 !== peg$FAILED) {
           while (s7 !== peg$FAILED) {
@@ -3158,7 +3442,7 @@
               peg$currPos++;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e67); }
+              if (peg$silentFails === 0) { peg$fail(peg$e73); }
             }
           }
         } else {
@@ -3191,13 +3475,13 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f53(s1);
+      s1 = peg$f56(s1);
     }
     s0 = s1;
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e68); }
+      if (peg$silentFails === 0) { peg$fail(peg$e74); }
     }
 
     return s0;
@@ -3209,11 +3493,11 @@
     peg$silentFails++;
     s0 = peg$currPos;
     if (input.charCodeAt(peg$currPos) === 34) {
-      s1 = peg$c65;
+      s1 = peg$c71;
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e71); }
+      if (peg$silentFails === 0) { peg$fail(peg$e77); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$currPos;
@@ -3223,7 +3507,7 @@
         peg$currPos++;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e72); }
+        if (peg$silentFails === 0) { peg$fail(peg$e78); }
       }
       while (s4 !== peg$FAILED) {
         s3.push(s4);
@@ -3232,20 +3516,20 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e72); }
+          if (peg$silentFails === 0) { peg$fail(peg$e78); }
         }
       }
       s2 = input.substring(s2, peg$currPos);
       if (input.charCodeAt(peg$currPos) === 34) {
-        s3 = peg$c65;
+        s3 = peg$c71;
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e71); }
+        if (peg$silentFails === 0) { peg$fail(peg$e77); }
       }
       if (s3 !== peg$FAILED) {
         peg$savedPos = s0;
-        s0 = peg$f54(s2);
+        s0 = peg$f57(s2);
       } else {
         peg$currPos = s0;
         s0 = peg$FAILED;
@@ -3257,7 +3541,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e70); }
+      if (peg$silentFails === 0) { peg$fail(peg$e76); }
     }
 
     return s0;
@@ -3274,7 +3558,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e74); }
+      if (peg$silentFails === 0) { peg$fail(peg$e80); }
     }
     if (s2 !== peg$FAILED) {
       s3 = [];
@@ -3297,7 +3581,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e73); }
+      if (peg$silentFails === 0) { peg$fail(peg$e79); }
     }
 
     return s0;
@@ -3314,7 +3598,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e76); }
+      if (peg$silentFails === 0) { peg$fail(peg$e82); }
     }
     if (s2 !== peg$FAILED) {
       s3 = [];
@@ -3323,7 +3607,7 @@
         peg$currPos++;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e77); }
+        if (peg$silentFails === 0) { peg$fail(peg$e83); }
       }
       while (s4 !== peg$FAILED) {
         s3.push(s4);
@@ -3332,7 +3616,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e77); }
+          if (peg$silentFails === 0) { peg$fail(peg$e83); }
         }
       }
       s2 = [s2, s3];
@@ -3349,7 +3633,7 @@
     peg$silentFails--;
     if (s0 === peg$FAILED) {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e75); }
+      if (peg$silentFails === 0) { peg$fail(peg$e81); }
     }
 
     return s0;
@@ -3363,7 +3647,7 @@
       peg$currPos++;
     } else {
       s0 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e78); }
+      if (peg$silentFails === 0) { peg$fail(peg$e84); }
     }
 
     return s0;
@@ -3374,11 +3658,11 @@
 
     s0 = peg$currPos;
     if (input.charCodeAt(peg$currPos) === 35) {
-      s1 = peg$c66;
+      s1 = peg$c72;
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e79); }
+      if (peg$silentFails === 0) { peg$fail(peg$e85); }
     }
     if (s1 !== peg$FAILED) {
       s2 = [];
@@ -3387,7 +3671,7 @@
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e80); }
+        if (peg$silentFails === 0) { peg$fail(peg$e86); }
       }
       while (s3 !== peg$FAILED) {
         s2.push(s3);
@@ -3396,7 +3680,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e80); }
+          if (peg$silentFails === 0) { peg$fail(peg$e86); }
         }
       }
       s1 = [s1, s2];
@@ -3413,11 +3697,11 @@
     let s0;
 
     if (input.charCodeAt(peg$currPos) === 10) {
-      s0 = peg$c67;
+      s0 = peg$c73;
       peg$currPos++;
     } else {
       s0 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e81); }
+      if (peg$silentFails === 0) { peg$fail(peg$e87); }
     }
 
     return s0;
@@ -3432,7 +3716,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e82); }
+      if (peg$silentFails === 0) { peg$fail(peg$e88); }
     }
     while (s1 !== peg$FAILED) {
       s0.push(s1);
@@ -3441,7 +3725,7 @@
         peg$currPos++;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e82); }
+        if (peg$silentFails === 0) { peg$fail(peg$e88); }
       }
     }
 
@@ -3457,7 +3741,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e82); }
+      if (peg$silentFails === 0) { peg$fail(peg$e88); }
     }
     if (s1 !== peg$FAILED) {
       while (s1 !== peg$FAILED) {
@@ -3467,7 +3751,7 @@
           peg$currPos++;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e82); }
+          if (peg$silentFails === 0) { peg$fail(peg$e88); }
         }
       }
     } else {
--- a/packages/ryeworks-lab/src/scenarios/runScenario.ts
+++ b/packages/ryeworks-lab/src/scenarios/runScenario.ts
@@ -7,7 +7,13 @@
 import {actionHandlers} from './actions.js';
 import {parse} from './gen/scenarioParser.js';
 import {metrics} from './metrics.js';
-import {ScenarioStatement, StatementOf} from './scenarioStatements.js';
+import {fleetMetrics, runFleet} from './runFleetScenario.js';
+import {
+  getStatements,
+  MetricQualifiers,
+  ScenarioStatement,
+  StatementOf,
+} from './scenarioStatements.js';
 
 const deployments: Readonly<Record<string, DeploymentPlan>> = {
   aerolith: aerolithPlan,
@@ -27,7 +33,8 @@
   readonly title: string;
   readonly seed: number;
   readonly expectations: readonly CheckedExpectation[];
-  readonly harness: ScenarioHarness;
+  /** Undefined if the scenario ran on a fleet of dispatch cores. */
+  readonly harness: ScenarioHarness | undefined;
 }
 
 /** Parses a scenario. Errors name the file, line and column. */
@@ -44,16 +51,6 @@
   }
 }
 
-/** Returns the statements of one kind. */
-function getStatements<K extends ScenarioStatement['kind']>(
-  statements: readonly ScenarioStatement[],
-  kind: K,
-): StatementOf<K>[] {
-  return statements.filter(
-    statement => statement.kind === kind,
-  ) as StatementOf<K>[];
-}
-
 /** Creates the harness that the set-up statements describe. */
 function createHarness(
   statements: readonly ScenarioStatement[],
@@ -83,20 +80,27 @@
     '=': (actual, value) => actual === value,
   };
 
+/** A run that has ended: the metrics it can be asked for. */
+interface FinishedRun {
+  /** Undefined for a run on a fleet of dispatch cores. */
+  readonly harness: ScenarioHarness | undefined;
+  readonly metricNames: readonly string[];
+  /** Computes a metric; undefined if there is none of that name. */
+  computeMetric(name: string, qualifiers: MetricQualifiers): number | undefined;
+}
+
 /** Checks one expectation against a finished run. */
 function checkExpectation(
-  harness: ScenarioHarness,
+  {computeMetric, metricNames}: FinishedRun,
   expectation: StatementOf<'expect'>,
 ): CheckedExpectation {
   const {line, metric, qualifiers, operator, value} = expectation;
-  const computeMetric = metrics[metric];
-  if (computeMetric === undefined) {
-    const metricNames = Object.keys(metrics).join(', ');
+  const actual = computeMetric(metric, qualifiers);
+  if (actual === undefined) {
     throw new Error(
-      `line ${line}: unknown metric "${metric}"; known metrics: ${metricNames}`,
+      `line ${line}: unknown metric "${metric}"; known metrics: ${metricNames.join(', ')}`,
     );
   }
-  const actual = computeMetric(harness, qualifiers);
   const qualifierText = Object.entries(qualifiers).flat().join(' ');
   const text = [metric, qualifierText, operator, value]
     .filter(Boolean)
@@ -104,13 +108,12 @@
   return {line, text, actual, isMet: comparisons[operator](actual, value)};
 }
 
-/** Runs a scenario in virtual time and checks its expectations. */
-export function runScenario(
-  text: string,
-  file: string,
+/** Runs a scenario on schedulers with fakes of everything else. */
+function runHarness(
+  statements: readonly ScenarioStatement[],
+  runMs: number,
   seed: number,
-): ScenarioResult {
-  const statements = parseScenario(text, file);
+): FinishedRun {
   const harness = createHarness(statements, seed);
   const {events, callers} = harness;
   for (const load of getStatements(statements, 'load')) {
@@ -128,15 +131,55 @@
       }),
     );
   }
-  for (const {atMs, action} of getStatements(statements, 'fault')) {
+  for (const {atMs, action, line} of getStatements(statements, 'fault')) {
     const handleAction = actionHandlers[action.verb];
+    if (handleAction === undefined) {
+      throw new Error(`line ${line}: possible with a fleet only`);
+    }
     events.schedule(atMs, () => handleAction(harness, action));
   }
+  harness.runUntil(runMs);
+  return {
+    harness,
+    metricNames: Object.keys(metrics),
+    computeMetric: (name, qualifiers) => metrics[name]?.(harness, qualifiers),
+  };
+}
+
+/** Runs a scenario on a fleet of dispatch cores. */
+function runOnFleet(
+  statements: readonly ScenarioStatement[],
+  size: StatementOf<'fleet'>,
+  runMs: number,
+  seed: number,
+): FinishedRun {
+  const fleet = runFleet(statements, size, runMs, seed);
+  return {
+    harness: undefined,
+    metricNames: Object.keys(fleetMetrics),
+    computeMetric: (name, qualifiers) =>
+      fleetMetrics[name]?.(fleet, qualifiers),
+  };
+}
+
+/** Runs a scenario in virtual time and checks its expectations. */
+export function runScenario(
+  text: string,
+  file: string,
+  seed: number,
+): ScenarioResult {
+  const statements = parseScenario(text, file);
   const [run] = getStatements(statements, 'run');
-  harness.runUntil(run?.durationMs ?? 10_000);
+  const runMs = run?.durationMs ?? 10_000;
+  const [fleet] = getStatements(statements, 'fleet');
+  const finished =
+    fleet === undefined
+      ? runHarness(statements, runMs, seed)
+      : runOnFleet(statements, fleet, runMs, seed);
   const expectations = getStatements(statements, 'expect').map(statement =>
-    checkExpectation(harness, statement),
+    checkExpectation(finished, statement),
   );
   const [title] = getStatements(statements, 'title');
+  const {harness} = finished;
   return {title: title?.text ?? file, seed, expectations, harness};
 }
--- a/packages/ryeworks-lab/src/scenarios/scenario.peggy
+++ b/packages/ryeworks-lab/src/scenarios/scenario.peggy
@@ -17,6 +17,9 @@
   = "title" __ text:Text { return {kind: 'title', text}; }
   / "deployment" __ name:Name { return {kind: 'deployment', name}; }
   / "vms" __ count:Integer __ "per" __ "zone" { return {kind: 'vms', count}; }
+  / "fleet" __ "of" __ zones:Integer __ "zones" __ vmsPerZone:Integer __ "vms" __ "each" __ endpoints:Integer __ "endpoints" {
+      return {kind: 'fleet', zones, vmsPerZone, endpoints};
+    }
   / "engines" __ first:Integer rest:(__ n:Integer { return n; })* __ "per" __ "zone" {
       return {kind: 'engines', generations: [first, ...rest]};
     }
@@ -53,6 +56,8 @@
   / "silence" __ endpoint:Name { return {verb: 'silenceEndpoint', endpoint}; }
   / "unsilence" __ endpoint:Name { return {verb: 'unsilenceEndpoint', endpoint}; }
   / "crash" __ endpoint:Name { return {verb: 'crashEndpoint', endpoint}; }
+  / "limit" __ endpoint:Name __ "to" __ rate:Number __ "per" __ "second" { return {verb: 'limitEndpoint', endpoint, rate}; }
+  / "unlimit" __ endpoint:Name { return {verb: 'unlimitEndpoint', endpoint}; }
   / "leave" __ endpoint:Name { return {verb: 'leaveEndpoint', endpoint}; }
   / "start" __ "version" __ version:Name { return {verb: 'startVersion', version}; }
   / "version" __ version:Name __ "fails" __ rate:Number tail:BadTail { return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail}; }
--- a/packages/ryeworks-lab/src/scenarios/scenarioStatements.ts
+++ b/packages/ryeworks-lab/src/scenarios/scenarioStatements.ts
@@ -1,3 +1,4 @@
+import {FleetSize} from '../fleet/createFleet.js';
 import {CallerBehavior} from '../harness/callLedger.js';
 
 /** A fault or an operator action; `verb` selects its handler. */
@@ -33,6 +34,7 @@
   | {readonly kind: 'title'; readonly text: string}
   | {readonly kind: 'deployment'; readonly name: string}
   | {readonly kind: 'vms'; readonly count: number}
+  | ({readonly kind: 'fleet'} & FleetSize)
   | {readonly kind: 'engines'; readonly generations: number[]}
   | {
       readonly kind: 'option';
@@ -68,3 +70,13 @@
   ScenarioStatement,
   {kind: K}
 >;
+
+/** Returns the statements of one kind. */
+export function getStatements<K extends ScenarioStatement['kind']>(
+  statements: readonly ScenarioStatement[],
+  kind: K,
+): StatementOf<K>[] {
+  return statements.filter(
+    statement => statement.kind === kind,
+  ) as StatementOf<K>[];
+}
