Limits are reported by their owners, about once a second

Cause: each VM that an answer had told of a limit put it into each digest. Change: a limit that its owner has reported is reported by the owner alone; in each digest for a second after a change, then once a second. Test: rateLimits.test.ts, 'a limit that its owner knows is reported by the owner only'.

--- a/packages/ryeworks-dispatch/src/__tests__/rateLimits.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/rateLimits.test.ts
@@ -187,3 +187,30 @@
   );
   t.match(granted, [{message: {requestId: 'p5', outcome: 'granted'}}]);
 });
+
+// Guards against digests that carry every limit from every VM, several times a
+// second: their bytes would grow with VMs times limited endpoints.
+t.test(
+  'a limit that its owner knows is reported by the owner only',
+  async t => {
+    const state = createState();
+    for (let index = 2; index < 12; index++) {
+      sendReport(state, {}, 0, `vm-${index}`);
+    }
+    answerRequest(state, createLimited(2), 10);
+    const {owner} = getLimit(state)!;
+    /** Runs the digest timer; returns the limits that the digest reports. */
+    const listReported = (nowMs: number): string[] => {
+      state.timers.set('digest', '', nowMs);
+      const effects = runInput(state, {kind: 'timerDue'}, nowMs);
+      const [sent] = listEffects(effects, 'sendPeer');
+      if (sent?.message.kind !== 'digest') return [];
+      return Object.keys(sent.message.limits ?? {});
+    };
+    t.not(owner, 'vm-1');
+    t.strictSame(listReported(100), ['l1'], 'the owner has not reported it');
+    const report = {perSecond: 2, isLifted: false, ageMs: 0};
+    sendReport(state, {l1: report}, 150, owner);
+    t.strictSame(listReported(200), [], 'the owner has reported it');
+  },
+);
--- a/packages/ryeworks-dispatch/src/rateLimits/applyLimit.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/applyLimit.ts
@@ -48,6 +48,7 @@
     limit.liftedAtMs = undefined;
   }
   if (previousPerSecond === perSecond && !wasLifted) return [];
+  entry.limit!.changedAtMs = nowMs;
   return [
     createLog('rate_limit_named', {
       endpoint: entry.endpoint.id,
@@ -71,6 +72,7 @@
   limit.observedAtMs = observedAtMs;
   if (limit.liftedAtMs !== undefined) return [];
   limit.liftedAtMs = nowMs;
+  limit.changedAtMs = nowMs;
   return [
     createLog('rate_limit_lifted', {
       endpoint: endpoint.id,
--- a/packages/ryeworks-dispatch/src/rateLimits/limitReports.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/limitReports.ts
@@ -7,7 +7,11 @@
 import {RateLimit} from './rateLimit.js';
 
 /** Time for which a VM reports what an answer to it has stated, in ms. */
-const reportMs = 5000;
+const observerReportMs = 5000;
+/** Time for which a change is in each digest, in ms: datagrams may be lost. */
+const newReportMs = 1000;
+/** Time between two reports of a limit that has not changed, in ms. */
+const reportPeriodMs = 1000;
 /**
  * Time by which a confirmation may seem older than what this VM knows, in ms: a
  * digest may wait at a relay.
@@ -26,10 +30,31 @@
   };
 }
 
+/** Returns whether the owner of a limit knows what an answer to this VM stated. */
+function isKnownToOwner({liftedAtMs, ownerReport, perSecond}: RateLimit) {
+  if (ownerReport === undefined) return false;
+  const isLifted = liftedAtMs !== undefined;
+  return (
+    ownerReport.isLifted === isLifted && ownerReport.perSecond === perSecond
+  );
+}
+
+/** Returns whether this VM has to report a limit at all. */
+function isReporter(
+  state: DispatchState,
+  limit: RateLimit,
+  nowMs: number,
+): boolean {
+  if (isLimitOwner(state, limit)) return true;
+  const isRecent = nowMs - limit.ownObservedAtMs <= observerReportMs;
+  return isRecent && !isKnownToOwner(limit);
+}
+
 /**
- * Creates the reports of a digest, by endpoint id: of the limits that this VM
- * owns, and of those that an answer to it has named lately. Other VMs know of a
- * limit only from these, so that they need not repeat it.
+ * Creates the reports of a digest, by endpoint id, and marks them as reported. The
+ * owner of a limit reports it, and until the owner does, so does each VM that an
+ * answer has told of it. A report is in each digest while it is new, and in one
+ * a second later on, for VMs that have just started.
  */
 export function createLimitReports(
   state: DispatchState,
@@ -38,9 +63,11 @@
   const reports: Record<string, LimitReport> = {};
   for (const id of state.limitedEndpoints) {
     const limit = state.endpoints.byId.get(id)?.limit;
-    if (limit === undefined) continue;
-    const isRecent = nowMs - limit.ownObservedAtMs <= reportMs;
-    if (!isRecent && !isLimitOwner(state, limit)) continue;
+    if (limit === undefined || !isReporter(state, limit, nowMs)) continue;
+    const isNew = nowMs - limit.changedAtMs <= newReportMs;
+    const isDue = nowMs - limit.reportedAtMs >= reportPeriodMs;
+    if (!isNew && !isDue) continue;
+    limit.reportedAtMs = nowMs;
     reports[id] = createLimitReport(limit, nowMs);
   }
   return reports;
@@ -50,12 +77,14 @@
 export function applyLimitReport(
   state: DispatchState,
   entry: EndpointEntry,
-  {ageMs, isLifted, perSecond}: LimitReport,
+  report: LimitReport,
   peer: string,
   nowMs: number,
 ): Effect[] {
+  const {ageMs, isLifted, perSecond} = report;
   const observedAtMs = nowMs - ageMs;
   const {limit} = entry;
+  if (limit?.owner === peer) limit.ownerReport = report;
   const knownSinceMs = limit?.observedAtMs ?? entry.unlimitedAtMs;
   const confirms =
     limit !== undefined &&
--- a/packages/ryeworks-dispatch/src/rateLimits/rateLimit.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/rateLimit.ts
@@ -1,3 +1,4 @@
+import {LimitReport} from '../peers/peerMessage.js';
 import {PermitBucket} from './permitBucket.js';
 import {ReturnSchedule} from './returnSchedule.js';
 
@@ -29,6 +30,12 @@
   ownObservedAtMs: number;
   /** When an answer or a peer last confirmed it, in ms. */
   confirmedAtMs: number;
+  /** When it or its owner last changed, in ms. */
+  changedAtMs: number;
+  /** When this VM last reported it to its peers, in ms. */
+  reportedAtMs: number;
+  /** What its owner has last reported; undefined if nothing yet. */
+  ownerReport: LimitReport | undefined;
   /** When it was lifted, in ms; undefined while it applies. */
   liftedAtMs: number | undefined;
   /** Name of the VM that grants the permits. */
@@ -55,6 +62,9 @@
     observedAtMs,
     ownObservedAtMs: Number.NEGATIVE_INFINITY,
     confirmedAtMs: nowMs,
+    changedAtMs: nowMs,
+    reportedAtMs: Number.NEGATIVE_INFINITY,
+    ownerReport: undefined,
     liftedAtMs: undefined,
     owner,
     bucket: new PermitBucket(nowMs),
--- a/packages/ryeworks-dispatch/src/rateLimits/updateRateLimits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/updateRateLimits.ts
@@ -24,6 +24,8 @@
   if (limit.owner === owner) return [];
   const previousOwner = limit.owner;
   limit.owner = owner;
+  limit.changedAtMs = nowMs;
+  limit.ownerReport = undefined;
   limit.pendingAsks = [];
   limit.bucket.clear(nowMs);
   const {knownRatio} = state.limitOwners;
--- a/packages/ryeworks-lab/src/bin/measure.ts
+++ b/packages/ryeworks-lab/src/bin/measure.ts
@@ -4,6 +4,7 @@
 import {writeCapacityPage} from '../measure/capacity/capacityPage.js';
 import {runCapacityMeasurement} from '../measure/capacity/runCapacityMeasurement.js';
 import {runEntryVmMeasurement} from '../measure/runEntryVmMeasurement.js';
+import {runLimitsMeasurement} from '../measure/runLimitsMeasurement.js';
 import {runMovesMeasurement} from '../measure/runMovesMeasurement.js';
 import {runOverloadMeasurement} from '../measure/runOverloadMeasurement.js';
 
@@ -13,6 +14,7 @@
 > = {
   overload: runOverloadMeasurement,
   capacity: runCapacityMeasurement,
+  limits: runLimitsMeasurement,
   moves: runMovesMeasurement,
   entry: runEntryVmMeasurement,
   'capacity-page': async () => {
