A report of a limit's owner confirms the limit at any age

What would be seen: a VM whose own answer is newer than the owner's takes the limit as lifted after 15 s, although the owner reports it each second; its asks then tell the owner of an end that nobody has observed, and the rate rises until the next answer. Cause: since observers no longer repeat what the owner knows, the age of the owner's report grows, and it was compared with the VM's own observation. Found on reading. Test: rateLimits.test.ts, 'a report of the owner confirms a limit at any age', failed before.

--- a/packages/ryeworks-dispatch/src/__tests__/rateLimits.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/rateLimits.test.ts
@@ -214,3 +214,26 @@
     t.strictSame(listReported(200), [], 'the owner has reported it');
   },
 );
+
+// Guards against a limit that ends at a VM while its owner still reports it: the
+// owner's own last answer may be older than the one to this VM.
+t.test('a report of the owner confirms a limit at any age', async t => {
+  const state = createState();
+  for (let index = 2; index < 12; index++) {
+    sendReport(state, {}, 0, `vm-${index}`);
+  }
+  answerRequest(state, createLimited(2), 10_000);
+  let lifted = 0;
+  for (let nowMs = 10_100; nowMs < 40_000; nowMs += 300) {
+    const report = {perSecond: 2, isLifted: false, ageMs: nowMs - 1000};
+    for (let index = 2; index < 12; index++) {
+      sendReport(state, {l1: report}, nowMs, `vm-${index}`);
+    }
+    state.timers.set('digest', '', nowMs);
+    runInput(state, {kind: 'timerDue'}, nowMs);
+    if (getLimit(state)?.liftedAtMs !== undefined) lifted += 1;
+  }
+  t.not(getLimit(state)?.owner, 'vm-1');
+  t.equal(lifted, 0, 'it is never lifted');
+  t.match(getLimit(state), {perSecond: 2, liftedAtMs: undefined});
+});
--- a/packages/ryeworks-dispatch/src/rateLimits/limitReports.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/limitReports.ts
@@ -13,8 +13,8 @@
 /** Time between two reports of a limit that has not changed, in ms. */
 const reportPeriodMs = 1000;
 /**
- * Time by which a confirmation may seem older than what this VM knows, in ms: a
- * digest may wait at a relay.
+ * Time by which a confirmation of a VM that does not own the limit may seem older
+ * than what this VM knows, in ms: a digest may wait at a relay.
  */
 const confirmationSlackMs = 3000;
 
@@ -89,7 +89,8 @@
   const confirms =
     limit !== undefined &&
     !isLifted &&
-    observedAtMs >= limit.observedAtMs - confirmationSlackMs;
+    (limit.owner === peer ||
+      observedAtMs >= limit.observedAtMs - confirmationSlackMs);
   if (confirms) limit.confirmedAtMs = nowMs;
   if (observedAtMs <= knownSinceMs) return [];
   const observation = {observedAtMs, source: peer};
