Rate limits: one rendezvous hash, one way to create an answer

findLimitOwner had a loop of its own for what rankByKey does, with the same key and the same order of ties; handlePermitAsk built by hand what createAnswer creates; a request's arrival looked through the endpoints although none has a limit. No behaviour changes.

--- a/packages/ryeworks-dispatch/src/rateLimits/decidePermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/decidePermits.ts
@@ -49,7 +49,7 @@
 }
 
 /** Creates the answer to an ask. */
-function createAnswer(
+export function createAnswer(
   state: DispatchState,
   {endpointId, requestId}: Pick<PermitAsk, 'endpointId' | 'requestId'>,
   outcome: PermitAnswer['outcome'],
--- a/packages/ryeworks-dispatch/src/rateLimits/grantPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/grantPermits.ts
@@ -1,7 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
 import {PermitAnswer, PermitAsk, permitOutcome} from '../peers/peerMessage.js';
-import {assignPermits, decideAsk} from './decidePermits.js';
+import {assignPermits, createAnswer, decideAsk} from './decidePermits.js';
 import {applyLimitReport} from './limitReports.js';
 import {isLimitOwner} from './permits.js';
 import {handlePermitAnswer} from './requestPermits.js';
@@ -20,16 +20,14 @@
   ask: PermitAsk,
   nowMs: number,
 ): Effect[] {
-  const {address, endpointId, requestId} = ask;
+  const {address, endpointId} = ask;
   const entry = state.endpoints.byId.get(endpointId);
   if (entry === undefined) return [];
   const effects = applyLimitReport(state, entry, ask.limit, ask.vm, nowMs);
   const {limit} = entry;
   if (limit === undefined) {
-    const {vm} = state.options;
-    const outcome = permitOutcome.granted;
-    const answer = {vm, endpointId, requestId, outcome, waitMs: 0};
-    effects.push(sendAnswer(address, {kind: 'permitAnswer', ...answer}));
+    const answer = createAnswer(state, ask, permitOutcome.granted, 0);
+    effects.push(sendAnswer(address, answer));
     return effects;
   }
   if (!isLimitOwner(state, limit)) return effects;
--- a/packages/ryeworks-dispatch/src/rateLimits/limitOwners.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/limitOwners.ts
@@ -1,4 +1,4 @@
-import {getHash} from '@ryeworks/utils';
+import {rankByKey} from '@ryeworks/utils';
 import {DispatchState} from '../dispatchState.js';
 import {Endpoint} from '../endpoints/endpoint.js';
 import {getDigestPeriodMs} from '../peers/relayDigests.js';
@@ -58,14 +58,7 @@
   {all, byZone}: LimitOwners,
   {availabilityZone, id}: Endpoint,
 ): string {
-  let owner = '';
-  let bestHash = -1;
-  for (const vm of byZone.get(availabilityZone) ?? all) {
-    const hash = getHash(`${id}|${vm}`);
-    if (hash < bestHash || (hash === bestHash && vm > owner)) continue;
-    bestHash = hash;
-    owner = vm;
-  }
+  const [owner] = rankByKey(id, byZone.get(availabilityZone) ?? all);
   return owner;
 }
 
--- a/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
@@ -36,6 +36,7 @@
   service: string,
   nowMs: number,
 ): boolean {
+  if (state.limitedEndpoints.size === 0) return false;
   let hasLimit = false;
   for (const entry of listEndpoints(state.endpoints, service)) {
     if (!isUsable(entry, nowMs)) continue;
