A reset behind unread bytes is no complete answer

If an endpoint's bytes and its reset reach the gateway before it reads, libuv reports the reset as a regular end (a partial read with POLLHUP becomes EOF). An answer without length and transfer encoding ends with its connection, so it was passed on as complete.

Change: on the end of a connection the gateway writes no bytes; that fails only after a reset. An unframed answer is complete only if it succeeds. The connection allows half-open, so that the write is possible after a FIN.

Test: 'an unframed answer with a reset behind unread bytes gets 502' writes and resets in one step.

--- a/packages/ryeworks-gateway/src/endpoints/connectEndpoint.ts
+++ b/packages/ryeworks-gateway/src/endpoints/connectEndpoint.ts
@@ -11,10 +11,11 @@
 
 /**
  * Opens a TCP connection. Its timeout is shorter than the delay after which the
- * kernel first retransmits a lost packet.
+ * kernel first retransmits a lost packet. The connection stays writable when the
+ * endpoint ends it, as `checkConnectionEnd` requires; the caller destroys it.
  */
 export function connectEndpoint(host: string, port: number): Socket {
-  const socket = connect({host, port, noDelay: true});
+  const socket = connect({host, port, noDelay: true, allowHalfOpen: true});
   const timer = setTimeout(() => {
     const message = `no connection to ${host}:${port} in ${connectTimeoutMs} ms`;
     socket.destroy(new ConnectTimeoutError(message));
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -12,6 +12,7 @@
   OpenRequest,
 } from '../callers/openRequest.js';
 import {AnswerHead, WireFormat} from '../deploymentInterfaces.js';
+import {checkConnectionEnd, ConnectionEnd} from './checkConnectionEnd.js';
 import {connectEndpoint} from './connectEndpoint.js';
 import {EventSplitter} from './eventSplitter.js';
 
@@ -66,6 +67,8 @@
   private request: ClientRequest | undefined;
   private response: IncomingMessage | undefined;
   private head: AnswerHead | undefined;
+  /** How the endpoint finished the connection; undefined before it did. */
+  private connectionEnd: Promise<ConnectionEnd> | undefined;
   private mode: ForwardMode = 'unknown';
   private readonly splitter = new EventSplitter();
   /** Parts of the body that are held in memory. */
@@ -101,6 +104,10 @@
       createConnection: () => {
         const socket = connectEndpoint(host, port);
         socket.once('connect', () => this.handleConnected());
+        // Added before the listeners of `request`, which end the response.
+        socket.once('end', () => {
+          this.connectionEnd = checkConnectionEnd(socket);
+        });
         return socket;
       },
     });
@@ -165,7 +172,9 @@
     else this.mode = effect.isResumable ? 'events' : 'bytes';
     response.on('data', (chunk: Buffer) => this.handleData(chunk));
     response.on('end', () => this.handleEnd());
-    response.on('close', () => this.fail('cut', 'connection_closed'));
+    response.on('close', () => {
+      if (!response.complete) this.fail('cut', 'connection_closed');
+    });
   }
 
   private handleData(chunk: Buffer): void {
@@ -190,6 +199,19 @@
       this.fail('cut', 'answer_incomplete');
       return;
     }
+    if (this.connectionEnd === undefined || !this.isUnframed()) {
+      this.forwardAnswer();
+      return;
+    }
+    void this.connectionEnd.then(end => {
+      if (end === 'ended') this.forwardAnswer();
+      else this.fail('cut', 'connection_reset');
+    });
+  }
+
+  /** Forwards what is left of an answer that was received completely. */
+  private forwardAnswer(): void {
+    if (this.isFinished) return;
     const {openRequest} = this.options;
     const {status} = this.head!;
     if (this.mode === 'held' && status >= minFailureStatus) {
@@ -240,16 +262,22 @@
     });
   }
 
+  /** Returns whether only the end of the connection marks the answer's end. */
+  private isUnframed(): boolean {
+    const {headers} = this.head!;
+    return (
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined
+    );
+  }
+
   private createForwardedHead(): ForwardedHead {
     const {headers, status} = this.head!;
-    const isUnframed =
-      headers['content-length'] === undefined &&
-      headers['transfer-encoding'] === undefined;
     const callerHeaders = this.options.wire.createCallerHeaders({
       headers,
       status,
     });
-    return {status, headers: callerHeaders, isUnframed};
+    return {status, headers: callerHeaders, isUnframed: this.isUnframed()};
   }
 
   private createHeldAnswer(): HeldAnswer {
