Store eras: a store that comes back from an older copy is followed

The first watch after a failed call waits 1 ms, so that the era is known at once. - An era is learned from lists, digests and store views. Lists of an earlier era are ignored. - Endpoints and orders that the first list of an era lacks have 1.9 s to return; until then no position is reported to peers. - A move goes on if its order was written again; a result that was lost with the copy is written again, and none for an order of an earlier era. - A VM that starts compares its first version with that of its peers before it is ready: 200 ms for a first digest, 1.5 s for a newer version. - Peers of the build before: a digest or view without era counts as in the reader's era. Evidence of a move is not summed over both builds (new key).

Found on the way: the store view was reported before both its kinds were listed.

--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -16,6 +16,8 @@
 import {LimitOwners} from './rateLimits/limitOwners.js';
 import {ActiveRequest} from './requests/activeRequest.js';
 import {RetryBudget} from './retries/retryBudget.js';
+import {createStoreEra, StoreEra} from './store/storeEra.js';
+import {noPosition, StorePosition} from './store/storePosition.js';
 
 /** Purpose of a timer; determines which handler runs when it expires. */
 export type TimerPurpose =
@@ -37,7 +39,11 @@
   /** Grants permits of an endpoint with a rate limit. */
   | 'permits'
   /** Checks the progress of the moves. */
-  | 'moves';
+  | 'moves'
+  /** Ends the wait for peers to name their version of the desired state. */
+  | 'versionCheck'
+  /** Announces this VM again after the store came back from a copy. */
+  | 'announce';
 
 /** Times of a graceful stop. */
 export interface StopPlan {
@@ -71,6 +77,10 @@
   /** Retry budgets by service. */
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly moves: MoveTable;
+  /**
+   * Whether the first desired state was compared with what peers have applied.
+   */
+  hasCheckedVersion: boolean;
   /** Whether a first complete list of endpoints has been read. */
   hasListedEndpoints: boolean;
   /** Whether the platform's store can be reached. */
@@ -88,15 +98,14 @@
    * changes.
    */
   isWatchingStore: boolean;
+  readonly storeEra: StoreEra;
+  /** Position in the store up to which all changes have been applied. */
+  storePosition: StorePosition;
   /**
-   * Store revision up to which all changes have been applied; 0 if none has.
-   */
-  storeRevision: number;
-  /**
-   * When a peer first reported a newer store revision, in ms; undefined if none
+   * When a peer first reported a later store position, in ms; undefined if none
    * did.
    */
-  newerRevisionSeenAtMs: number | undefined;
+  laterPositionSeenAtMs: number | undefined;
   /** When a peer's view of the store was last requested, in ms. */
   storeViewRequestedAtMs: number;
   /** Whether a peer's store view is being fetched. */
@@ -132,6 +141,7 @@
     dispatchRates: new Map(),
     retryBudgets: new Map(),
     moves: createMoveTable(),
+    hasCheckedVersion: false,
     hasListedEndpoints: false,
     isStoreReachable: false,
     storeLostAtMs: Number.NEGATIVE_INFINITY,
@@ -139,8 +149,9 @@
     earlyRequests: new Map(),
     stop: undefined,
     isWatchingStore: true,
-    storeRevision: 0,
-    newerRevisionSeenAtMs: undefined,
+    storeEra: createStoreEra(),
+    storePosition: noPosition,
+    laterPositionSeenAtMs: undefined,
     storeViewRequestedAtMs: Number.NEGATIVE_INFINITY,
     isFetchingStoreView: false,
     limitedEndpoints: new Set(),
@@ -153,11 +164,13 @@
 }
 
 /**
- * Returns whether this VM can serve callers: it has a desired state and a list
- * of endpoints.
+ * Returns whether this VM can serve callers: it has a desired state that is not
+ * older than that of its peers, and a list of endpoints.
  */
 export function isReady(state: DispatchState): boolean {
-  return state.desiredState.current !== undefined && state.hasListedEndpoints;
+  const {desiredState, hasCheckedVersion, hasListedEndpoints} = state;
+  const hasDesiredState = desiredState.current !== undefined;
+  return hasDesiredState && hasCheckedVersion && hasListedEndpoints;
 }
 
 /** Returns the waiting queue of a service; creates it on first use. */
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -87,6 +87,11 @@
   readonly isWatching: boolean;
 }
 
+/** Announces this VM in the store. */
+export interface AnnounceVm {
+  readonly kind: 'announceVm';
+}
+
 /** Writes the progress or the result of a move to the store. */
 export interface WriteMoveResult {
   readonly kind: 'writeMoveResult';
@@ -158,6 +163,7 @@
   | ReadDesiredState
   | FetchStoreView
   | SetStoreWatch
+  | AnnounceVm
   | ApplyCallerBounds
   | WriteMoveResult
   | Count
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -9,6 +9,7 @@
 } from '../input.js';
 import {handleEarlyRequests} from '../requests/handleRequestReceived.js';
 import {hasRecentDigest} from '../peers/peerTable.js';
+import {isLossLikely, recordListing} from '../store/storeEra.js';
 import {Endpoint} from './endpoint.js';
 import {removeEndpoint, updateEndpoint} from './endpointTable.js';
 
@@ -30,10 +31,11 @@
 
 /**
  * Returns whether missing entries may only have expired while the store was
- * unavailable. If only this VM was cut off from the store, endpoints whose
+ * unavailable, or be lost with a copy from which it came back. If only this VM was cut off from the store, endpoints whose
  * entries are missing are gone.
  */
 function isExpiryLikely(state: DispatchState, nowMs: number): boolean {
+  if (isLossLikely(state, nowMs)) return true;
   if (nowMs - state.storeReachedAtMs >= returnGracePeriodMs) return false;
   return !wasStoreReachableByPeer(state, nowMs);
 }
@@ -74,12 +76,17 @@
   return reportChange('removed', entry.endpoint);
 }
 
-/** Updates the table from a complete list of endpoints. */
+/**
+ * Updates the table from a complete list of endpoints. Ignores a list of an
+ * earlier era than the current one.
+ */
 export function handleEndpointsListed(
   state: DispatchState,
   input: EndpointsListed,
   nowMs: number,
 ): Effect[] {
+  if (input.era < (state.storeEra.current ?? 0)) return [];
+  recordListing(state, nowMs);
   const effects: Effect[] = [];
   const listed = new Set<string>();
   for (const endpoint of input.endpoints) {
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -1,5 +1,10 @@
 import {runDueTimers, TimerHandler} from '@ryeworks/utils';
 import {sweepWaiting} from './admission/refuseOrQueue.js';
+import {
+  checkFirstVersion,
+  expireVersionCheck,
+  startVersionCheck,
+} from './desired/checkFirstVersion.js';
 import {applyDesiredState} from './desired/desiredStateTracker.js';
 import {handleDesiredStateFetchEnded} from './desired/fetchNewerVersion.js';
 import {DispatchState, TimerPurpose} from './dispatchState.js';
@@ -18,18 +23,15 @@
   InputOf,
   StopRequested,
 } from './input.js';
-import {
-  handleMovesRead,
-  moveUpdatePeriodMs,
-  updateMoves,
-} from './moves/handleMoves.js';
+import {moveUpdatePeriodMs, updateMoves} from './moves/handleMoves.js';
+import {handleMovesRead} from './moves/handleMovesRead.js';
 import {
   handlePeerMessage,
   handleSeedListed,
   handleVmListed,
 } from './peers/handlePeerMessage.js';
 import {
-  handleStoreRevisionRead,
+  handleStorePositionRead,
   handleStoreViewFetchEnded,
   handleStoreViewRead,
 } from './peers/storeWatching.js';
@@ -50,9 +52,10 @@
 import {
   expireEarlyRequest,
   handleRequestReceived,
-  handleEarlyRequests,
 } from './requests/handleRequestReceived.js';
 
+import {announceVm, handleStoreEraRead} from './store/storeEra.js';
+
 /** Handles inputs of one kind and returns the resulting effects. */
 type InputHandler<K extends Input['kind']> = (
   state: DispatchState,
@@ -72,6 +75,8 @@
   sweepMissing,
   permits: expirePermitWait,
   moves: updateMoves,
+  versionCheck: expireVersionCheck,
+  announce: announceVm,
 };
 
 /** Applies a desired state if it is newer than the current one. */
@@ -81,6 +86,7 @@
   nowMs: number,
 ): Effect[] {
   const {desiredState} = input;
+  const isFirst = state.desiredState.current === undefined;
   const previousVersion = state.desiredState.current?.version ?? -1;
   if (!applyDesiredState(state.desiredState, desiredState)) return [];
   const customerLogs: Effect[] = [];
@@ -106,7 +112,7 @@
       routes: desiredState.routes.length,
       customers: desiredState.customers.length,
     }),
-    ...handleEarlyRequests(state, nowMs),
+    ...(isFirst ? startVersionCheck : checkFirstVersion)(state, nowMs),
   ];
 }
 
@@ -165,7 +171,8 @@
   vmListed: handleVmListed,
   seedListed: handleSeedListed,
   movesRead: handleMovesRead,
-  storeRevisionRead: handleStoreRevisionRead,
+  storeEraRead: handleStoreEraRead,
+  storePositionRead: handleStorePositionRead,
   storeViewRead: handleStoreViewRead,
   storeViewFetchEnded: handleStoreViewFetchEnded,
   peerMessageReceived: handlePeerMessage,
--- a/packages/ryeworks-dispatch/src/index.ts
+++ b/packages/ryeworks-dispatch/src/index.ts
@@ -11,3 +11,4 @@
 export {RetryBounds} from './retries/retryBudget.js';
 export * from './rateLimits/limitStatement.js';
 export {LimitBounds} from './limits/customerUsage.js';
+export * from './store/storePosition.js';
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -4,6 +4,7 @@
 import {MoveOrder} from './moves/moveOrder.js';
 import {PeerMessage} from './peers/peerMessage.js';
 import {LimitStatement} from './rateLimits/limitStatement.js';
+import {StorePosition} from './store/storePosition.js';
 
 /** A caller's request was read completely. */
 export interface RequestReceived {
@@ -115,6 +116,8 @@
 /** The complete list of endpoints was read. */
 export interface EndpointsListed {
   readonly kind: 'endpointsListed';
+  /** Era of the store in which they were listed. */
+  readonly era: number;
   readonly endpoints: readonly Endpoint[];
 }
 
@@ -154,19 +157,27 @@
 /** The operators' orders to move services to other versions were read. */
 export interface MovesRead {
   readonly kind: 'movesRead';
+  /** Era of the store in which they were read. */
+  readonly era: number;
   readonly orders: readonly MoveOrder[];
 }
 
-/** All changes of the store up to a revision were read. */
-export interface StoreRevisionRead {
-  readonly kind: 'storeRevisionRead';
-  readonly revision: number;
+/** An answer of the store named its era. */
+export interface StoreEraRead {
+  readonly kind: 'storeEraRead';
+  readonly era: number;
+}
+
+/** All changes of the store up to a position were read. */
+export interface StorePositionRead {
+  readonly kind: 'storePositionRead';
+  readonly position: StorePosition;
 }
 
 /** A peer's view of the store was read. */
 export interface StoreViewRead {
   readonly kind: 'storeViewRead';
-  readonly revision: number;
+  readonly position: StorePosition;
   readonly endpoints: readonly Endpoint[];
   readonly orders: readonly MoveOrder[];
 }
@@ -221,7 +232,8 @@
   | VmListed
   | SeedListed
   | MovesRead
-  | StoreRevisionRead
+  | StoreEraRead
+  | StorePositionRead
   | StoreViewRead
   | StoreViewFetchEnded
   | PeerMessageReceived
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -40,7 +40,7 @@
 /** Returns the share of requests that is now routed to a move's new version. */
 export function getNewVersionShare(move: MoveState, nowMs: number): number {
   if (move.isBad) return 0;
-  if (move.order.phase === 'completed') return 1;
+  if (move.order.phase === 'completed' || move.wasCompleted) return 1;
   const fraction = getElapsedFraction(move, nowMs);
   const hasEvidence = move.newEvidence.total.answered >= minAnswers;
   const [firstStep] = moveSteps;
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -2,18 +2,14 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
 import {listEndpoints} from '../endpoints/endpointTable.js';
-import {MovesRead} from '../input.js';
 import {countCalls} from '../admission/pickEndpoint.js';
 import {hasRecentDigest} from '../peers/peerTable.js';
 import {VersionCounts} from '../peers/peerMessage.js';
+import {startMove} from './handleMovesRead.js';
 import {getElapsedFraction, getNewVersionShare} from './decideTrial.js';
-import {
-  createMoveState,
-  MoveState,
-  noCounts,
-  VersionEvidence,
-} from './moveTable.js';
+import {MoveState, noCounts, VersionEvidence} from './moveTable.js';
 import {MoveOrder, MovePhase} from './moveOrder.js';
+import {isLossLikely} from '../store/storeEra.js';
 
 /** Time between two updates of the moves, in ms. */
 export const moveUpdatePeriodMs = 250;
@@ -32,65 +28,25 @@
 /** Rates of slow answers between which the slowness test distinguishes. */
 const slowRates = {acceptable: 0.08, unacceptable: 0.4};
 
-/**
- * Returns whether an order differs from the existing one in its target version
- * or in the revision at which it was created.
- */
-function isNewOrder(
-  existing: MoveState | undefined,
-  order: MoveOrder,
-): boolean {
-  if (existing === undefined) return true;
-  if (existing.order.createdRevision !== order.createdRevision) return true;
-  return existing.order.toVersion !== order.toVersion;
-}
-
-/**
- * Applies the operators' orders: adds new moves, updates existing ones, and
- * removes moves that are no longer listed.
- */
-export function handleMovesRead(
-  state: DispatchState,
-  input: MovesRead,
-  nowMs: number,
-): Effect[] {
-  const effects: Effect[] = [];
-  const listed = new Set<string>();
-  for (const order of input.orders) {
-    listed.add(order.service);
-    const existing = state.moves.get(order.service);
-    if (existing !== undefined && !isNewOrder(existing, order)) {
-      existing.order = order;
-      if (order.phase === 'reverted') existing.isBad = true;
-      continue;
-    }
-    state.moves.set(order.service, createMoveState(order, nowMs));
-    const {service, toVersion, durationMs, revision} = order;
-    const fields = {service, toVersion, durationMs, revision};
-    effects.push(createLog('move_ordered', fields));
-  }
-  for (const service of state.moves.keys()) {
-    if (!listed.has(service)) state.moves.delete(service);
-  }
-  return effects;
-}
-
 /**
  * Creates the key under which a digest holds the counts of a move's new version
  * or of its old versions.
  */
-export function createEvidenceKey(move: MoveState, isNew: boolean): string {
-  const {service, createdRevision} = move.order;
-  return `${service}|${createdRevision}|${isNew ? 'new' : 'old'}`;
+export function createEvidenceKey(order: MoveOrder, isNew: boolean): string {
+  const {createdAt, service} = order;
+  const {era, revision} = createdAt;
+  return `${service}|${era}.${revision}|${isNew ? 'new' : 'old'}`;
 }
 
 /** Sums up the counts of a move's new or old version over all VMs. */
 function sumEvidence(state: DispatchState, move: MoveState, isNew: boolean) {
   const evidence = isNew ? move.newEvidence : move.oldEvidence;
-  const key = createEvidenceKey(move, isNew);
+  const key = createEvidenceKey(move.order, isNew);
+  // Peers that have not read the order in the current era use its earlier key.
+  const earlierKey = createEvidenceKey(move.earlierOrder ?? move.order, isNew);
   const total = {...evidence.own};
   for (const peer of state.peers.byVm.values()) {
-    const counts = peer.evidence[key] ?? noCounts;
+    const counts = peer.evidence[key] ?? peer.evidence[earlierKey] ?? noCounts;
     total.answered += counts.answered;
     total.failed += counts.failed;
     total.slow += counts.slow;
@@ -165,6 +121,7 @@
   const {phase} = move.order;
   if (phase === 'completed' || phase === 'reverted') return undefined;
   if (move.isBad) return 'reverted';
+  if (move.wasCompleted) return 'completed';
   const fraction = getElapsedFraction(move, nowMs);
   const hasAllRequests = getNewVersionShare(move, nowMs) >= 1;
   if (hasAllRequests && fraction >= minCompletionFraction) {
@@ -186,6 +143,22 @@
   return true;
 }
 
+/**
+ * Ends the wait for orders that the store lost with a copy: applies the orders
+ * that were read in place of others, and removes moves whose orders did not
+ * return.
+ */
+function endOrderWaits(state: DispatchState, nowMs: number): Effect[] {
+  if (isLossLikely(state, nowMs)) return [];
+  const effects: Effect[] = [];
+  for (const [service, move] of state.moves) {
+    if (move.heldOrder !== undefined) {
+      effects.push(...startMove(state, move.heldOrder, nowMs));
+    } else if (move.isMissing) state.moves.delete(service);
+  }
+  return effects;
+}
+
 /** Tests the new version of each move and writes phases that have changed. */
 export function updateMoves(
   state: DispatchState,
@@ -193,18 +166,19 @@
   nowMs: number,
 ): Effect[] {
   state.timers.set('moves', '', nowMs + moveUpdatePeriodMs);
-  const effects: Effect[] = [];
+  const effects = endOrderWaits(state, nowMs);
   for (const move of state.moves.values()) {
     effects.push(...testNewVersion(state, move));
+    if (move.isMissing) continue;
     const phase = decideNextPhase(state, move, nowMs);
     if (phase === undefined || !isResultWriter(state, nowMs)) continue;
     if (nowMs - move.resultWrittenAtMs < writeRetryMs) continue;
     move.resultWrittenAtMs = nowMs;
-    const {service, toVersion, revision} = move.order;
-    const result = {service, toVersion, phase, revision};
+    const {position, service, toVersion} = move.order;
+    const result = {service, toVersion, phase, position};
     effects.push(
       {kind: 'writeMoveResult', result},
-      createLog('move_result', {...result}),
+      createLog('move_result', {service, toVersion, phase, ...position}),
     );
   }
   return effects;
--- a/packages/ryeworks-dispatch/src/moves/moveOrder.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveOrder.ts
@@ -1,3 +1,5 @@
+import {StorePosition} from '../store/storePosition.js';
+
 /** Phase of a service's move to another version, as stored with its order. */
 export const movePhase = {
   moving: 'moving',
@@ -14,10 +16,10 @@
   readonly toVersion: string;
   /** Planned duration of the move, in ms. */
   readonly durationMs: number;
-  /** Store revision of the order; changes with each write of it. */
-  readonly revision: number;
-  /** Store revision at which the order was created. */
-  readonly createdRevision: number;
+  /** Position of the order's last write. */
+  readonly position: StorePosition;
+  /** Position at which the order was created. */
+  readonly createdAt: StorePosition;
   /** Undefined until a VM has written a phase. */
   readonly phase: MovePhase | undefined;
 }
@@ -27,6 +29,6 @@
   readonly service: string;
   readonly toVersion: string;
   readonly phase: MovePhase;
-  /** The write succeeds only if the order still has this revision. */
-  readonly revision: number;
+  /** The write succeeds only if the order was last written at this position. */
+  readonly position: StorePosition;
 }
--- a/packages/ryeworks-dispatch/src/moves/moveTable.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveTable.ts
@@ -13,6 +13,17 @@
 /** State of a move, under way or ended, on this VM. */
 export interface MoveState {
   order: MoveOrder;
+  /** The order as read in an earlier era of the store; undefined if in none. */
+  earlierOrder: MoveOrder | undefined;
+  /** Whether the order may be lost with a copy that the store came back from. */
+  isMissing: boolean;
+  /**
+   * An order for another move, applied if the missing one does not return;
+   * undefined if there is none.
+   */
+  heldOrder: MoveOrder | undefined;
+  /** Whether the move was completed in an earlier era of the store. */
+  wasCompleted: boolean;
   readonly startedAtMs: number;
   /** Whether the new version was detected as bad; never reset. */
   isBad: boolean;
@@ -46,6 +57,10 @@
 export function createMoveState(order: MoveOrder, nowMs: number): MoveState {
   return {
     order,
+    earlierOrder: undefined,
+    isMissing: false,
+    heldOrder: undefined,
+    wasCompleted: false,
     startedAtMs: nowMs,
     isBad: order.phase === 'reverted',
     newEvidence: {own: noCounts, total: noCounts},
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -1,5 +1,6 @@
 import {admitWaiting} from '../admission/admitWaiting.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
+import {checkFirstVersion} from '../desired/checkFirstVersion.js';
 import {fetchNewerVersion} from '../desired/fetchNewerVersion.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {PeerMessageReceived, SeedListed, VmListed} from '../input.js';
@@ -9,6 +10,7 @@
 import {handlePermitAnswer} from '../rateLimits/requestPermits.js';
 import {addPeer, applyDigest, setPeerCalls} from './peerTable.js';
 import {Digest, DigestBatch, PeerMessage, SlotOffer} from './peerMessage.js';
+import {updateStoreEra} from '../store/storeEra.js';
 import {fetchStoreView} from './storeWatching.js';
 import {addDigestToRelay} from './relayDigests.js';
 
@@ -41,6 +43,10 @@
   effects.push(
     ...applyLimitReports(state, digest.limits ?? {}, vm, nowMs),
     ...fetchNewerVersion(state, digest, nowMs),
+    ...checkFirstVersion(state, nowMs),
+    ...(digest.storeEra === undefined
+      ? []
+      : updateStoreEra(state, digest.storeEra, nowMs)),
     ...fetchStoreView(state, digest, nowMs),
   );
   return effects;
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -44,7 +44,15 @@
   readonly sequence: number;
   /** Version of the desired state that the VM has applied; -1 if none. */
   readonly desiredVersion: number;
-  /** Store revision up to which the VM has applied all changes; 0 if none. */
+  /**
+   * Era of the store; undefined if the VM knows none, or from a build that knows
+   * no eras.
+   */
+  readonly storeEra?: number;
+  /**
+   * Revision within the era up to which the VM has applied all changes; 0 if
+   * none. See `readDigestPosition`.
+   */
   readonly storeRevision: number;
   /**
    * How long the VM has reached the store without interruption, in ms; 0 if it
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -5,7 +5,7 @@
 import {createLimitReports} from '../rateLimits/limitReports.js';
 import {updateRateLimits} from '../rateLimits/updateRateLimits.js';
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
-import {getReportedRevision, updateStoreWatching} from './storeWatching.js';
+import {getReportedPosition, updateStoreWatching} from './storeWatching.js';
 import {
   flushDigestsToRelay,
   getDigestPeriodMs,
@@ -56,8 +56,8 @@
 function createEvidence(state: DispatchState): Record<string, VersionCounts> {
   const evidence: Record<string, VersionCounts> = {};
   for (const move of state.moves.values()) {
-    evidence[createEvidenceKey(move, true)] = move.newEvidence.own;
-    evidence[createEvidenceKey(move, false)] = move.oldEvidence.own;
+    evidence[createEvidenceKey(move.order, true)] = move.newEvidence.own;
+    evidence[createEvidenceKey(move.order, false)] = move.oldEvidence.own;
   }
   return evidence;
 }
@@ -73,7 +73,8 @@
     incarnation,
     sequence: state.digestSequence,
     desiredVersion: state.desiredState.current?.version ?? -1,
-    storeRevision: getReportedRevision(state),
+    storeEra: state.storeEra.current,
+    storeRevision: getReportedPosition(state).revision,
     storeReachedForMs:
       state.isStoreReachable && state.isWatchingStore
         ? Math.round(nowMs - state.storeReachedAtMs)
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -1,8 +1,14 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
 import {handleEndpointsListed} from '../endpoints/handleEndpoints.js';
-import {StoreRevisionRead, StoreViewRead} from '../input.js';
-import {handleMovesRead} from '../moves/handleMoves.js';
+import {StorePositionRead, StoreViewRead} from '../input.js';
+import {handleMovesRead} from '../moves/handleMovesRead.js';
+import {updateStoreEra} from '../store/storeEra.js';
+import {
+  isLaterPosition,
+  noPosition,
+  StorePosition,
+} from '../store/storePosition.js';
 import {hasRecentDigest} from './peerTable.js';
 import {Digest} from './peerMessage.js';
 import {isLargeFleet, listZonePeers} from './relayDigests.js';
@@ -42,35 +48,59 @@
   const isWatching = isStoreWatcher(state, nowMs);
   if (isWatching === state.isWatchingStore) return [];
   state.isWatchingStore = isWatching;
-  const {storeRevision} = state;
+  const fields = {isWatching, ...state.storePosition};
   return [
     {kind: 'setStoreWatch', isWatching},
-    createLog('store_watching_changed', {isWatching, storeRevision}),
+    createLog('store_watching_changed', fields),
   ];
 }
 
-/**
- * Returns the store revision that this VM reports to its peers; 0 while
- * endpoints are missing from the store.
- */
-export function getReportedRevision(state: DispatchState): number {
-  // Missing endpoints may come back, so they must not be reported as removed.
+/** Returns whether an endpoint or a move order may only be lost for a while. */
+function hasMissingEntries(state: DispatchState): boolean {
   for (const entry of state.endpoints.byId.values()) {
-    if (entry.isMissing) return 0;
+    if (entry.isMissing) return true;
   }
-  return state.storeRevision;
+  for (const move of state.moves.values()) {
+    if (move.isMissing) return true;
+  }
+  return false;
+}
+
+/**
+ * Returns the store position that this VM reports to its peers; none while
+ * entries are missing from the store, or until it has applied a first position of
+ * the current era.
+ */
+export function getReportedPosition(state: DispatchState): StorePosition {
+  const {storeEra, storePosition} = state;
+  if (storePosition.era !== (storeEra.current ?? 0)) return noPosition;
+  // Missing entries may come back, so they must not be reported as removed.
+  return hasMissingEntries(state) ? noPosition : storePosition;
 }
 
-/** Records that all changes of the store up to a revision are known. */
-export function handleStoreRevisionRead(
+/**
+ * Returns the store position that a digest reports. A build that knows no eras
+ * is assumed to be in the era of this VM.
+ */
+function readDigestPosition(
+  state: DispatchState,
+  {storeEra, storeRevision}: Digest,
+): StorePosition {
+  if (storeRevision === 0) return noPosition;
+  const era = storeEra ?? state.storePosition.era;
+  return {era, revision: storeRevision};
+}
+
+/** Records that all changes of the store up to a position are known. */
+export function handleStorePositionRead(
   state: DispatchState,
-  {revision}: StoreRevisionRead,
+  {position}: StorePositionRead,
   nowMs: number,
 ): Effect[] {
-  if (revision <= state.storeRevision) return [];
-  state.storeRevision = revision;
-  state.newerRevisionSeenAtMs = undefined;
-  // VMs that do not watch the store wait for this revision.
+  if (!isLaterPosition(position, state.storePosition)) return [];
+  state.storePosition = position;
+  state.laterPositionSeenAtMs = undefined;
+  // VMs that do not watch the store wait for this position.
   if (isLargeFleet(state)) state.timers.set('digest', '', nowMs);
   return [];
 }
@@ -84,14 +114,14 @@
   digest: Digest,
   nowMs: number,
 ): Effect[] {
-  if (state.isWatchingStore || digest.storeRevision <= state.storeRevision) {
-    return [];
-  }
-  state.newerRevisionSeenAtMs ??= nowMs;
+  if (state.isWatchingStore) return [];
+  const position = readDigestPosition(state, digest);
+  if (!isLaterPosition(position, state.storePosition)) return [];
+  state.laterPositionSeenAtMs ??= nowMs;
   const isInLocalZone =
     digest.availabilityZone === state.options.availabilityZone;
   const delayMs = isInLocalZone ? 0 : remoteFetchDelayMs;
-  if (nowMs - state.newerRevisionSeenAtMs < delayMs) return [];
+  if (nowMs - state.laterPositionSeenAtMs < delayMs) return [];
   if (state.isFetchingStoreView) return [];
   if (nowMs - state.storeViewRequestedAtMs < minFetchIntervalMs) return [];
   state.isFetchingStoreView = true;
@@ -111,20 +141,26 @@
  */
 export function handleStoreViewRead(
   state: DispatchState,
-  {endpoints, orders, revision}: StoreViewRead,
+  {endpoints, orders, position}: StoreViewRead,
   nowMs: number,
 ): Effect[] {
-  if (state.isWatchingStore || revision <= state.storeRevision) return [];
-  state.storeRevision = revision;
-  state.newerRevisionSeenAtMs = undefined;
+  if (state.isWatchingStore) return [];
+  if (!isLaterPosition(position, state.storePosition)) return [];
+  state.storePosition = position;
+  state.laterPositionSeenAtMs = undefined;
+  const {era} = position;
   return [
-    createLog('store_view_applied', {revision, endpoints: endpoints.length}),
+    createLog('store_view_applied', {
+      ...position,
+      endpoints: endpoints.length,
+    }),
+    ...updateStoreEra(state, era, nowMs),
     ...handleEndpointsListed(
       state,
-      {kind: 'endpointsListed', endpoints},
+      {kind: 'endpointsListed', era, endpoints},
       nowMs,
     ),
-    ...handleMovesRead(state, {kind: 'movesRead', orders}, nowMs),
+    ...handleMovesRead(state, {kind: 'movesRead', era, orders}, nowMs),
   ];
 }
 
@@ -132,7 +168,7 @@
 export function createStoreView(state: DispatchState): StoreViewRead {
   return {
     kind: 'storeViewRead',
-    revision: getReportedRevision(state),
+    position: getReportedPosition(state),
     endpoints: [...state.endpoints.byId.values()].map(entry => entry.endpoint),
     orders: [...state.moves.values()].map(move => move.order),
   };
--- a/packages/ryeworks-gateway/src/core/createFetchHandlers.ts
+++ b/packages/ryeworks-gateway/src/core/createFetchHandlers.ts
@@ -1,7 +1,9 @@
+import {DispatchState} from '@ryeworks/dispatch';
 import {Logger} from '@ryeworks/logger';
 import {Clock} from '@ryeworks/utils';
 import {DeploymentStore} from '../deploymentInterfaces.js';
 import {fetchDesiredState, fetchStoreView} from '../peers/fetchFromPeer.js';
+import {decodeStoreView} from '../peers/storeViewMessage.js';
 import {DispatchLoop, EffectHandlers} from './dispatchLoop.js';
 
 /** Dependencies of the handlers. */
@@ -9,6 +11,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly loop: DispatchLoop;
+  readonly state: DispatchState;
   readonly store: DeploymentStore;
 }
 
@@ -72,12 +75,12 @@
 
 /** Fetches a peer's store view and submits it to the core. */
 async function updateStoreView(
-  {logger, loop}: FetchContext,
+  {logger, loop, state}: FetchContext,
   address: string,
 ): Promise<void> {
   try {
     const {content} = await fetchStoreView(address);
-    loop.submit({...content, kind: 'storeViewRead'});
+    loop.submit(decodeStoreView(content, state.storeEra.current ?? 0));
   } catch (error) {
     const detail = (error as Error).message;
     logger.warn('store_view_not_fetched', {address, detail});
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -184,6 +184,7 @@
     applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
     setStoreWatch: ({isWatching}) =>
       components.storeWatcher.setWatching(isWatching),
+    announceVm: () => components.storeWatcher.announceAgain(),
     writeMoveResult: ({result}) => {
       store.writeMoveResult(result).catch((error: Error) =>
         logger.warn('move_result_not_written', {
--- a/packages/ryeworks-gateway/src/deploymentInterfaces.ts
+++ b/packages/ryeworks-gateway/src/deploymentInterfaces.ts
@@ -4,6 +4,7 @@
   LimitStatement,
   MoveOrder,
   MoveResult,
+  StorePosition,
 } from '@ryeworks/dispatch';
 import {IncomingHttpHeaders} from 'node:http';
 
@@ -112,8 +113,8 @@
 /** Objects of one kind: all of them, or those that changed. */
 export interface StoreListing<K extends StoreKind> {
   readonly items: ReadonlyArray<StoreItem<K>>;
-  /** Revision of the store up to which the objects are current. */
-  readonly revision: number;
+  /** Position in the store up to which the objects are current. */
+  readonly position: StorePosition;
 }
 
 /** The operations of the platform's store that the gateway uses. */
@@ -121,13 +122,14 @@
   /** Lists the current state of all objects of a kind. */
   list<K extends StoreKind>(kind: K): Promise<StoreListing<K>>;
   /**
-   * Waits for objects of a kind to change after a revision and returns the
+   * Waits for objects of a kind to change after a position and returns the
    * changed objects. Returns an empty list if nothing changed within `waitMs`,
-   * and undefined if the store no longer has the history since that revision.
+   * and undefined if the store no longer has the history since that position or
+   * is in another era.
    */
   watch<K extends StoreKind>(
     kind: K,
-    sinceRevision: number,
+    since: StorePosition,
     waitMs: number,
   ): Promise<StoreListing<K> | undefined>;
   /**
@@ -140,8 +142,8 @@
   /** Writes this VM's address and zone to the store. */
   announceVm(vm: AnnouncedVm): Promise<void>;
   /**
-   * Writes the phase of a move, provided that its order is still at the revision
-   * that the decision was based on.
+   * Writes the phase of a move, provided that its order was not written after the
+   * position that the decision was based on.
    */
   writeMoveResult(result: MoveResult): Promise<void>;
 }
--- a/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
+++ b/packages/ryeworks-gateway/src/peers/fetchFromPeer.ts
@@ -1,5 +1,6 @@
-import {DesiredState, StoreViewRead} from '@ryeworks/dispatch';
+import {DesiredState} from '@ryeworks/dispatch';
 import {callHttp} from '@ryeworks/utils';
+import {StoreViewMessage} from './storeViewMessage.js';
 
 /** Path from which peers fetch a VM's desired state. */
 export const desiredStatePath = '/v1/desired-state';
@@ -52,6 +53,6 @@
 /** Fetches a peer's view of the store. */
 export function fetchStoreView(
   address: string,
-): Promise<FetchedContent<StoreViewRead>> {
-  return fetchFromPeer<StoreViewRead>(address, storeViewPath, 'revision');
+): Promise<FetchedContent<StoreViewMessage>> {
+  return fetchFromPeer<StoreViewMessage>(address, storeViewPath, 'revision');
 }
--- /dev/null
+++ b/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
@@ -0,0 +1,58 @@
+import {Endpoint, MoveOrder, StoreViewRead} from '@ryeworks/dispatch';
+
+/** A move order in a store view. */
+interface OrderMessage {
+  readonly service: string;
+  readonly toVersion: string;
+  readonly durationMs: number;
+  readonly phase?: MoveOrder['phase'];
+  /** Revision of the order's last write. */
+  readonly revision: number;
+  /** Revision at which the order was created. */
+  readonly createdRevision: number;
+}
+
+/**
+ * A store view as a peer sends it. All its revisions belong to one era; peers of
+ * a build that knows no eras send none.
+ */
+export interface StoreViewMessage {
+  readonly era?: number;
+  readonly revision: number;
+  readonly endpoints: readonly Endpoint[];
+  readonly orders: readonly OrderMessage[];
+}
+
+/** Encodes a store view for a peer. */
+export function encodeStoreView(view: StoreViewRead): StoreViewMessage {
+  const {endpoints, orders, position} = view;
+  const encodedOrders: OrderMessage[] = [];
+  for (const {createdAt, position: lastWrite, ...fields} of orders) {
+    const {revision} = lastWrite;
+    const createdRevision = createdAt.revision;
+    encodedOrders.push({...fields, revision, createdRevision});
+  }
+  return {...position, endpoints, orders: encodedOrders};
+}
+
+/**
+ * Decodes a peer's store view.
+ *
+ * @param defaultEra the era of a view that names none
+ */
+export function decodeStoreView(
+  message: StoreViewMessage,
+  defaultEra: number,
+): StoreViewRead {
+  const {endpoints, era = defaultEra, revision} = message;
+  const orders: MoveOrder[] = [];
+  for (const order of message.orders) {
+    const {durationMs, phase, service, toVersion} = order;
+    const createdAt = {era, revision: order.createdRevision};
+    const lastWrite = {era, revision: order.revision};
+    const fields = {service, toVersion, durationMs, phase};
+    orders.push({...fields, createdAt, position: lastWrite});
+  }
+  const position = {era, revision};
+  return {kind: 'storeViewRead', position, endpoints, orders};
+}
--- a/packages/ryeworks-gateway/src/reports/startStatusServers.ts
+++ b/packages/ryeworks-gateway/src/reports/startStatusServers.ts
@@ -3,6 +3,7 @@
 import {DisposableStore} from '@ryeworks/utils';
 import {GatewaySettings} from '../gatewaySettings.js';
 import {desiredStatePath, storeViewPath} from '../peers/fetchFromPeer.js';
+import {encodeStoreView} from '../peers/storeViewMessage.js';
 import {DesiredStateAnswer} from './desiredStateAnswer.js';
 import {createJsonAnswer, startTextServer} from './textServer.js';
 
@@ -38,7 +39,8 @@
   disposables.add(
     await startTextServer(peerListen, {
       [desiredStatePath]: () => desiredStateAnswer.getAnswer(getDesiredState()),
-      [storeViewPath]: () => createJsonAnswer(200, getStoreView()),
+      [storeViewPath]: () =>
+        createJsonAnswer(200, encodeStoreView(getStoreView())),
     }),
   );
   if (metricsListen === undefined) return;
--- a/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
+++ b/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
@@ -45,24 +45,27 @@
   }
 
   /** Submits all move orders, with the given changes applied. */
-  function submitMoveOrders(items: ReadonlyArray<StoreItem<'move'>>): void {
+  function submitMoveOrders(
+    items: ReadonlyArray<StoreItem<'move'>>,
+    era: number,
+  ): void {
     for (const {content, name} of items) {
       if (content === undefined) orders.delete(name);
       else orders.set(name, content);
     }
-    loop.submit({kind: 'movesRead', orders: [...orders.values()]});
+    loop.submit({kind: 'movesRead', era, orders: [...orders.values()]});
   }
 
   return {
     replace: {
       desiredState: submitDesiredState,
-      endpoint: items => {
+      endpoint: (items, era) => {
         const endpoints: Endpoint[] = listContents(items);
-        loop.submit({kind: 'endpointsListed', endpoints});
+        loop.submit({kind: 'endpointsListed', era, endpoints});
       },
-      move: items => {
+      move: (items, era) => {
         orders.clear();
-        submitMoveOrders(items);
+        submitMoveOrders(items, era);
       },
       vm: items => {
         for (const vm of listContents(items)) {
@@ -76,8 +79,9 @@
       move: submitMoveOrders,
       vm: () => {},
     },
-    handleRevision: revision =>
-      loop.submit({kind: 'storeRevisionRead', revision}),
+    handleEra: era => loop.submit({kind: 'storeEraRead', era}),
+    handlePosition: position =>
+      loop.submit({kind: 'storePositionRead', position}),
     handleReachability: isReachable =>
       loop.submit({kind: 'storeReachabilityChanged', isReachable}),
     handleWarning: (event, detail) => logger.warn(event, {detail}),
--- a/packages/ryeworks-gateway/src/store/storeWatcher.ts
+++ b/packages/ryeworks-gateway/src/store/storeWatcher.ts
@@ -1,3 +1,4 @@
+import {StorePosition} from '@ryeworks/dispatch';
 import {
   AnnouncedVm,
   DeploymentStore,
@@ -11,6 +12,11 @@
   endpoint: 2000,
   move: 4000,
 } as const;
+/**
+ * The same time for the first watch after a failed call, in ms. Its answer tells
+ * at once whether the store is in another era.
+ */
+const firstWatchTimeoutMs = 1;
 /** First and longest delay before a failed call is retried, in ms. */
 const firstRetryDelayMs = 100;
 const maxRetryDelayMs = 800;
@@ -20,9 +26,13 @@
 /** A kind of object that is watched. */
 type WatchedKind = keyof typeof watchTimeoutMs;
 
-/** Handles objects of one kind. */
+/** Kinds of objects that peers fetch as the store view. */
+const viewKinds: readonly WatchedKind[] = ['endpoint', 'move'];
+
+/** Handles objects of one kind that were read in an era of the store. */
 type ItemsHandler<K extends StoreKind> = (
   items: ReadonlyArray<StoreItem<K>>,
+  era: number,
 ) => void;
 
 /** A handler for each kind of object. */
@@ -34,11 +44,14 @@
   readonly replace: ItemsHandlers;
   /** Called with the objects of a kind that changed. */
   readonly change: ItemsHandlers;
+  /** Called with the era of each list, before its objects. */
+  handleEra(era: number): void;
   /**
-   * Called when all objects of a kind up to a revision were handled. Not called
-   * for the desired state.
+   * Called when all objects of a kind up to a position were handled. Not called
+   * for the desired state, nor before all kinds of the store view were listed in
+   * the position's era.
    */
-  handleRevision(revision: number): void;
+  handlePosition(position: StorePosition): void;
   /** Called with true after a list or watch, and with false if a call fails. */
   handleReachability(isReachable: boolean): void;
   /** Called when an object cannot be decoded or a call fails. */
@@ -46,9 +59,11 @@
 }
 
 /** Progress of the watch of one kind. */
-interface WatchPosition {
-  /** Revision to watch from; undefined if all objects must be listed first. */
-  revision: number | undefined;
+interface WatchProgress {
+  /** Where to watch from; undefined if all objects must be listed first. */
+  position: StorePosition | undefined;
+  /** Whether the last call failed. */
+  hasFailed: boolean;
 }
 
 /** Watches the platform's store, with one watch for each kind of object. */
@@ -58,6 +73,10 @@
   /** Resolve the promises of `waitUntilWatching`. */
   private readonly waiters: Array<() => void> = [];
   private readonly timers = new Set<NodeJS.Timeout>();
+  /** Latest position up to which the objects of each kind were handled. */
+  private readonly handledPositions = new Map<WatchedKind, StorePosition>();
+  /** This VM as announced; undefined before the start. */
+  private ownVm: AnnouncedVm | undefined;
 
   constructor(
     private readonly store: DeploymentStore,
@@ -69,9 +88,18 @@
     void this.watchKind('desiredState');
     void this.watchKind('endpoint');
     void this.watchKind('move');
+    this.ownVm = ownVm;
     void this.announceVm(ownVm);
   }
 
+  /**
+   * Announces this VM once more and lists the others, since the store may have
+   * lost their entries.
+   */
+  announceAgain(): void {
+    if (this.ownVm !== undefined) void this.announceVm(this.ownVm);
+  }
+
   /**
    * Resumes or suspends the watches. While they are suspended, this VM gets the
    * contents of the store from its peers. A call in progress is not canceled, but
@@ -79,6 +107,7 @@
    */
   setWatching(isWatching: boolean): void {
     this.isWatching = isWatching;
+    this.handledPositions.clear();
     if (isWatching) this.notifyWaiters();
   }
 
@@ -124,17 +153,17 @@
   }
 
   private async watchKind<K extends WatchedKind>(kind: K): Promise<void> {
-    const position: WatchPosition = {revision: undefined};
+    const progress: WatchProgress = {position: undefined, hasFailed: false};
     while (!this.isStopped) {
       if (!this.isWatching) {
         // A peer may have sent a newer state meanwhile: start with a list.
-        position.revision = undefined;
+        progress.position = undefined;
         await this.waitUntilWatching();
         continue;
       }
       await this.retry(
         `watch ${kind}`,
-        () => this.listOrWatch(kind, position),
+        () => this.listOrWatch(kind, progress),
         () => this.isWatching,
       );
     }
@@ -143,42 +172,53 @@
   /** Lists all objects of a kind, or waits for the next change. */
   private async listOrWatch<K extends WatchedKind>(
     kind: K,
-    position: WatchPosition,
+    progress: WatchProgress,
   ): Promise<void> {
     const {change, replace} = this.handlers;
-    if (position.revision === undefined) {
-      const listing = await this.store.list(kind);
+    if (progress.position === undefined) {
+      const {items, position} = await this.store.list(kind);
       if (this.isStopped || !this.isWatching) return;
       this.handlers.handleReachability(true);
-      this.reportUnreadableItems(listing.items);
-      replace[kind](listing.items);
-      position.revision = listing.revision;
-      this.reportRevision(kind, listing.revision);
+      this.handlers.handleEra(position.era);
+      this.reportUnreadableItems(items);
+      replace[kind](items, position.era);
+      progress.position = position;
+      this.reportPosition(kind, position);
       return;
     }
-    const waitMs = watchTimeoutMs[kind];
-    const changes = await this.store.watch(kind, position.revision, waitMs);
+    const waitMs = progress.hasFailed
+      ? firstWatchTimeoutMs
+      : watchTimeoutMs[kind];
+    progress.hasFailed = true;
+    const changes = await this.store.watch(kind, progress.position, waitMs);
+    progress.hasFailed = false;
     // While the watches are suspended, a peer may have sent a newer state.
     if (this.isStopped || !this.isWatching) return;
     this.handlers.handleReachability(true);
     if (changes === undefined) {
       this.handlers.handleWarning('store_history_gone', kind);
-      position.revision = undefined;
+      progress.position = undefined;
       return;
     }
-    position.revision = changes.revision;
+    progress.position = changes.position;
     if (changes.items.length === 0) return;
     this.reportUnreadableItems(changes.items);
-    change[kind](changes.items);
-    this.reportRevision(kind, changes.revision);
+    change[kind](changes.items, changes.position.era);
+    this.reportPosition(kind, changes.position);
   }
 
   /**
-   * Reports the revision of the objects that peers fetch as the store view. The
-   * desired state is not part of it.
+   * Reports the position of the objects that peers fetch as the store view, once
+   * all their kinds were listed in its era. The desired state is not part of it.
    */
-  private reportRevision(kind: WatchedKind, revision: number): void {
-    if (kind !== 'desiredState') this.handlers.handleRevision(revision);
+  private reportPosition(kind: WatchedKind, position: StorePosition): void {
+    this.handledPositions.set(kind, position);
+    if (!viewKinds.includes(kind)) return;
+    for (const viewKind of viewKinds) {
+      const handled = this.handledPositions.get(viewKind);
+      if (handled?.era !== position.era) return;
+    }
+    this.handlers.handlePosition(position);
   }
 
   private reportUnreadableItems(
@@ -200,8 +240,8 @@
   }
 
   private async listVms(): Promise<void> {
-    const {items} = await this.store.list('vm');
-    this.handlers.replace.vm(items);
+    const {items, position} = await this.store.list('vm');
+    this.handlers.replace.vm(items, position.era);
   }
 
   private sleep(delayMs: number): Promise<void> {
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -163,7 +163,7 @@
     vm.submit({kind: 'storeReachabilityChanged', isReachable: true});
     vm.submit({kind: 'desiredStateRead', desiredState});
     const endpoints = [...this.endpoints.values()].map(item => item.endpoint);
-    vm.submit({kind: 'endpointsListed', endpoints});
+    vm.submit({kind: 'endpointsListed', era: 1, endpoints});
     for (const other of this.vms.values()) {
       const {availabilityZone, peerAddress} = other.options;
       const listed = {vm: other.options.vm, address: peerAddress};
--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,4 +1,4 @@
-import {IncomingMessage, request} from 'node:http';
+import {IncomingHttpHeaders, IncomingMessage, request} from 'node:http';
 import {gunzipSync} from 'node:zlib';
 import {AnswerTimers} from './answerTimers.js';
 import {parseHostPort} from './hostPort.js';
@@ -23,6 +23,7 @@
 /** A complete answer. */
 export interface HttpAnswer {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   /** Parsed JSON body; undefined if the body is empty. */
   readonly body: unknown;
   /** Size of the body as received, in bytes. */
@@ -86,9 +87,9 @@
         if (!response.complete) return fail('the answer was aborted');
         timers.stop();
         try {
-          const status = response.statusCode ?? 0;
+          const {headers, statusCode: status = 0} = response;
           const body = parseBody(response, Buffer.concat(chunks));
-          resolve({status, body, sizeBytes: receivedBytes});
+          resolve({status, headers, body, sizeBytes: receivedBytes});
         } catch (error) {
           fail(`unreadable answer: ${(error as Error).message}`);
         }
