--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -1,5 +1,11 @@
 import t from 'tap';
-import {createStoreView, DispatchState, Effect} from '../index.js';
+import {
+  createStoreView,
+  DispatchState,
+  Effect,
+  startDispatch,
+} from '../index.js';
+import {countPeersWithRecentDigest} from '../peers/peerTable.js';
 import {
   createDigest,
   createEndpoint,
@@ -168,3 +174,28 @@
   );
   t.match(listEffects(effectsAfter, 'readDesiredState'), [{version: 4}]);
 });
+
+// Guards against digests that count as stale between two sends, so that more VMs
+// watch the store and customers' usage is missed.
+t.test('digests stay recent at the period of a zone of 50 VMs', async t => {
+  const state = createReadyState([modelEndpoint]);
+  startDispatch(state, 0);
+  const periodMs = 820;
+  let changes = 0;
+  let largestMissing = 0;
+  for (let nowMs = 10; nowMs < 9000; nowMs += 10) {
+    for (let index = 0; index < 50; index++) {
+      if ((nowMs + index * 16) % periodMs >= 10) continue;
+      const vm = `a-${index}`;
+      const message = createDigest({vm, sequence: nowMs});
+      runInput(state, {kind: 'peerMessageReceived', message}, nowMs);
+    }
+    const effects = runInput(state, {kind: 'timerDue'}, nowMs);
+    const isSettled = nowMs > 2000;
+    if (isSettled) changes += listEffects(effects, 'setStoreWatch').length;
+    const reporting = countPeersWithRecentDigest(state.peers, nowMs);
+    if (isSettled) largestMissing = Math.max(largestMissing, 50 - reporting);
+  }
+  t.equal(changes, 0, 'no VM begins or ends to watch');
+  t.equal(largestMissing, 0, 'every peer counts as recent');
+});
