Large fleets: a peer is dead after four digest periods, not after 600 ms

Cause: a digest received directly is stale after 600 ms, but at 50 VMs a zone it is sent each 0.82 s. Change: who watches the store and who writes results of moves goes by isProbablyAlive: a recent digest, or one within four digest periods. Limits of customers keep the strict bound: a peer that counts as reporting while it is cut off would let both sides use the whole limit for longer.

--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -3,7 +3,7 @@
 import {createLog, Effect} from '../effect.js';
 import {listEndpoints} from '../endpoints/endpointTable.js';
 import {countCalls} from '../admission/pickEndpoint.js';
-import {hasRecentDigest} from '../peers/peerTable.js';
+import {isProbablyAlive} from '../peers/peerTable.js';
 import {VersionCounts} from '../peers/peerMessage.js';
 import {startMove} from './handleMovesRead.js';
 import {getElapsedFraction, getNewVersionShare} from './decideTrial.js';
@@ -133,12 +133,12 @@
 
 /**
  * Returns whether this VM writes the results of moves: it is the first by name,
- * not counting peers without a recent digest.
+ * not counting peers that are probably dead.
  */
 function isResultWriter(state: DispatchState, nowMs: number): boolean {
   for (const peer of state.peers.byVm.values()) {
-    if (peer.vm < state.options.vm && hasRecentDigest(peer, nowMs))
-      return false;
+    if (peer.vm >= state.options.vm) continue;
+    if (isProbablyAlive(state.peers, peer, nowMs)) return false;
   }
   return true;
 }
--- a/packages/ryeworks-dispatch/src/peers/peerTable.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerTable.ts
@@ -4,6 +4,12 @@
 const directDigestMaxAgeMs = 600;
 /** Age above which a digest relayed by another VM is stale, in ms. */
 const relayedDigestMaxAgeMs = 1200;
+/**
+ * Number of digest periods after which a VM without a new digest is taken for
+ * dead, unless its last one is not stale. A relayed digest may wait one period
+ * at its relay.
+ */
+const maxMissingPeriods = 4;
 /**
  * Age of a peer's last digest above which its calls are assumed to have ended,
  * in ms.
@@ -44,6 +50,8 @@
   readonly callsByEndpoint: Map<string, number>;
   /** Earliest time at which the calls of a peer may expire, in ms. */
   nextCallExpiryAtMs: number;
+  /** Time between two digests of a VM, in ms; 0 before the first was sent. */
+  digestPeriodMs: number;
 }
 
 /** Creates an empty peer table. */
@@ -52,6 +60,7 @@
     byVm: new Map(),
     callsByEndpoint: new Map(),
     nextCallExpiryAtMs: Number.POSITIVE_INFINITY,
+    digestPeriodMs: 0,
   };
 }
 
@@ -95,6 +104,20 @@
   return nowMs - peer.digestReceivedAtMs <= peer.digestMaxAgeMs;
 }
 
+/**
+ * Returns whether a peer is probably running. In a large fleet, whose digests are
+ * far apart, its last digest may be stale.
+ */
+export function isProbablyAlive(
+  table: PeerTable,
+  peer: PeerState,
+  nowMs: number,
+): boolean {
+  if (hasRecentDigest(peer, nowMs)) return true;
+  const ageMs = nowMs - peer.digestReceivedAtMs;
+  return ageMs <= maxMissingPeriods * table.digestPeriodMs;
+}
+
 /** Returns the number of peers whose last digest is not stale. */
 export function countPeersWithRecentDigest(
   table: PeerTable,
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -150,7 +150,9 @@
   _subject: string,
   nowMs: number,
 ): Effect[] {
-  state.timers.set('digest', '', nowMs + getDigestPeriodMs(state));
+  const periodMs = getDigestPeriodMs(state);
+  state.peers.digestPeriodMs = periodMs;
+  state.timers.set('digest', '', nowMs + periodMs);
   const updates = [
     ...updateStoreWatching(state, nowMs),
     ...updateRateLimits(state, nowMs),
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -9,7 +9,7 @@
   noPosition,
   StorePosition,
 } from '../store/storePosition.js';
-import {hasRecentDigest} from './peerTable.js';
+import {isProbablyAlive} from './peerTable.js';
 import {Digest} from './peerMessage.js';
 import {isLargeFleet, listZonePeers} from './relayDigests.js';
 
@@ -23,14 +23,14 @@
 /**
  * Returns whether this VM should watch the store. In a small fleet every VM
  * does. In a large one the first VMs of each zone by name do, not counting
- * peers without a recent digest.
+ * peers that are probably dead.
  */
 function isStoreWatcher(state: DispatchState, nowMs: number): boolean {
   if (!isLargeFleet(state)) return true;
   let preceding = 0;
   for (const peer of listZonePeers(state)) {
-    if (peer.vm < state.options.vm && hasRecentDigest(peer, nowMs))
-      preceding += 1;
+    if (peer.vm >= state.options.vm) continue;
+    if (isProbablyAlive(state.peers, peer, nowMs)) preceding += 1;
   }
   return preceding < watchersPerZone;
 }
