--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -128,4 +128,18 @@
     to: 'true',
     scenario: 'service-limited',
   },
+  {
+    promise: 'positions of a store that came back from a copy are not confused',
+    file: `${dispatch}/store/storePosition.js`,
+    from: /if \(position\.era !== other\.era\)/,
+    to: 'if (false)',
+    test: `${dispatch}/__tests__/storeEra.test.js`,
+  },
+  {
+    promise: 'entries that were lost with a copy have time to return',
+    file: `${dispatch}/store/storeEra.js`,
+    from: /return nowMs - relistedAtMs < returnGracePeriodMs;/,
+    to: 'return false;',
+    test: `${dispatch}/__tests__/storeEra.test.js`,
+  },
 ];
