Store views: a late change of the move orders is not missed

Cause: endpoints and move orders are watched apart, but a VM reported one position for both. If an endpoint's change at revision 100 was read before an order's at 99, the order raised no position, and VMs that do not watch the store did not fetch it until the next change. A view whose orders were older also replaced newer ones. Change: digests and views carry the revision of the orders apart; a VM fetches if either is later, and applies only the parts that are. A build before reports no orders apart: its view counts for both, its digest as before.

--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -207,10 +207,19 @@
   };
 }
 
-/** Creates the input for a position in the store that was read. */
+/**
+ * Creates the input for a position in the store that was read.
+ *
+ * @param ordersRevision revision up to which the move orders were read
+ */
 export function createPositionRead(
   era: number,
   revision: number,
+  ordersRevision = revision,
 ): StorePositionRead {
-  return {kind: 'storePositionRead', position: {era, revision}};
+  return {
+    kind: 'storePositionRead',
+    position: {era, revision},
+    ordersPosition: {era, revision: ordersRevision},
+  };
 }
--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -1,8 +1,10 @@
 import t from 'tap';
 import {
   createStoreView,
+  Digest,
   DispatchState,
   Effect,
+  MoveOrder,
   startDispatch,
 } from '../index.js';
 import {
@@ -18,6 +20,14 @@
 
 const modelEndpoint = createEndpoint('m1', names.model);
 const vmsInZone = 15;
+const order: MoveOrder = {
+  service: names.model,
+  toVersion: 'v2',
+  durationMs: 8000,
+  position: {era: 1, revision: 99},
+  createdAt: {era: 1, revision: 99},
+  phase: undefined,
+};
 
 /**
  * Delivers digests of all VMs of two zones. With the prefix `a` their names
@@ -63,6 +73,25 @@
   return listEffects(effects, 'fetchStoreView').length;
 }
 
+/** Delivers a digest with a VM's position; returns the number of fetches. */
+function sendPositionOf(
+  state: DispatchState,
+  sender: DispatchState,
+  nowMs: number,
+): number {
+  runInput(sender, {kind: 'seedListed', address: 'a-0:1'}, nowMs);
+  sender.timers.set('digest', '', nowMs);
+  const [{message}] = listEffects(
+    runInput(sender, {kind: 'timerDue'}, nowMs),
+    'sendPeer',
+  );
+  const digest = message as Digest;
+  const changes = {vm: 'a-sender', sequence: nowMs};
+  const received = {...digest, ...changes, availabilityZone: 'zone-a'};
+  const input = {kind: 'peerMessageReceived', message: received} as const;
+  return listEffects(runInput(state, input, nowMs), 'fetchStoreView').length;
+}
+
 t.test('in a large fleet, a few VMs per zone watch the store', async t => {
   const first = createReadyState([modelEndpoint]);
   sendFleetDigests(first, 'z', 10);
@@ -193,3 +222,40 @@
   }
   t.equal(changes, 0, 'this VM does not begin to watch');
 });
+
+// Guards against an order that VMs miss because an endpoint that changed after it
+// was read before it.
+t.test('a late change of the orders is fetched', async t => {
+  const state = createReadyState([modelEndpoint]);
+  sendFleetDigests(state, 'a', 10);
+  runDigestTimer(state, 20);
+  const peer = createReadyState([modelEndpoint]);
+  runInput(peer, {kind: 'storeEraRead', era: 1}, 5);
+  runInput(peer, createPositionRead(1, 100, 50), 10);
+  runInput(state, createStoreView(peer), 30);
+  t.equal(state.storePosition.revision, 100);
+  runInput(peer, {kind: 'movesRead', era: 1, orders: [order]}, 40);
+  runInput(peer, createPositionRead(1, 99, 99), 40);
+  t.equal(sendPositionOf(state, peer, 50), 1, 'fetched');
+  runInput(state, createStoreView(peer), 60);
+  t.same([...state.moves.keys()], [names.model]);
+  runInput(state, {kind: 'storeViewFetchEnded'}, 60);
+  t.equal(sendPositionOf(state, peer, 500), 0, 'not fetched again');
+});
+
+t.test('a view with older orders does not revert them', async t => {
+  const state = createReadyState([modelEndpoint]);
+  sendFleetDigests(state, 'a', 10);
+  runDigestTimer(state, 20);
+  const peer = createReadyState([modelEndpoint]);
+  runInput(peer, {kind: 'storeEraRead', era: 1}, 5);
+  runInput(peer, {kind: 'movesRead', era: 1, orders: [order]}, 10);
+  runInput(peer, createPositionRead(1, 99, 99), 10);
+  runInput(state, createStoreView(peer), 30);
+  const other = createReadyState([{...modelEndpoint, isDraining: true}]);
+  runInput(other, {kind: 'storeEraRead', era: 1}, 5);
+  runInput(other, createPositionRead(1, 105, 50), 10);
+  runInput(state, createStoreView(other), 40);
+  t.ok(state.endpoints.byId.get('m1')?.endpoint.isDraining);
+  t.same([...state.moves.keys()], [names.model]);
+});
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -99,8 +99,13 @@
    */
   isWatchingStore: boolean;
   readonly storeEra: StoreEra;
-  /** Position in the store up to which all changes have been applied. */
+  /** Position in the store up to which changes have been applied. */
   storePosition: StorePosition;
+  /**
+   * Position up to which those of the move orders have been; it may be earlier,
+   * because each kind of objects is watched on its own.
+   */
+  ordersPosition: StorePosition;
   /**
    * When a peer first reported a later store position, in ms; undefined if none
    * did.
@@ -151,6 +156,7 @@
     isWatchingStore: true,
     storeEra: createStoreEra(),
     storePosition: noPosition,
+    ordersPosition: noPosition,
     laterPositionSeenAtMs: undefined,
     storeViewRequestedAtMs: Number.NEGATIVE_INFINITY,
     isFetchingStoreView: false,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -168,16 +168,20 @@
   readonly era: number;
 }
 
-/** All changes of the store up to a position were read. */
+/** The changes of the store up to a position were read. */
 export interface StorePositionRead {
   readonly kind: 'storePositionRead';
   readonly position: StorePosition;
+  /** Position up to which the move orders were read, which may be earlier. */
+  readonly ordersPosition: StorePosition;
 }
 
 /** A peer's view of the store was read. */
 export interface StoreViewRead {
   readonly kind: 'storeViewRead';
   readonly position: StorePosition;
+  /** Position up to which the peer has read the move orders. */
+  readonly ordersPosition: StorePosition;
   readonly endpoints: readonly Endpoint[];
   readonly orders: readonly MoveOrder[];
 }
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -54,6 +54,11 @@
    * none. See `readDigestPosition`.
    */
   readonly storeRevision: number;
+  /**
+   * The same for the move orders; undefined from a build that does not report
+   * them apart.
+   */
+  readonly ordersRevision?: number;
   /**
    * How long the VM has reached the store without interruption, in ms; 0 if it
    * does not reach the store or does not watch it.
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -74,7 +74,8 @@
     sequence: state.digestSequence,
     desiredVersion: state.desiredState.current?.version ?? -1,
     storeEra: state.storeEra.current,
-    storeRevision: getReportedPosition(state).revision,
+    storeRevision: getReportedPosition(state, state.storePosition).revision,
+    ordersRevision: getReportedPosition(state, state.ordersPosition).revision,
     storeReachedForMs:
       state.isStoreReachable && state.isWatchingStore
         ? Math.round(nowMs - state.storeReachedAtMs)
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -67,38 +67,52 @@
 }
 
 /**
- * Returns the store position that this VM reports to its peers; none while
- * entries are missing from the store, or until it has applied a first position of
- * the current era.
+ * Returns what this VM reports to its peers of a position that it has applied:
+ * nothing while entries are missing from the store, or if it is of an earlier era
+ * than the current one.
  */
-export function getReportedPosition(state: DispatchState): StorePosition {
-  const {storeEra, storePosition} = state;
-  if (storePosition.era !== (storeEra.current ?? 0)) return noPosition;
+export function getReportedPosition(
+  state: DispatchState,
+  position: StorePosition,
+): StorePosition {
+  if (position.era !== (state.storeEra.current ?? 0)) return noPosition;
   // Missing entries may come back, so they must not be reported as removed.
-  return hasMissingEntries(state) ? noPosition : storePosition;
+  return hasMissingEntries(state) ? noPosition : position;
 }
 
 /**
- * Returns the store position that a digest reports. A build that knows no eras
- * is assumed to be in the era of this VM.
+ * Returns the position of a revision that a digest reports. A build that knows no
+ * eras is assumed to be in the era of this VM.
  */
-function readDigestPosition(
+function createReportedPosition(
   state: DispatchState,
-  {storeEra, storeRevision}: Digest,
+  {storeEra}: Digest,
+  revision: number,
 ): StorePosition {
-  if (storeRevision === 0) return noPosition;
-  const era = storeEra ?? state.storePosition.era;
-  return {era, revision: storeRevision};
+  if (revision === 0) return noPosition;
+  return {era: storeEra ?? state.storePosition.era, revision};
 }
 
-/** Records that all changes of the store up to a position are known. */
+/** Returns whether a digest reports a change that this VM has not applied. */
+function isDigestLater(state: DispatchState, digest: Digest): boolean {
+  const {ordersRevision = 0, storeRevision} = digest;
+  const position = createReportedPosition(state, digest, storeRevision);
+  const orders = createReportedPosition(state, digest, ordersRevision);
+  if (isLaterPosition(position, state.storePosition)) return true;
+  return isLaterPosition(orders, state.ordersPosition);
+}
+
+/** Records that the changes of the store up to a position are known. */
 export function handleStorePositionRead(
   state: DispatchState,
-  {position}: StorePositionRead,
+  {ordersPosition, position}: StorePositionRead,
   nowMs: number,
 ): Effect[] {
-  if (!isLaterPosition(position, state.storePosition)) return [];
-  state.storePosition = position;
+  const isLater = isLaterPosition(position, state.storePosition);
+  const hasLaterOrders = isLaterPosition(ordersPosition, state.ordersPosition);
+  if (!isLater && !hasLaterOrders) return [];
+  if (isLater) state.storePosition = position;
+  if (hasLaterOrders) state.ordersPosition = ordersPosition;
   state.laterPositionSeenAtMs = undefined;
   // VMs that do not watch the store wait for this position.
   if (isLargeFleet(state)) state.timers.set('digest', '', nowMs);
@@ -114,9 +128,7 @@
   digest: Digest,
   nowMs: number,
 ): Effect[] {
-  if (state.isWatchingStore) return [];
-  const position = readDigestPosition(state, digest);
-  if (!isLaterPosition(position, state.storePosition)) return [];
+  if (state.isWatchingStore || !isDigestLater(state, digest)) return [];
   state.laterPositionSeenAtMs ??= nowMs;
   const isInLocalZone =
     digest.availabilityZone === state.options.availabilityZone;
@@ -135,40 +147,60 @@
   return [];
 }
 
+/** Applies the endpoints of a peer's store view. */
+function applyEndpoints(
+  state: DispatchState,
+  {endpoints, position}: StoreViewRead,
+  nowMs: number,
+): Effect[] {
+  state.storePosition = position;
+  const {era} = position;
+  const listed = {kind: 'endpointsListed', era, endpoints} as const;
+  return handleEndpointsListed(state, listed, nowMs);
+}
+
+/** Applies the move orders of a peer's store view. */
+function applyOrders(
+  state: DispatchState,
+  {orders, ordersPosition}: StoreViewRead,
+  nowMs: number,
+): Effect[] {
+  state.ordersPosition = ordersPosition;
+  const {era} = ordersPosition;
+  return handleMovesRead(state, {kind: 'movesRead', era, orders}, nowMs);
+}
+
 /**
- * Applies a peer's store view unless it is outdated or this VM watches the
- * store.
+ * Applies the parts of a peer's store view that are not outdated, unless this VM
+ * watches the store.
  */
 export function handleStoreViewRead(
   state: DispatchState,
-  {endpoints, orders, position}: StoreViewRead,
+  view: StoreViewRead,
   nowMs: number,
 ): Effect[] {
-  if (state.isWatchingStore) return [];
-  if (!isLaterPosition(position, state.storePosition)) return [];
-  state.storePosition = position;
+  const {endpoints, ordersPosition, position} = view;
+  const isLater = isLaterPosition(position, state.storePosition);
+  const hasLaterOrders = isLaterPosition(ordersPosition, state.ordersPosition);
+  if (state.isWatchingStore || (!isLater && !hasLaterOrders)) return [];
   state.laterPositionSeenAtMs = undefined;
-  const {era} = position;
-  return [
-    createLog('store_view_applied', {
-      ...position,
-      endpoints: endpoints.length,
-    }),
-    ...updateStoreEra(state, era, nowMs),
-    ...handleEndpointsListed(
-      state,
-      {kind: 'endpointsListed', era, endpoints},
-      nowMs,
-    ),
-    ...handleMovesRead(state, {kind: 'movesRead', era, orders}, nowMs),
+  const ordersRevision = ordersPosition.revision;
+  const fields = {...position, ordersRevision, endpoints: endpoints.length};
+  const effects: Effect[] = [
+    createLog('store_view_applied', fields),
+    ...updateStoreEra(state, position.era, nowMs),
   ];
+  if (isLater) effects.push(...applyEndpoints(state, view, nowMs));
+  if (hasLaterOrders) effects.push(...applyOrders(state, view, nowMs));
+  return effects;
 }
 
 /** Creates the store view that peers may fetch from this VM. */
 export function createStoreView(state: DispatchState): StoreViewRead {
   return {
     kind: 'storeViewRead',
-    position: getReportedPosition(state),
+    position: getReportedPosition(state, state.storePosition),
+    ordersPosition: getReportedPosition(state, state.ordersPosition),
     endpoints: [...state.endpoints.byId.values()].map(entry => entry.endpoint),
     orders: [...state.moves.values()].map(move => move.order),
   };
--- a/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
+++ b/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
@@ -19,20 +19,26 @@
 export interface StoreViewMessage {
   readonly era?: number;
   readonly revision: number;
+  /**
+   * Revision up to which the orders were read; that of the view if a build does
+   * not report it apart.
+   */
+  readonly ordersRevision?: number;
   readonly endpoints: readonly Endpoint[];
   readonly orders: readonly OrderMessage[];
 }
 
 /** Encodes a store view for a peer. */
 export function encodeStoreView(view: StoreViewRead): StoreViewMessage {
-  const {endpoints, orders, position} = view;
+  const {endpoints, orders, ordersPosition, position} = view;
   const encodedOrders: OrderMessage[] = [];
   for (const {createdAt, position: lastWrite, ...fields} of orders) {
     const {revision} = lastWrite;
     const createdRevision = createdAt.revision;
     encodedOrders.push({...fields, revision, createdRevision});
   }
-  return {...position, endpoints, orders: encodedOrders};
+  const ordersRevision = ordersPosition.revision;
+  return {...position, ordersRevision, endpoints, orders: encodedOrders};
 }
 
 /**
@@ -54,5 +60,7 @@
     orders.push({...fields, createdAt, position: lastWrite});
   }
   const position = {era, revision};
-  return {kind: 'storeViewRead', position, endpoints, orders};
+  const {ordersRevision = revision} = message;
+  const ordersPosition = {era, revision: ordersRevision};
+  return {kind: 'storeViewRead', position, ordersPosition, endpoints, orders};
 }
--- a/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
+++ b/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
@@ -80,8 +80,8 @@
       vm: () => {},
     },
     handleEra: era => loop.submit({kind: 'storeEraRead', era}),
-    handlePosition: position =>
-      loop.submit({kind: 'storePositionRead', position}),
+    handlePosition: (position, ordersPosition) =>
+      loop.submit({kind: 'storePositionRead', position, ordersPosition}),
     handleReachability: isReachable =>
       loop.submit({kind: 'storeReachabilityChanged', isReachable}),
     handleWarning: (event, detail) => logger.warn(event, {detail}),
--- a/packages/ryeworks-gateway/src/store/storeWatcher.ts
+++ b/packages/ryeworks-gateway/src/store/storeWatcher.ts
@@ -26,9 +26,6 @@
 /** A kind of object that is watched. */
 type WatchedKind = keyof typeof watchTimeoutMs;
 
-/** Kinds of objects that peers fetch as the store view. */
-const viewKinds: readonly WatchedKind[] = ['endpoint', 'move'];
-
 /** Handles objects of one kind that were read in an era of the store. */
 type ItemsHandler<K extends StoreKind> = (
   items: ReadonlyArray<StoreItem<K>>,
@@ -47,11 +44,11 @@
   /** Called with the era of each list, before its objects. */
   handleEra(era: number): void;
   /**
-   * Called when all objects of a kind up to a position were handled. Not called
-   * for the desired state, nor before all kinds of the store view were listed in
-   * the position's era.
+   * Called when all objects of a kind up to a position were handled, with the
+   * position up to which the move orders were. Not called for the desired state,
+   * nor before all kinds of the store view were listed in the position's era.
    */
-  handlePosition(position: StorePosition): void;
+  handlePosition(position: StorePosition, ordersPosition: StorePosition): void;
   /** Called with true after a list or watch, and with false if a call fails. */
   handleReachability(isReachable: boolean): void;
   /** Called when an object cannot be decoded or a call fails. */
@@ -213,12 +210,12 @@
    */
   private reportPosition(kind: WatchedKind, position: StorePosition): void {
     this.handledPositions.set(kind, position);
-    if (!viewKinds.includes(kind)) return;
-    for (const viewKind of viewKinds) {
-      const handled = this.handledPositions.get(viewKind);
-      if (handled?.era !== position.era) return;
-    }
-    this.handlers.handlePosition(position);
+    if (kind === 'desiredState') return;
+    const endpointsPosition = this.handledPositions.get('endpoint');
+    const ordersPosition = this.handledPositions.get('move');
+    if (endpointsPosition?.era !== position.era) return;
+    if (ordersPosition?.era !== position.era) return;
+    this.handlers.handlePosition(position, ordersPosition);
   }
 
   private reportUnreadableItems(
