--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -74,7 +74,8 @@
     sequence: state.digestSequence,
     desiredVersion: state.desiredState.current?.version ?? -1,
     storeEra: state.storeEra.current,
-    storeRevision: getReportedPosition(state).revision,
+    storeRevision: getReportedPosition(state, state.storePosition).revision,
+    ordersRevision: getReportedPosition(state, state.ordersPosition).revision,
     storeReachedForMs:
       state.isStoreReachable && state.isWatchingStore
         ? Math.round(nowMs - state.storeReachedAtMs)
@@ -150,7 +151,9 @@
   _subject: string,
   nowMs: number,
 ): Effect[] {
-  state.timers.set('digest', '', nowMs + getDigestPeriodMs(state));
+  const periodMs = getDigestPeriodMs(state);
+  state.peers.digestPeriodMs = periodMs;
+  state.timers.set('digest', '', nowMs + periodMs);
   const updates = [
     ...updateStoreWatching(state, nowMs),
     ...updateRateLimits(state, nowMs),
