Store eras: VMs announce themselves again over 100 ms each, not 40

Each announcement is one or two writes and two lists: 350 VMs over 14 s would make up to 50 writes and 50 reads a second, beside what the operator does after a return. Now 20 of each. Peers hear of each other by digests meanwhile.

--- a/packages/ryeworks-dispatch/src/store/storeEra.ts
+++ b/packages/ryeworks-dispatch/src/store/storeEra.ts
@@ -11,7 +11,7 @@
  * Time per known VM over which the VMs of a fleet announce themselves again, in
  * ms, so that together they stay within the store's rate of writes.
  */
-const announceSpreadMs = 40;
+const announceSpreadMs = 100;
 
 /** The era of the platform's store, as this VM knows it. */
 export interface StoreEra {
