--- a/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
@@ -8,6 +8,7 @@
 import {waitUntil} from '../deployment/waitUntil.js';
 import {createCall, makeCall} from '../load/makeCall.js';
 import {RetriedCall, runRetryingLoad} from '../load/runRetryingLoad.js';
+import {countFailureReasons} from '../report/countFailureReasons.js';
 import {findBrokenPromises} from '../report/findBrokenPromises.js';
 
 const seed = 11;
@@ -104,10 +105,11 @@
   const truncated = calls
     .flatMap(call => call.attempts)
     .filter(result => result.error === 'truncated' || result.ran === 'unknown');
+  const reasons = await countFailureReasons(deployment.logDirectory);
   t.strictSame(
     truncated.map(result => result.error),
     [],
-    'no answer was truncated',
+    `no answer was truncated; failures: ${JSON.stringify(reasons)}`,
   );
 });
 
--- a/packages/ryeworks-lab/src/deployment/deployment.ts
+++ b/packages/ryeworks-lab/src/deployment/deployment.ts
@@ -97,6 +97,11 @@
     return deployment;
   }
 
+  /** Folder with the logs of all processes. */
+  get logDirectory(): string {
+    return join(this.directory, 'logs');
+  }
+
   /**
    * Kills all processes. Deletes their settings and logs unless the environment
    * variable RYEWORKS_KEEP_LOGS is set.
