--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -9,7 +9,7 @@
 } from '../input.js';
 import {handleEarlyRequests} from '../requests/handleRequestReceived.js';
 import {hasRecentDigest} from '../peers/peerTable.js';
-import {isLossLikely, recordListing} from '../store/storeEra.js';
+import {isLossLikely, isOutdatedEra, recordListing} from '../store/storeEra.js';
 import {Endpoint} from './endpoint.js';
 import {removeEndpoint, updateEndpoint} from './endpointTable.js';
 
@@ -31,11 +31,11 @@
 
 /**
  * Returns whether missing entries may only have expired while the store was
- * unavailable, or be lost with a copy from which it came back. If only this VM was cut off from the store, endpoints whose
- * entries are missing are gone.
+ * unavailable, or be lost with the copy that it came back from. If only this VM
+ * was cut off from the store, endpoints whose entries are missing are gone.
  */
 function isExpiryLikely(state: DispatchState, nowMs: number): boolean {
-  if (isLossLikely(state, nowMs)) return true;
+  if (isLossLikely(state.storeEra, nowMs)) return true;
   if (nowMs - state.storeReachedAtMs >= returnGracePeriodMs) return false;
   return !wasStoreReachableByPeer(state, nowMs);
 }
@@ -85,8 +85,8 @@
   input: EndpointsListed,
   nowMs: number,
 ): Effect[] {
-  if (input.era < (state.storeEra.current ?? 0)) return [];
-  recordListing(state, nowMs);
+  if (isOutdatedEra(state.storeEra, input.era)) return [];
+  recordListing(state.storeEra, nowMs);
   const effects: Effect[] = [];
   const listed = new Set<string>();
   for (const endpoint of input.endpoints) {
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -53,8 +53,7 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
-
-import {announceVm, handleStoreEraRead} from './store/storeEra.js';
+import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
 type InputHandler<K extends Input['kind']> = (
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -149,7 +149,7 @@
  * return.
  */
 function endOrderWaits(state: DispatchState, nowMs: number): Effect[] {
-  if (isLossLikely(state, nowMs)) return [];
+  if (isLossLikely(state.storeEra, nowMs)) return [];
   const effects: Effect[] = [];
   for (const [service, move] of state.moves) {
     if (move.heldOrder !== undefined) {
--- a/packages/ryeworks-dispatch/src/moves/handleMovesRead.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMovesRead.ts
@@ -1,7 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
 import {MovesRead} from '../input.js';
-import {isLossLikely} from '../store/storeEra.js';
+import {isLossLikely, isOutdatedEra} from '../store/storeEra.js';
 import {isSamePosition} from '../store/storePosition.js';
 import {MoveOrder} from './moveOrder.js';
 import {createMoveState, MoveState} from './moveTable.js';
@@ -62,7 +62,8 @@
     applySameOrder(existing, order);
     return [];
   }
-  if (!isLossLikely(state, nowMs)) return startMove(state, order, nowMs);
+  if (!isLossLikely(state.storeEra, nowMs))
+    return startMove(state, order, nowMs);
   existing.isMissing = true;
   existing.heldOrder = order;
   return [];
@@ -78,14 +79,14 @@
   input: MovesRead,
   nowMs: number,
 ): Effect[] {
-  if (input.era < (state.storeEra.current ?? 0)) return [];
+  if (isOutdatedEra(state.storeEra, input.era)) return [];
   const effects: Effect[] = [];
   const listed = new Set<string>();
   for (const order of input.orders) {
     listed.add(order.service);
     effects.push(...applyOrder(state, order, nowMs));
   }
-  const isLikelyLost = isLossLikely(state, nowMs);
+  const isLikelyLost = isLossLikely(state.storeEra, nowMs);
   for (const [service, move] of state.moves) {
     if (listed.has(service)) continue;
     if (isLikelyLost) move.isMissing = true;
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -10,7 +10,7 @@
 import {handlePermitAnswer} from '../rateLimits/requestPermits.js';
 import {addPeer, applyDigest, setPeerCalls} from './peerTable.js';
 import {Digest, DigestBatch, PeerMessage, SlotOffer} from './peerMessage.js';
-import {updateStoreEra} from '../store/storeEra.js';
+import {updateStoreEra} from '../store/updateStoreEra.js';
 import {fetchStoreView} from './storeWatching.js';
 import {addDigestToRelay} from './relayDigests.js';
 
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -51,7 +51,7 @@
   readonly storeEra?: number;
   /**
    * Revision within the era up to which the VM has applied all changes; 0 if
-   * none. See `readDigestPosition`.
+   * none.
    */
   readonly storeRevision: number;
   /**
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -3,7 +3,7 @@
 import {handleEndpointsListed} from '../endpoints/handleEndpoints.js';
 import {StorePositionRead, StoreViewRead} from '../input.js';
 import {handleMovesRead} from '../moves/handleMovesRead.js';
-import {updateStoreEra} from '../store/storeEra.js';
+import {updateStoreEra} from '../store/updateStoreEra.js';
 import {
   isLaterPosition,
   noPosition,
