Store eras: an announcement tells its era, too

Cause (found on reading): a VM that announces itself in one era and gets its first list in the next takes the next for its first, and does not announce itself again although its entry is lost. Change: the era of the answer to an announcement is reported like that of a list. Test: 'the era of an announcement is reported', before red (1 of 7 points), after 7 of 7; storeRestore 26 of 26, storeClient 19 of 19.

--- a/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
@@ -28,6 +28,8 @@
 class FakeStore implements DeploymentStore {
   lists = 0;
   watches = 0;
+  /** Era in which this VM's announcement is accepted. */
+  announceEra = 1;
   private waiting: Array<() => void> = [];
 
   async list<K extends StoreKind>(kind: K): Promise<StoreListing<K>> {
@@ -45,7 +47,10 @@
   }
 
   async readDesiredState(): Promise<undefined> {}
-  async announceVm(): Promise<void> {}
+  async announceVm(): Promise<number> {
+    return this.announceEra;
+  }
+
   async writeMoveResult(): Promise<void> {}
 
   /** Answers every waiting watch. */
@@ -95,3 +100,26 @@
     store.answerWatches();
   },
 );
+
+// Guards against an announcement that is lost with a copy before the first list.
+t.test('the era of an announcement is reported', async t => {
+  const store = new FakeStore();
+  store.announceEra = 4;
+  const eras: number[] = [];
+  const ignore = () => {};
+  const kinds = {desiredState: ignore, endpoint: ignore, move: ignore};
+  const handlers: StoreHandlers = {
+    replace: {...kinds, vm: ignore},
+    change: {...kinds, vm: ignore},
+    handleEra: era => eras.push(era),
+    handlePosition: ignore,
+    handleReachability: ignore,
+    handleWarning: ignore,
+  };
+  const watcher = new StoreWatcher(store, handlers);
+  t.teardown(() => watcher.stop());
+  watcher.start({vm: 'vm-1', address: 'vm-1:1', availabilityZone: 'a'});
+  await sleep(20);
+  t.ok(eras.includes(4));
+  store.answerWatches();
+});
--- a/packages/ryeworks-gateway/src/deploymentInterfaces.ts
+++ b/packages/ryeworks-gateway/src/deploymentInterfaces.ts
@@ -139,8 +139,11 @@
    *   seconds old, which costs it less
    */
   readDesiredState(isStaleAllowed: boolean): Promise<DesiredState | undefined>;
-  /** Writes this VM's address and zone to the store. */
-  announceVm(vm: AnnouncedVm): Promise<void>;
+  /**
+   * Writes this VM's address and zone to the store. Returns the era in which the
+   * store has accepted them.
+   */
+  announceVm(vm: AnnouncedVm): Promise<number>;
   /**
    * Writes the phase of a move, provided that its order was not written after the
    * position that the decision was based on.
--- a/packages/ryeworks-gateway/src/store/storeWatcher.ts
+++ b/packages/ryeworks-gateway/src/store/storeWatcher.ts
@@ -41,7 +41,10 @@
   readonly replace: ItemsHandlers;
   /** Called with the objects of a kind that changed. */
   readonly change: ItemsHandlers;
-  /** Called with the era of each list, before its objects. */
+  /**
+   * Called with the era of each list, before its objects, and of each announcement
+   * of this VM.
+   */
   handleEra(era: number): void;
   /**
    * Called when all objects of a kind up to a position were handled, with the
@@ -230,7 +233,9 @@
 
   /** Announces this VM, then lists all VMs twice with a delay in between. */
   private async announceVm(ownVm: AnnouncedVm): Promise<void> {
-    await this.retry('announce VM', () => this.store.announceVm(ownVm));
+    await this.retry('announce VM', async () => {
+      this.handlers.handleEra(await this.store.announceVm(ownVm));
+    });
     await this.retry('list VMs', () => this.listVms());
     await this.sleep(relistVmsMs);
     await this.retry('list VMs', () => this.listVms());
