--- a/packages/ryeworks-dispatch/src/__tests__/storeEra.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeEra.test.ts
@@ -187,6 +187,33 @@
   t.equal(listEffects(effects, 'answerError')[0]?.error, 'unauthenticated');
 });
 
+t.test('a limit that was used up stays so', async t => {
+  const state = createWatcher();
+  const limitBounds = {windowMs: 8000, overrunRatio: 0.1, allowance: 0};
+  state.options = {...state.options, limitBounds};
+  const limit = {
+    countsTokens: false,
+    unitsPerSecond: 1,
+    burstUnits: 1,
+    defaultTokens: 1,
+  };
+  const [customer] = createDesiredState().customers;
+  const customers = [{...customer, limit}];
+  const desiredState = createDesiredState(5, {customers});
+  runInput(state, {kind: 'desiredStateRead', desiredState}, 10);
+  const sendUntilRefused = (nowMs: number): number => {
+    for (let count = 0; count < 20; count++) {
+      const effects = runInput(state, createRequest('booking', nowMs), nowMs);
+      const [answer] = listEffects(effects, 'answerError');
+      if (answer?.error === 'limitExceeded') return count;
+    }
+    return Number.POSITIVE_INFINITY;
+  };
+  t.ok(sendUntilRefused(9000) < 20);
+  runInput(state, {kind: 'storeEraRead', era: 2}, 9100);
+  t.equal(sendUntilRefused(9200), 0);
+});
+
 t.test('a VM that starts does not answer by an older copy', async t => {
   for (const isNewerRead of [true, false]) {
     const state = createState();
