Claims: a VM asks for them until it has them all

A VM that joins asks the others of its zone for their claims once. If the other has not yet learned that the zone is new, its claims are not complete either, and the answer does not count; the VM then answers every retry of its keys with an unknown outcome for the whole claim window (120 s). After the graceful stop of the other VM it owns all keys of the zone. Told apart by a trial: with the detection of a new zone delayed by 1.5 s the code before fails with 82 such answers, this code with none. The stalls suspected before (SIGSTOP of all VMs for 3 s) give the same answers, but are not needed.

--- a/packages/ryeworks-scheduler/src/claims/handleClaims.ts
+++ b/packages/ryeworks-scheduler/src/claims/handleClaims.ts
@@ -1,5 +1,5 @@
 import {createCount, Effect} from '../effect.js';
-import {rankOwners} from '../membership/membershipState.js';
+import {getOwnerCandidates, rankOwners} from '../membership/membershipState.js';
 import {createSendPeer} from '../membership/createSendPeer.js';
 import {SchedulerState} from '../schedulerState.js';
 import {
@@ -297,7 +297,25 @@
   return replicas.map(vm => createSendPeer(state, vm, message));
 }
 
-/** Deletes claims that are older than the claim window. */
+/**
+ * Asks the zone's other members that have not sent them for the claims that this
+ * VM should hold.
+ */
+export function askForClaims(state: SchedulerState): Effect[] {
+  const {claims, membership, options} = state;
+  const effects: Effect[] = [];
+  for (const vm of getOwnerCandidates(membership, options.availabilityZone)) {
+    if (vm === options.vm || claims.syncedFrom.has(vm)) continue;
+    effects.push(createSendPeer(state, vm, {kind: 'claimSync'}));
+  }
+  return effects;
+}
+
+/**
+ * Deletes claims that are older than the claim window. While this VM may lack
+ * claims, asks for them again, because a member that was asked may not have had
+ * them all itself.
+ */
 export function sweepClaims(
   state: SchedulerState,
   _subject: string,
@@ -311,5 +329,5 @@
     claims.records.delete(claim.claimKey);
   }
   if (claims.completeSinceMs <= windowStartMs) claims.isComplete = true;
-  return [];
+  return claims.isComplete ? [] : askForClaims(state);
 }
--- a/packages/ryeworks-scheduler/src/claims/handleMemberChanges.ts
+++ b/packages/ryeworks-scheduler/src/claims/handleMemberChanges.ts
@@ -1,11 +1,11 @@
 import {createCount, createLog, Effect} from '../effect.js';
 import {NewZoneDetected} from '../input.js';
-import {getOwnerCandidates} from '../membership/membershipState.js';
 import {createSendPeer} from '../membership/createSendPeer.js';
 import {SchedulerState} from '../schedulerState.js';
 import {memberStatus, MemberUpdate} from '../peerMessage.js';
 import {Claim} from './claimsState.js';
 import {
+  askForClaims,
   claimReplicas,
   getClaimsAssignedTo,
   rankClaimOwners,
@@ -26,17 +26,6 @@
   state.claims.syncedFrom.clear();
 }
 
-/** Asks the zone's other members for the claims that this VM should hold. */
-function askForClaims(state: SchedulerState): Effect[] {
-  const {membership, options} = state;
-  const effects: Effect[] = [];
-  for (const vm of getOwnerCandidates(membership, options.availabilityZone)) {
-    if (vm === options.vm) continue;
-    effects.push(createSendPeer(state, vm, {kind: 'claimSync'}));
-  }
-  return effects;
-}
-
 /** Sends the claims that this VM owns to their current replicas. */
 function copyOwnedClaims(state: SchedulerState, nowMs: number): Effect[] {
   const byReplica = new Map<string, Claim[]>();
