--- a/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
@@ -59,22 +59,37 @@
   }
 }
 
+/** Creates handlers that ignore what is not given. */
+function createHandlers(given: Partial<StoreHandlers> = {}): StoreHandlers {
+  const ignore = () => {};
+  const kinds = {
+    desiredState: ignore,
+    endpoint: ignore,
+    move: ignore,
+    vm: ignore,
+  };
+  return {
+    replace: kinds,
+    change: kinds,
+    handleEra: ignore,
+    handlePosition: ignore,
+    handleReachability: ignore,
+    handleWarning: ignore,
+    ...given,
+  };
+}
+
 t.test(
   'suspended watches make no calls, and late results are discarded',
   async t => {
     const store = new FakeStore();
     const revisions: number[] = [];
     let changes = 0;
-    const ignore = () => {};
-    const kinds = {desiredState: ignore, move: ignore, vm: ignore};
-    const handlers: StoreHandlers = {
-      replace: {...kinds, endpoint: ignore},
-      change: {...kinds, endpoint: () => (changes += 1)},
-      handleEra: ignore,
+    const ignored = createHandlers();
+    const handlers = createHandlers({
+      change: {...ignored.change, endpoint: () => (changes += 1)},
       handlePosition: ({revision}) => revisions.push(revision),
-      handleReachability: ignore,
-      handleWarning: ignore,
-    };
+    });
     const watcher = new StoreWatcher(store, handlers);
     t.teardown(() => watcher.stop());
     watcher.start({vm: 'vm-1', address: 'vm-1:1', availabilityZone: 'a'});
@@ -106,16 +121,7 @@
   const store = new FakeStore();
   store.announceEra = 4;
   const eras: number[] = [];
-  const ignore = () => {};
-  const kinds = {desiredState: ignore, endpoint: ignore, move: ignore};
-  const handlers: StoreHandlers = {
-    replace: {...kinds, vm: ignore},
-    change: {...kinds, vm: ignore},
-    handleEra: era => eras.push(era),
-    handlePosition: ignore,
-    handleReachability: ignore,
-    handleWarning: ignore,
-  };
+  const handlers = createHandlers({handleEra: era => eras.push(era)});
   const watcher = new StoreWatcher(store, handlers);
   t.teardown(() => watcher.stop());
   watcher.start({vm: 'vm-1', address: 'vm-1:1', availabilityZone: 'a'});
