Permits: the limited endpoints of a request are listed once for a refusal

askForPermit listed them again for a request whose refusal had just listed them. Behaviour unchanged: rateLimits.test.js 38 of 38, endpointLimits.test.js 26 of 26.

--- a/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
@@ -93,13 +93,13 @@
   };
 }
 
-/** Asks the owner of one limit for a permit for a request. */
+/** Asks the owner of one of the given limits for a permit for a request. */
 function askForPermit(
   state: DispatchState,
   request: ActiveRequest,
+  entries: readonly LimitedEntry[],
   nowMs: number,
 ): Effect[] {
-  const entries = listLimitedEntries(state, request, nowMs);
   const others = entries.filter(
     ({entry}) => entry.endpoint.id !== request.askedEndpointId,
   );
@@ -140,7 +140,8 @@
     if (request.phase !== 'waiting') continue;
     if (!state.requests.has(request.requestId)) continue;
     if (nowMs < request.nextPermitAskAtMs) continue;
-    effects.push(...askForPermit(state, request, nowMs));
+    const entries = listLimitedEntries(state, request, nowMs);
+    effects.push(...askForPermit(state, request, entries, nowMs));
   }
   return effects;
 }
@@ -183,7 +184,7 @@
 ): Effect[] {
   const entries = listLimitedEntries(state, request, nowMs);
   if (request.permitAsks < Math.min(maxAsks, entries.length)) {
-    return askForPermit(state, request, nowMs);
+    return askForPermit(state, request, entries, nowMs);
   }
   request.nextPermitAskAtMs = nowMs + waitMs;
   const isLimited = isServiceLimited(state, request.service, nowMs);
