Store positions: one scan for missing entries a digest, one comparison

A digest and a store view looked through all endpoints twice, once for each of the two positions; three functions compared the two positions, each in its own words. The grace period of 1.9 s stood in two files. A digest's check for redundancy computed the period again that had just been computed from the whole fleet.

--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -9,14 +9,15 @@
 } from '../input.js';
 import {handleEarlyRequests} from '../requests/handleRequestReceived.js';
 import {hasRecentDigest} from '../peers/peerTable.js';
-import {isLossLikely, isOutdatedEra, recordListing} from '../store/storeEra.js';
+import {
+  isLossLikely,
+  isOutdatedEra,
+  recordListing,
+  returnGracePeriodMs,
+} from '../store/storeEra.js';
 import {Endpoint} from './endpoint.js';
 import {removeEndpoint, updateEndpoint} from './endpointTable.js';
 
-/**
- * Grace period for entries to reappear after the store became reachable, in ms.
- */
-const returnGracePeriodMs = 1900;
 /** Time between two checks of the missing endpoints, in ms. */
 const missingSweepPeriodMs = 200;
 
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -5,7 +5,7 @@
 import {createLimitReports} from '../rateLimits/limitReports.js';
 import {updateRateLimits} from '../rateLimits/updateRateLimits.js';
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
-import {getReportedPosition, updateStoreWatching} from './storeWatching.js';
+import {getReportedPositions, updateStoreWatching} from './storeWatching.js';
 import {
   flushDigestsToRelay,
   getDigestPeriodMs,
@@ -65,6 +65,7 @@
 /** Creates the digest of this VM. */
 function createDigest(state: DispatchState, nowMs: number): Digest {
   const {availabilityZone, incarnation, peerAddress, vm} = state.options;
+  const {ordersPosition, position} = getReportedPositions(state);
   return {
     kind: 'digest',
     vm,
@@ -74,8 +75,8 @@
     sequence: state.digestSequence,
     desiredVersion: state.desiredState.current?.version ?? -1,
     storeEra: state.storeEra.current,
-    storeRevision: getReportedPosition(state, state.storePosition).revision,
-    ordersRevision: getReportedPosition(state, state.ordersPosition).revision,
+    storeRevision: position.revision,
+    ordersRevision: ordersPosition.revision,
     storeReachedForMs:
       state.isStoreReachable && state.isWatchingStore
         ? Math.round(nowMs - state.storeReachedAtMs)
@@ -136,7 +137,7 @@
   const isUnchanged = text === state.lastDigestText;
   state.lastDigestText = text;
   const resendAfterMs = Math.max(
-    getDigestPeriodMs(state),
+    state.peers.digestPeriodMs,
     unchangedDigestPeriodMs,
   );
   const isDue = nowMs - state.lastDigestAtMs >= resendAfterMs;
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -66,18 +66,38 @@
   return false;
 }
 
+/** Positions up to which the endpoints and the move orders were read. */
+interface ViewPositions {
+  readonly position: StorePosition;
+  readonly ordersPosition: StorePosition;
+}
+
 /**
- * Returns what this VM reports to its peers of a position that it has applied:
- * nothing while entries are missing from the store, or if it is of an earlier era
- * than the current one.
+ * Returns the positions that this VM reports to its peers: none while entries are
+ * missing from the store, nor of an earlier era than the current one.
  */
-export function getReportedPosition(
-  state: DispatchState,
-  position: StorePosition,
-): StorePosition {
-  if (position.era !== (state.storeEra.current ?? 0)) return noPosition;
+export function getReportedPositions(state: DispatchState): ViewPositions {
+  const {ordersPosition, storeEra, storePosition} = state;
   // Missing entries may come back, so they must not be reported as removed.
-  return hasMissingEntries(state) ? noPosition : position;
+  const isComplete = !hasMissingEntries(state);
+  const getReported = (position: StorePosition) =>
+    isComplete && position.era === (storeEra.current ?? 0)
+      ? position
+      : noPosition;
+  return {
+    position: getReported(storePosition),
+    ordersPosition: getReported(ordersPosition),
+  };
+}
+
+/** Returns which positions are later than those that this VM has applied. */
+function findLaterParts(
+  state: DispatchState,
+  {ordersPosition, position}: ViewPositions,
+) {
+  const hasEndpoints = isLaterPosition(position, state.storePosition);
+  const hasOrders = isLaterPosition(ordersPosition, state.ordersPosition);
+  return {hasAny: hasEndpoints || hasOrders, hasEndpoints, hasOrders};
 }
 
 /**
@@ -96,23 +116,23 @@
 /** Returns whether a digest reports a change that this VM has not applied. */
 function isDigestLater(state: DispatchState, digest: Digest): boolean {
   const {ordersRevision = 0, storeRevision} = digest;
-  const position = createReportedPosition(state, digest, storeRevision);
-  const orders = createReportedPosition(state, digest, ordersRevision);
-  if (isLaterPosition(position, state.storePosition)) return true;
-  return isLaterPosition(orders, state.ordersPosition);
+  const reported = {
+    position: createReportedPosition(state, digest, storeRevision),
+    ordersPosition: createReportedPosition(state, digest, ordersRevision),
+  };
+  return findLaterParts(state, reported).hasAny;
 }
 
 /** Records that the changes of the store up to a position are known. */
 export function handleStorePositionRead(
   state: DispatchState,
-  {ordersPosition, position}: StorePositionRead,
+  input: StorePositionRead,
   nowMs: number,
 ): Effect[] {
-  const isLater = isLaterPosition(position, state.storePosition);
-  const hasLaterOrders = isLaterPosition(ordersPosition, state.ordersPosition);
-  if (!isLater && !hasLaterOrders) return [];
-  if (isLater) state.storePosition = position;
-  if (hasLaterOrders) state.ordersPosition = ordersPosition;
+  const {hasAny, hasEndpoints, hasOrders} = findLaterParts(state, input);
+  if (!hasAny) return [];
+  if (hasEndpoints) state.storePosition = input.position;
+  if (hasOrders) state.ordersPosition = input.ordersPosition;
   state.laterPositionSeenAtMs = undefined;
   // VMs that do not watch the store wait for this position.
   if (isLargeFleet(state)) state.timers.set('digest', '', nowMs);
@@ -180,9 +200,8 @@
   nowMs: number,
 ): Effect[] {
   const {endpoints, ordersPosition, position} = view;
-  const isLater = isLaterPosition(position, state.storePosition);
-  const hasLaterOrders = isLaterPosition(ordersPosition, state.ordersPosition);
-  if (state.isWatchingStore || (!isLater && !hasLaterOrders)) return [];
+  const {hasAny, hasEndpoints, hasOrders} = findLaterParts(state, view);
+  if (state.isWatchingStore || !hasAny) return [];
   state.laterPositionSeenAtMs = undefined;
   const ordersRevision = ordersPosition.revision;
   const fields = {...position, ordersRevision, endpoints: endpoints.length};
@@ -190,8 +209,8 @@
     createLog('store_view_applied', fields),
     ...updateStoreEra(state, position.era, nowMs),
   ];
-  if (isLater) effects.push(...applyEndpoints(state, view, nowMs));
-  if (hasLaterOrders) effects.push(...applyOrders(state, view, nowMs));
+  if (hasEndpoints) effects.push(...applyEndpoints(state, view, nowMs));
+  if (hasOrders) effects.push(...applyOrders(state, view, nowMs));
   return effects;
 }
 
@@ -199,8 +218,7 @@
 export function createStoreView(state: DispatchState): StoreViewRead {
   return {
     kind: 'storeViewRead',
-    position: getReportedPosition(state, state.storePosition),
-    ordersPosition: getReportedPosition(state, state.ordersPosition),
+    ...getReportedPositions(state),
     endpoints: [...state.endpoints.byId.values()].map(entry => entry.endpoint),
     orders: [...state.moves.values()].map(move => move.order),
   };
--- a/packages/ryeworks-dispatch/src/store/storeEra.ts
+++ b/packages/ryeworks-dispatch/src/store/storeEra.ts
@@ -1,8 +1,8 @@
 /**
- * Time that entries have to reappear after the store came back from an older
- * copy without them, in ms.
+ * Grace period for entries to reappear, in ms: after the store became reachable,
+ * or came back from an older copy without them.
  */
-const returnGracePeriodMs = 1900;
+export const returnGracePeriodMs = 1900;
 
 /** The era of the platform's store, as this VM knows it. */
 export interface StoreEra {
