Endpoint calls: only unframed answers are checked for a reset at their end

The write of no bytes was made at the end of every connection, though only answers without framing need it. Positions of the desired state, which nobody reads, are no longer kept.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -67,7 +67,10 @@
   private request: ClientRequest | undefined;
   private response: IncomingMessage | undefined;
   private head: AnswerHead | undefined;
-  /** How the endpoint finished the connection; undefined before it did. */
+  /**
+   * How the endpoint finished the connection of an unframed answer; undefined
+   * before it did, and for other answers.
+   */
   private connectionEnd: Promise<ConnectionEnd> | undefined;
   private mode: ForwardMode = 'unknown';
   private readonly splitter = new EventSplitter();
@@ -106,6 +109,7 @@
         socket.once('connect', () => this.handleConnected());
         // Added before the listeners of `request`, which end the response.
         socket.once('end', () => {
+          if (!this.isUnframed()) return;
           this.connectionEnd = checkConnectionEnd(socket);
         });
         return socket;
@@ -199,7 +203,7 @@
       this.fail('cut', 'answer_incomplete');
       return;
     }
-    if (this.connectionEnd === undefined || !this.isUnframed()) {
+    if (this.connectionEnd === undefined) {
       this.forwardAnswer();
       return;
     }
@@ -262,9 +266,13 @@
     });
   }
 
-  /** Returns whether only the end of the connection marks the answer's end. */
+  /**
+   * Returns whether only the end of the connection marks the answer's end; false
+   * before an answer.
+   */
   private isUnframed(): boolean {
-    const {headers} = this.head!;
+    if (this.head === undefined) return false;
+    const {headers} = this.head;
     return (
       headers['content-length'] === undefined &&
       headers['transfer-encoding'] === undefined
--- a/packages/ryeworks-gateway/src/store/storeWatcher.ts
+++ b/packages/ryeworks-gateway/src/store/storeWatcher.ts
@@ -73,7 +73,7 @@
   /** Resolve the promises of `waitUntilWatching`. */
   private readonly waiters: Array<() => void> = [];
   private readonly timers = new Set<NodeJS.Timeout>();
-  /** Latest position up to which the objects of each kind were handled. */
+  /** Latest handled position of each kind of objects of the store view. */
   private readonly handledPositions = new Map<WatchedKind, StorePosition>();
   /** This VM as announced; undefined before the start. */
   private ownVm: AnnouncedVm | undefined;
@@ -212,8 +212,8 @@
    * all their kinds were listed in its era. The desired state is not part of it.
    */
   private reportPosition(kind: WatchedKind, position: StorePosition): void {
-    this.handledPositions.set(kind, position);
     if (kind === 'desiredState') return;
+    this.handledPositions.set(kind, position);
     const endpointsPosition = this.handledPositions.get('endpoint');
     const ordersPosition = this.handledPositions.get('move');
     if (endpointsPosition?.era !== position.era) return;
