Count and log answers that are ended without their rest, by cause

Nothing told a begun answer that a VM ended from a refusal: after a timeout both were request_ended with outcome=endpointTimeout. No decision changes.

--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -32,6 +32,8 @@
   readonly kind: 'answerError';
   readonly requestId: string;
   readonly error: ErrorKind;
+  /** Why the request ends, for logs and counters. */
+  readonly reason: string;
   /** Time after which the caller should retry, in ms; 0 sends no such hint. */
   readonly retryAfterMs: number;
 }
@@ -46,6 +48,8 @@
 export interface AbortResponse {
   readonly kind: 'abortResponse';
   readonly requestId: string;
+  /** Why the request ends, for logs and counters. */
+  readonly reason: string;
 }
 
 /** Sends a message to a peer; delivery is not guaranteed. */
@@ -125,6 +129,7 @@
   requests_received: ['tier'],
   requests_refused: ['reason', 'tier'],
   requests_ended: ['outcome', 'tier'],
+  requests_unanswered: ['cause'],
   calls_started: ['tier'],
   calls_failed: ['failure'],
   calls_repeated: ['reason'],
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -88,7 +88,7 @@
   const {requestId} = request;
   return [
     {kind: 'cancelCall', requestId},
-    {kind: 'answerError', requestId, error, retryAfterMs},
+    {kind: 'answerError', requestId, error, reason, retryAfterMs},
     createCount('requests_refused', {reason, tier: `${request.tier}`}),
     ...finishRequest(state, request, {outcome: error, reason}, nowMs),
   ];
@@ -107,7 +107,7 @@
   const {requestId} = request;
   return [
     {kind: 'cancelCall', requestId},
-    {kind: 'abortResponse', requestId},
+    {kind: 'abortResponse', requestId, reason},
     ...finishRequest(state, request, {outcome: 'broken', reason}, nowMs),
   ];
 }
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,6 +1,6 @@
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
-import {Effect} from '../effect.js';
+import {createCount, Effect} from '../effect.js';
 import {
   EndpointEntry,
   recordUnanswered,
@@ -134,6 +134,7 @@
   const reason = request.phase;
   return [
     {kind: 'cancelCall', requestId},
+    createCount('requests_unanswered', {cause: 'caller_gone'}),
     ...finishRequest(state, request, {outcome: 'callerGone', reason}, nowMs),
   ];
 }
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -237,6 +237,7 @@
       request: request.attemptId,
       endpoint: request.endpointId,
       silentMs: Math.round(nowMs - request.lastProgressAtMs),
+      timeoutMs: Math.round(timeoutMs),
       hasFirstEvent: request.hasFirstEvent,
       next: obstacle ?? 'repeat',
     }),
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -39,6 +39,7 @@
       kind: 'answerError',
       requestId: input.requestId,
       error,
+      reason: error,
       retryAfterMs,
     },
     createCount('requests_refused', {reason: error, tier: 'none'}),
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -22,6 +22,7 @@
 } from '@ryeworks/utils';
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {CallerServer} from './callers/callerServer.js';
+import {createAnswerHandlers} from './callers/createAnswerHandlers.js';
 import {OpenRequests} from './callers/openRequest.js';
 import {createFetchHandlers} from './core/createFetchHandlers.js';
 import {DispatchLoop, EffectHandlers} from './core/dispatchLoop.js';
@@ -166,20 +167,13 @@
 /** Creates a handler for each kind of effect. */
 function createEffectHandlers(components: Components): EffectHandlers {
   const {callerServer, endpointClient, logger, metrics} = components;
-  const {openRequests, peerSocket, store} = components;
+  const {peerSocket, store} = components;
   return {
     ...createReportHandlers(logger, metrics),
     ...createFetchHandlers(components),
     startCall: effect => endpointClient.startCall(effect),
     cancelCall: ({requestId}) => endpointClient.cancelCall(requestId),
-    answerError: ({error, requestId, retryAfterMs}) =>
-      openRequests.get(requestId)?.sendError(error, retryAfterMs),
-    forwardFailure: ({requestId}) => {
-      const openRequest = openRequests.get(requestId);
-      if (openRequest?.heldFailure !== undefined)
-        openRequest.sendAnswer(openRequest.heldFailure);
-    },
-    abortResponse: ({requestId}) => openRequests.get(requestId)?.abort(),
+    ...createAnswerHandlers(components),
     sendPeer: ({address, message}) => peerSocket.send(address, message),
     applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
     setStoreWatch: ({isWatching}) =>
