Stopping: answers that wait to be read are not cut

A caller that read slowly lost its answer when the process that it was connected to stopped: 2.5 s after SIGTERM, idle connections are closed, and Node counts a connection as idle once its answer was ended, even if part of it still waits in the process. Answers of up to 256 kB (failures: 1 MB) are ended in one piece, so that all of such an answer may wait.

The gateway now keeps the requests in progress of each connection itself: until the answer was passed to the kernel. Requests that a caller sends before the first is answered are tracked too; Node doesn't report the end of the connection for those.

--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
 import {HostPort} from '@ryeworks/utils';
+import {CallerConnections} from './callerConnections.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
 
@@ -47,6 +48,7 @@
  */
 export class CallerServer {
   private readonly server: Server;
+  private readonly connections = new CallerConnections();
   private nextRequestNumber = 1;
   private isStopping = false;
 
@@ -60,9 +62,15 @@
       },
       (request, response) => void this.handleRequest(request, response),
     );
+    this.server.on('connection', socket => this.connections.add(socket));
     this.applyBounds(defaultBounds);
   }
 
+  /** Whether a request of a caller is in progress or has begun to arrive. */
+  get isBusy(): boolean {
+    return this.connections.areBusy;
+  }
+
   /** Starts to accept connections. */
   listen({host, port}: HostPort): Promise<void> {
     return new Promise((resolve, reject) => {
@@ -89,7 +97,7 @@
 
   /** Closes connections that have no request in progress. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
   }
 
   /** Stops listening and closes every connection. */
@@ -113,6 +121,10 @@
     const receivedAtMs = this.options.clock.readNowMs();
     const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
     response.sendDate = false;
+    const requestId = `${this.nextRequestNumber++}`;
+    this.connections.addRequest(request.socket, response, () =>
+      this.handleAnswerEnd(requestId, response),
+    );
     if (countHeaderBytes(request) > maxHeaderBytes) {
       this.refuse(request, response, 'headersTooLarge');
       return;
@@ -129,21 +141,29 @@
       this.refuse(request, response, 'bodyTooLarge');
       return;
     }
-    this.submitRequest(request, response, body, receivedAtMs);
+    this.submitRequest(requestId, request, response, body, receivedAtMs);
+  }
+
+  private handleAnswerEnd(requestId: string, response: ServerResponse): void {
+    const {loop, openRequests} = this.options;
+    if (!openRequests.delete(requestId) || response.writableFinished) return;
+    loop.submit({kind: 'callerGone', requestId});
   }
 
   private submitRequest(
+    requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
     body: Buffer,
     receivedAtMs: number,
   ): void {
     const {loop, openRequests, wire} = this.options;
+    // The caller has left after the last byte of its request was read.
+    if (response.closed || request.socket.destroyed) return;
     const requestInfo = wire.readRequestInfo(
       request.url ?? '/',
       request.headers,
     );
-    const requestId = `${this.nextRequestNumber++}`;
     const openRequest = new OpenRequest(
       requestId,
       request,
@@ -153,11 +173,6 @@
     );
     if (this.isStopping) openRequest.closeAfterAnswer();
     openRequests.set(requestId, openRequest);
-    response.once('close', () => {
-      openRequests.delete(requestId);
-      if (response.writableFinished) return;
-      loop.submit({kind: 'callerGone', requestId});
-    });
     loop.submit({
       kind: 'requestReceived',
       requestId,
