Stopping: requests that are still arriving are waited for

A caller whose request was still being sent when its VM had finished all others lost its connection: a request was known only once its body was complete, so that a stopping process did not wait for it. It now waits, until the end of its grace period at the latest, for each request that has begun to arrive.

A second call of stop() waits for the first; it went through the whole stop again.

Before: callerConnections.test.ts, 'a body that ends 2500 ms into a stop is answered' and 'a head that ends while the process stops is answered' got no answer; both do now.

--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -77,7 +77,10 @@
   applySettings(settings: GatewaySettings): void;
   /** Logs a warning, for example about settings that cannot be read. */
   reportWarning(event: string, detail: string): void;
-  /** Finishes the requests in progress, then stops the gateway. */
+  /**
+   * Finishes the requests in progress, then stops the gateway. Later calls wait
+   * for the same stop.
+   */
   stop(): Promise<void>;
 }
 
@@ -201,11 +204,11 @@
  * served until the load balancer stops sending them. Each connection is closed
  * after the next answer whose headers are sent on it. Idle connections are closed
  * after `idleCloseDelayMs`, or after half of the grace period if that is shorter.
- * From then on, returns as soon as no request is open, at the latest
- * `stopMarginMs` before the end of the grace period.
+ * From then on, returns as soon as no request is in progress or arriving, at the
+ * latest `stopMarginMs` before the end of the grace period.
  */
 async function finishRequests(components: Components): Promise<void> {
-  const {callerServer, clock, loop, openRequests, settings} = components;
+  const {callerServer, clock, loop, settings} = components;
   const startedMs = clock.readNowMs();
   const deadlineMs = startedMs + settings.stopGraceMs - stopMarginMs;
   loop.submit({kind: 'stopRequested', endAtMs: deadlineMs});
@@ -214,7 +217,7 @@
   while (clock.readNowMs() < deadlineMs) {
     callerServer.closeIdle();
     await sleep(stopPollMs);
-    if (openRequests.size === 0) return;
+    if (!callerServer.isBusy) return;
   }
 }
 
@@ -258,13 +261,15 @@
     },
     disposables,
   );
+  const stop = async () => {
+    await finishRequests(components);
+    logger.info('stopped', {openRequests: components.openRequests.size});
+    await disposables.dispose();
+  };
+  let stopped: Promise<void> | undefined;
   return {
     applySettings: bounds => loop.submit({kind: 'boundsChanged', bounds}),
     reportWarning: (event, detail) => logger.warn(event, {detail}),
-    stop: async () => {
-      await finishRequests(components);
-      logger.info('stopped', {openRequests: components.openRequests.size});
-      await disposables.dispose();
-    },
+    stop: () => (stopped ??= stop()),
   };
 }
