Stopping: a connection is closed once it was idle at two checks

A connection was closed as idle in the moment between the end of an answer and the reading of a request that had already arrived. It is then reset, and the caller's system may drop answers that it has received and the caller has not read yet.

--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -7,6 +7,8 @@
   readonly openAnswers: Set<() => void>;
   /** Bytes that had been read when the last answer was complete. */
   answeredBytes: number;
+  /** Whether it was idle when the connections were last checked. */
+  wasIdle: boolean;
 }
 
 /**
@@ -18,10 +20,10 @@
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
 
-  /** Whether a request is in progress or has begun to arrive. */
-  get areBusy(): boolean {
-    for (const socket of this.connections.keys()) {
-      if (this.isInProgress(socket) || this.isArriving(socket)) return true;
+  /** Whether there is a connection on which bytes have been received. */
+  get areUsed(): boolean {
+    for (const {bytesRead} of this.connections.keys()) {
+      if (bytesRead > 0) return true;
     }
     return false;
   }
@@ -29,7 +31,11 @@
   /** Adds a connection until it is closed. */
   add(socket: Socket): void {
     const openAnswers = new Set<() => void>();
-    this.connections.set(socket, {openAnswers, answeredBytes: 0});
+    this.connections.set(socket, {
+      openAnswers,
+      answeredBytes: 0,
+      wasIdle: false,
+    });
     socket.once('close', () => {
       this.connections.delete(socket);
       // Node reports the end of the first answer only, not of answers that wait
@@ -50,29 +56,30 @@
     const connection = this.connections.get(socket);
     const end = () => {
       if (connection?.openAnswers.delete(end) === false) return;
-      if (connection !== undefined) connection.answeredBytes = socket.bytesRead;
+      if (connection !== undefined) {
+        connection.answeredBytes = socket.bytesRead;
+        connection.wasIdle = false;
+      }
       handleEnd();
     };
     connection?.openAnswers.add(end);
     response.once('close', end);
   }
 
-  /** Closes used connections on which every request has been answered. */
+  /**
+   * Closes the used connections that were idle at the last call, too. Between the
+   * calls, requests that had already arrived are read: if a connection is closed
+   * with unread bytes, the caller's system may drop answers that the caller has
+   * not read yet.
+   */
   closeIdle(): void {
-    for (const socket of [...this.connections.keys()]) {
-      const isUsed = this.connections.get(socket)!.answeredBytes > 0;
-      if (!isUsed || this.isInProgress(socket) || this.isArriving(socket))
-        continue;
-      socket.destroy();
+    for (const [socket, connection] of [...this.connections]) {
+      const {answeredBytes, openAnswers, wasIdle} = connection;
+      connection.wasIdle =
+        answeredBytes > 0 &&
+        answeredBytes === socket.bytesRead &&
+        openAnswers.size === 0;
+      if (wasIdle && connection.wasIdle) socket.destroy();
     }
   }
-
-  private isInProgress(socket: Socket): boolean {
-    return (this.connections.get(socket)?.openAnswers.size ?? 0) > 0;
-  }
-
-  private isArriving(socket: Socket): boolean {
-    const answeredBytes = this.connections.get(socket)?.answeredBytes ?? 0;
-    return socket.bytesRead > answeredBytes;
-  }
 }
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -25,7 +25,6 @@
 };
 /** Time for which idle connections are kept beyond `idleTimeoutMs`, in ms. */
 const keepAliveMarginMs = 1000;
-
 /** Dependencies of a caller server. */
 export interface CallerServerOptions {
   readonly clock: Clock;
@@ -66,9 +65,9 @@
     this.applyBounds(defaultBounds);
   }
 
-  /** Whether a request of a caller is in progress or has begun to arrive. */
-  get isBusy(): boolean {
-    return this.connections.areBusy;
+  /** Whether callers have connections on which they have sent anything. */
+  get isUsed(): boolean {
+    return this.connections.areUsed;
   }
 
   /** Starts to accept connections. */
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -204,8 +204,8 @@
  * served until the load balancer stops sending them. Each connection is closed
  * after the next answer whose headers are sent on it. Idle connections are closed
  * after `idleCloseDelayMs`, or after half of the grace period if that is shorter.
- * From then on, returns as soon as no request is in progress or arriving, at the
- * latest `stopMarginMs` before the end of the grace period.
+ * From then on, returns as soon as every used connection is closed, at the latest
+ * `stopMarginMs` before the end of the grace period.
  */
 async function finishRequests(components: Components): Promise<void> {
   const {callerServer, clock, loop, settings} = components;
@@ -217,7 +217,7 @@
   while (clock.readNowMs() < deadlineMs) {
     callerServer.closeIdle();
     await sleep(stopPollMs);
-    if (!callerServer.isBusy) return;
+    if (!callerServer.isUsed) return;
   }
 }
 
