Callers: the refusal of a body that is too large reaches its caller

A caller that read only after it had sent its request saw a closed connection in place of 413 or 431: the answer was sent before the rest of the body was read, and a connection that is closed with unread bytes is reset, upon which the caller's system drops what it has received. The gateway now sends the whole answer at once, drops the rest of the body for up to 5 s, and closes the connection then.

Callers that read at once got it before, too.

--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -25,6 +25,12 @@
 };
 /** Time for which idle connections are kept beyond `idleTimeoutMs`, in ms. */
 const keepAliveMarginMs = 1000;
+/**
+ * Maximum time for which the rest of a refused body is read, in ms. A caller that
+ * sends for longer may not get the refusal.
+ */
+const maxDiscardMs = 5000;
+
 /** Dependencies of a caller server. */
 export interface CallerServerOptions {
   readonly clock: Clock;
@@ -199,7 +205,6 @@
       emptyBody,
       response,
     );
-    openRequest.closeAfterAnswer();
-    openRequest.sendError(error, 0);
+    void openRequest.refuseUnread(error, maxDiscardMs);
   }
 }
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -1,6 +1,7 @@
 import {errorAnswers, ErrorKind} from '@ryeworks/types';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestInfo} from '../deploymentInterfaces.js';
+import {dropBody} from './readBody.js';
 
 /** Status and headers of an answer that is forwarded to the caller. */
 export interface ForwardedHead {
@@ -20,6 +21,20 @@
   readonly body: Buffer;
 }
 
+/** Creates the answer that reports an error of the gateway. */
+function createErrorAnswer(kind: ErrorKind, retryAfterMs: number): HeldAnswer {
+  const {message, retryAfter, status} = errorAnswers[kind];
+  const body = Buffer.from(JSON.stringify({error: {kind, message}}));
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    'content-length': `${body.length}`,
+  };
+  if (retryAfter && retryAfterMs > 0) {
+    headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
+  }
+  return {status, headers, body, isUnframed: false};
+}
+
 /** A caller's request that was read and is not completely answered yet. */
 export class OpenRequest {
   /** Failure answered by the last call; forwarded if no other call is made. */
@@ -97,16 +112,22 @@
       this.abort();
       return;
     }
-    const {message, retryAfter, status} = errorAnswers[kind];
-    const body = Buffer.from(JSON.stringify({error: {kind, message}}));
-    const headers: Record<string, string> = {
-      'content-type': 'application/json',
-      'content-length': `${body.length}`,
-    };
-    if (retryAfter && retryAfterMs > 0) {
-      headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
-    }
-    this.sendAnswer({status, headers, body, isUnframed: false});
+    this.sendAnswer(createErrorAnswer(kind, retryAfterMs));
+  }
+
+  /**
+   * Refuses a request whose body was not read to its end, and closes the
+   * connection. Discards the rest of the body before that, for `maxDiscardMs` at
+   * most: if a connection is closed with unread bytes, the caller's system may
+   * drop the answer before the caller has read it.
+   */
+  async refuseUnread(kind: ErrorKind, maxDiscardMs: number): Promise<void> {
+    const answer = createErrorAnswer(kind, 0);
+    this.closeAfterAnswer();
+    this.writeHead(answer);
+    this.response.write(answer.body);
+    await dropBody(this.request, maxDiscardMs);
+    this.response.end();
   }
 
   /** Closes the connection so that the answer is seen to be incomplete. */
--- a/packages/ryeworks-gateway/src/callers/readBody.ts
+++ b/packages/ryeworks-gateway/src/callers/readBody.ts
@@ -1,19 +1,60 @@
 import {IncomingMessage} from 'node:http';
 
+/** Error of a caller that disconnected before its request was complete. */
+export class RequestCutError extends Error {
+  override readonly name = 'RequestCutError';
+}
+
 /**
- * Reads a request's whole body; returns undefined if it exceeds `maxBytes`.
- * Rejects if the caller disconnects before the body is complete.
+ * Reads a request's whole body; returns undefined as soon as it exceeds
+ * `maxBytes`. The rest of such a body is not read. Rejects if the caller
+ * disconnects before the body is complete.
  */
-export async function readBody(
+export function readBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of request) {
-    size += (chunk as Buffer).length;
-    if (size > maxBytes) return undefined;
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks, size);
+  return new Promise((resolve, reject) => {
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maxBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      request.removeAllListeners('data');
+      request.pause();
+      resolve(undefined);
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks, size)));
+    request.once('error', error => reject(new RequestCutError(error.message)));
+    request.once('close', () =>
+      reject(new RequestCutError(`after ${size} bytes of the body`)),
+    );
+  });
+}
+
+/**
+ * Discards what is left of a request's body, until it has ended or the caller has
+ * disconnected, for `maxMs` at most.
+ */
+export function dropBody(
+  request: IncomingMessage,
+  maxMs: number,
+): Promise<void> {
+  return new Promise(resolve => {
+    if (request.complete || request.socket.destroyed) {
+      resolve();
+      return;
+    }
+    const timer = setTimeout(resolve, maxMs);
+    for (const event of ['end', 'error', 'close']) {
+      request.once(event, () => {
+        clearTimeout(timer);
+        resolve();
+      });
+    }
+    request.resume();
+  });
 }
