A silent call goes on until another endpoint has taken over its answer

What callers saw: a stream was closed in the middle, or a request got 502 or 504, although its endpoint was sound and only silent for a moment.

Cause: the VM canceled a call after 280 ms of silence, before it had another endpoint for the request. If that one refused, or no endpoint had room, or the retry budget was used up, the answer had nobody left to finish it. Class: what works is given up on a guess before its replacement is certain.

Now a second call (standby) starts only at an endpoint that can take it at once; the silent one goes on beside it. Whichever makes progress first is kept, the other is canceled before a byte of it is forwarded. After 300 ms side by side the silent one is canceled, since two endpoints must not work on one request for longer. A failure of one call leaves the other one.

A failing answer (status 500 or above) is no longer reported as progress: it would win against the call that is only silent.

--- a/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
@@ -72,3 +72,100 @@
   runInput(state, {kind: 'callDone', ...first, status: 200}, 1300);
   t.notOk(state.requests.has(requestId), 'the request has ended');
 });
+
+/** Starts a stream that is silent until its standby call is sent, at 390. */
+function startSilentStream() {
+  const state = createReadyState(models);
+  const calls = startStream(state);
+  runTimers(state, 101 + silenceMs);
+  runInput(state, {kind: 'callSent', ...calls.second}, 390);
+  return {state, ...calls};
+}
+
+/** Lists the numbers of the calls that effects cancel. */
+function listCanceled(effects: ReturnType<typeof runInput>): number[] {
+  return listEffects(effects, 'cancelCall').map(({callNumber}) => callNumber);
+}
+
+/** Counts the calls in flight at all endpoints. */
+function countInFlight(state: DispatchState): number {
+  let count = 0;
+  for (const entry of state.endpoints.byId.values()) count += entry.inFlight;
+  return count;
+}
+
+// Guards against two calls of one request that both go on, and against slots
+// that stay in use by the canceled one.
+t.test('the call that makes progress first goes on alone', async t => {
+  for (const winner of ['first', 'second'] as const) {
+    const {state, requestId, ...calls} = startSilentStream();
+    t.equal(countInFlight(state), 2);
+    const progress = {kind: 'callProgressed', events: 2} as const;
+    const effects = runInput(state, {...progress, ...calls[winner]}, 500);
+    const loser = winner === 'first' ? calls.second : calls.first;
+    t.same(listCanceled(effects), [loser.callNumber]);
+    t.equal(countInFlight(state), 1);
+    const late = runInput(state, {...progress, ...loser}, 510);
+    t.same(late, [], 'the other call is ignored');
+    const done = {kind: 'callDone', ...calls[winner], status: 200} as const;
+    runInput(state, done, 600);
+    t.notOk(state.requests.has(requestId));
+    t.equal(countInFlight(state), 0);
+  }
+});
+
+// Guards against an endpoint that still works on a request 400 ms after another
+// one was asked to go on with it.
+t.test('the two calls run side by side for 300 ms at most', async t => {
+  const {state} = startSilentStream();
+  t.same(listCanceled(runTimers(state, 680)), []);
+  t.same(listCanceled(runTimers(state, 682)), [1]);
+  t.equal(countInFlight(state), 1);
+});
+
+// Guards against an answer that is ended although its other call goes on.
+t.test('if one of two calls fails, the other one goes on', async t => {
+  const detail = 'test';
+  const failure = 'cut';
+  const {first, requestId, second, state} = startSilentStream();
+  const input = {kind: 'callFailed', failure, detail} as const;
+  const hasResponseStarted = true;
+  const effects = runInput(
+    state,
+    {...input, ...first, hasResponseStarted},
+    400,
+  );
+  t.same(effects, []);
+  t.equal(countInFlight(state), 1);
+  runInput(state, {kind: 'callProgressed', ...second, events: 1}, 500);
+  runInput(state, {kind: 'callDone', ...second, status: 200}, 600);
+  t.notOk(state.requests.has(requestId));
+});
+
+// Guards against calls that go on after their caller left.
+t.test('both calls are canceled when the caller disconnects', async t => {
+  const {requestId, state} = startSilentStream();
+  const effects = runInput(state, {kind: 'callerGone', requestId}, 400);
+  t.same(listCanceled(effects), [1, 2]);
+  t.equal(countInFlight(state), 0);
+  t.same(runTimers(state, 2000), []);
+});
+
+// Guards against standby calls that take slots from more urgent requests.
+t.test('a more urgent waiting request goes before a standby call', async t => {
+  const state = createReadyState(models);
+  const {requestId} = startStream(state);
+  const {queues, requests} = state;
+  const urgent = {
+    ...requests.get(requestId)!,
+    requestId: 'u',
+    receivedAtMs: -1,
+  };
+  queues.set(names.model, [{...urgent, phase: 'waiting'}]);
+  const effects = runTimers(state, 101 + silenceMs);
+  const started = listEffects(effects, 'startCall');
+  t.same(
+    started.filter(call => call.requestId === requestId),
+    [],
+  );
+});
--- a/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
@@ -8,6 +8,11 @@
   return a.rank - b.rank || a.receivedAtMs - b.receivedAtMs;
 }
 
+/** Returns whether a request goes before another one. */
+export function isAhead(a: ActiveRequest, b: ActiveRequest): boolean {
+  return compareUrgency(a, b) < 0;
+}
+
 /** Inserts a request in order of urgency. */
 export function insertWaiting(
   queue: WaitingQueue,
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -23,8 +23,10 @@
 export type TimerPurpose =
   /** Ends a request whose deadline or route timeout has passed. */
   | 'requestTimeout'
-  /** Retries a call that has made no progress for too long. */
+  /** Starts a standby call for a call that made no progress for too long. */
   | 'silence'
+  /** Ends the time for which a silent call and its standby call both run. */
+  | 'standby'
   /** Refuses queued requests that have waited too long. */
   | 'sweepWaiting'
   /**
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -21,10 +21,11 @@
   readonly isResumable: boolean;
 }
 
-/** Cancels the call of a request. */
+/** Cancels one call of a request. */
 export interface CancelCall {
   readonly kind: 'cancelCall';
   readonly requestId: string;
+  readonly callNumber: number;
 }
 
 /** Answers the caller with an error that this VM generates. */
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -45,14 +45,13 @@
   handleCallProgressed,
   handleCallSent,
 } from './requests/handleCallEvents.js';
-import {
-  expireSilentCall,
-  handleCallFailed,
-} from './requests/handleCallFailed.js';
+import {expireSilentCall} from './requests/expireSilentCall.js';
+import {handleCallFailed} from './requests/handleCallFailed.js';
 import {
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
+import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
@@ -68,6 +67,7 @@
 > = {
   requestTimeout: expireRequest,
   silence: expireSilentCall,
+  standby: expireStandbyOverlap,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
   digest: sendDigest,
--- a/packages/ryeworks-dispatch/src/rateLimits/handleCallAnswered.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/handleCallAnswered.ts
@@ -2,10 +2,7 @@
 import {createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {CallAnswered} from '../input.js';
-import {
-  findRequestByCall,
-  getEndpointEntry,
-} from '../requests/findRequestByCall.js';
+import {findCall, getEndpointEntry} from '../requests/findCall.js';
 import {applyLift, applyNamedLimit} from './applyLimit.js';
 import {LimitStatement} from './limitStatement.js';
 
@@ -54,13 +51,13 @@
   input: CallAnswered,
   nowMs: number,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
-  if (request === undefined) return [];
-  const entry = getEndpointEntry(state, request);
+  const found = findCall(state, input);
+  if (found === undefined) return [];
+  const entry = getEndpointEntry(state, found.call);
   if (entry === undefined) return [];
   const {limitStatement} = input;
   const handler = statementHandlers[limitStatement.kind] as StatementHandler<
     LimitStatement['kind']
   >;
-  return handler(state, entry, limitStatement, request.attemptId, nowMs);
+  return handler(state, entry, limitStatement, found.request.attemptId, nowMs);
 }
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -6,6 +6,21 @@
 /** One of the request phases. */
 export type RequestPhase = (typeof requestPhase)[keyof typeof requestPhase];
 
+/** A call of a request to an endpoint that has not ended. */
+export interface ActiveCall {
+  readonly callNumber: number;
+  readonly endpointId: string;
+  readonly startedAtMs: number;
+  /** Whether it has delivered an event or byte. */
+  hasFirstEvent: boolean;
+  /** When it last made progress, in ms; at first its start. */
+  lastProgressAtMs: number;
+  /** Number of events received. */
+  events: number;
+  /** Whether the log tells of its current silence. */
+  isSilenceLogged: boolean;
+}
+
 /** A caller's request that this VM accepted and that has not ended. */
 export interface ActiveRequest {
   readonly requestId: string;
@@ -30,23 +45,18 @@
   /** Whether the request is routed to the new version of a move. */
   readonly isTrial: boolean;
   phase: RequestPhase;
-  /** Number of the current call; events of earlier calls are ignored. */
-  callNumber: number;
-  /** Id of the endpoint of the current call; empty while waiting. */
-  endpointId: string;
+  /** Number of calls that were started; the last one has this number. */
+  callsStarted: number;
+  /** The current call; undefined while waiting. */
+  call: ActiveCall | undefined;
+  /** The call that takes over from the current one, which is silent, if any. */
+  standbyCall: ActiveCall | undefined;
   /** Number of calls that were sent and may have run. */
   possibleRuns: number;
   /** Number of calls that were sent to an endpoint. */
   sentCalls: number;
-  callStartedAtMs: number;
-  /** Whether the current call has delivered an event or byte. */
-  hasFirstEvent: boolean;
   /** When the first event or byte of any call arrived, in ms; 0 if none yet. */
   firstEventAtMs: number;
-  /** When the current call last made progress, in ms; at first its start. */
-  lastProgressAtMs: number;
-  /** Number of events received in the current call. */
-  events: number;
   /** Number of asks for a permit since it began to wait. */
   permitAsks: number;
   /** When it next asks for a permit, in ms. */
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -4,7 +4,8 @@
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {refundUnits} from '../limits/customerUsage.js';
-import {ActiveRequest} from './activeRequest.js';
+import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {getEndpointEntry, listCalls} from './findCall.js';
 
 /** Outcome of a request, for logs and counters. */
 export interface RequestOutcome {
@@ -12,20 +13,44 @@
   readonly reason: string;
 }
 
-/** Releases the slot of a request's current call for other requests. */
-export function releaseCall(
+/** Releases the slot of a call that has ended for other requests. */
+export function releaseSlot(
   state: DispatchState,
-  request: ActiveRequest,
+  call: ActiveCall,
   nowMs: number,
 ): Effect[] {
-  const entry = state.endpoints.byId.get(request.endpointId);
-  request.endpointId = '';
-  state.timers.clear('silence', request.requestId);
+  const entry = getEndpointEntry(state, call);
   if (entry === undefined) return [];
   entry.inFlight = Math.max(0, entry.inFlight - 1);
   return assignFreedSlot(state, entry, nowMs);
 }
 
+/** Releases the slots of all calls of a request. */
+export function releaseCalls(
+  state: DispatchState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  const calls = listCalls(request);
+  request.call = undefined;
+  request.standbyCall = undefined;
+  state.timers.clear('silence', request.requestId);
+  state.timers.clear('standby', request.requestId);
+  const effects: Effect[] = [];
+  for (const call of calls) effects.push(...releaseSlot(state, call, nowMs));
+  return effects;
+}
+
+/** Returns the effects that cancel all calls of a request. */
+export function cancelCalls(request: ActiveRequest): Effect[] {
+  const {requestId} = request;
+  const effects: Effect[] = [];
+  for (const {callNumber} of listCalls(request)) {
+    effects.push({kind: 'cancelCall', requestId, callNumber});
+  }
+  return effects;
+}
+
 /** Returns the time to the first event or byte, in ms; -1 if none arrived. */
 function getFirstEventMs(request: ActiveRequest): number {
   const {firstEventAtMs, receivedAtMs} = request;
@@ -42,7 +67,8 @@
   {outcome, reason}: RequestOutcome,
   nowMs: number,
 ): Effect[] {
-  const {requestId, attemptId, possibleRuns, sentCalls, endpointId} = request;
+  const {requestId, attemptId, possibleRuns, sentCalls} = request;
+  const endpointId = request.call?.endpointId ?? '';
   const tier = `${request.tier}`;
   const durationMs = Math.round(nowMs - request.receivedAtMs);
   state.requests.delete(requestId);
@@ -52,7 +78,7 @@
     refundUnits(state.usageByCustomer, request.customer, request.units, nowMs);
   }
   return [
-    ...releaseCall(state, request, nowMs),
+    ...releaseCalls(state, request, nowMs),
     createCount('requests_ended', {outcome, tier}),
     {
       kind: 'observe',
@@ -87,7 +113,7 @@
 ): Effect[] {
   const {requestId} = request;
   return [
-    {kind: 'cancelCall', requestId},
+    ...cancelCalls(request),
     {kind: 'answerError', requestId, error, reason, retryAfterMs},
     createCount('requests_refused', {reason, tier: `${request.tier}`}),
     ...finishRequest(state, request, {outcome: error, reason}, nowMs),
@@ -106,7 +132,7 @@
 ): Effect[] {
   const {requestId} = request;
   return [
-    {kind: 'cancelCall', requestId},
+    ...cancelCalls(request),
     {kind: 'abortResponse', requestId, reason},
     ...finishRequest(state, request, {outcome: 'broken', reason}, nowMs),
   ];
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -0,0 +1,74 @@
+import {DispatchState} from '../dispatchState.js';
+import {createLog, Effect} from '../effect.js';
+import {callFailure} from '../input.js';
+import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {consumeRetry, findRetryObstacle} from './findRetryObstacle.js';
+import {getEndpointEntry} from './findCall.js';
+import {getSilenceTimeoutMs} from './silenceTimeout.js';
+import {pickStandbyEndpoint, startStandbyCall} from './standbyCall.js';
+
+/**
+ * Time between two searches for an endpoint that can take over from a silent
+ * call, in ms.
+ */
+const searchPeriodMs = 100;
+
+/** Logs a silence once. */
+function reportSilence(
+  request: ActiveRequest,
+  call: ActiveCall,
+  timeoutMs: number,
+  next: string,
+  nowMs: number,
+): Effect[] {
+  if (call.isSilenceLogged) return [];
+  call.isSilenceLogged = true;
+  return [
+    createLog('call_silent', {
+      request: request.attemptId,
+      endpoint: call.endpointId,
+      silentMs: Math.round(nowMs - call.lastProgressAtMs),
+      timeoutMs: Math.round(timeoutMs),
+      hasFirstEvent: call.hasFirstEvent,
+      next,
+    }),
+  ];
+}
+
+/**
+ * Starts a standby call for a call that has been silent for too long, or
+ * searches again later if no endpoint can take the request now. The silent call
+ * goes on meanwhile: a sound endpoint may be silent for a while.
+ */
+export function expireSilentCall(
+  state: DispatchState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = state.requests.get(requestId);
+  const call = request?.call;
+  if (request === undefined || call === undefined) return [];
+  const entry = getEndpointEntry(state, call);
+  if (entry === undefined || request.standbyCall !== undefined) return [];
+  const timeoutMs = getSilenceTimeoutMs(state, request, call, entry);
+  const dueMs = call.lastProgressAtMs + timeoutMs;
+  if (dueMs > nowMs) {
+    state.timers.set('silence', requestId, dueMs);
+    return [];
+  }
+  const obstacle = findRetryObstacle(request, callFailure.cut, nowMs);
+  if (obstacle !== undefined) {
+    return reportSilence(request, call, timeoutMs, obstacle, nowMs);
+  }
+  request.avoidedEndpoints.add(call.endpointId);
+  const standby = pickStandbyEndpoint(state, request, nowMs);
+  if (standby === undefined || !consumeRetry(state, request, nowMs)) {
+    state.timers.set('silence', requestId, nowMs + searchPeriodMs);
+    const next = standby === undefined ? 'no_endpoint' : 'budget_used';
+    return reportSilence(request, call, timeoutMs, next, nowMs);
+  }
+  return [
+    ...reportSilence(request, call, timeoutMs, 'standby', nowMs),
+    ...startStandbyCall(state, request, standby, nowMs),
+  ];
+}
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -11,11 +11,12 @@
 import {recordZoneResponse} from '../endpoints/zoneCooldown.js';
 import {CallDone, CallerGone, CallProgressed, CallSent} from '../input.js';
 import {recordMoveEvidence} from '../moves/recordMoveEvidence.js';
-import {ActiveRequest} from './activeRequest.js';
-import {failRequest, finishRequest} from './endRequest.js';
-import {findRequestByCall, getEndpointEntry} from './findRequestByCall.js';
+import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {cancelCalls, failRequest, finishRequest} from './endRequest.js';
+import {findCall, getEndpointEntry, listCalls} from './findCall.js';
 import {notRunRetryAfterMs} from './handleCallFailed.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
+import {resolveStandby} from './standbyCall.js';
 
 /**
  * Multiple of the endpoint's mean time to the first event above which a first
@@ -28,7 +29,7 @@
   state: DispatchState,
   input: CallSent,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
+  const request = findCall(state, input)?.request;
   if (request === undefined) return [];
   request.possibleRuns += 1;
   request.sentCalls += 1;
@@ -41,25 +42,29 @@
   input: CallProgressed,
   nowMs: number,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
-  if (request === undefined) return [];
-  request.lastProgressAtMs = nowMs;
-  request.events = input.events;
-  const entry = getEndpointEntry(state, request);
+  const found = findCall(state, input);
+  if (found === undefined) return [];
+  const {call, request} = found;
+  const effects = resolveStandby(state, request, call, nowMs);
+  call.lastProgressAtMs = nowMs;
+  call.events = input.events;
+  call.isSilenceLogged = false;
+  const entry = getEndpointEntry(state, call);
   if (entry !== undefined) {
     const {availabilityZone} = entry.endpoint;
     recordZoneResponse(state.lastZoneResponses, availabilityZone, nowMs);
   }
-  if (request.hasFirstEvent) return [];
-  request.hasFirstEvent = true;
+  if (call.hasFirstEvent) return effects;
+  call.hasFirstEvent = true;
   if (request.firstEventAtMs === 0) request.firstEventAtMs = nowMs;
-  if (entry === undefined) return [];
-  const elapsedMs = nowMs - request.callStartedAtMs;
+  if (entry === undefined) return effects;
+  const elapsedMs = nowMs - call.startedAtMs;
   recordSlowFirstEvent(state, request, entry, elapsedMs);
   recordFirstEvent(entry, elapsedMs, request.promptTokens);
   scheduleSilenceTimeout(state, request, entry, nowMs);
   const labels = {tier: `${request.tier}`};
   return [
+    ...effects,
     {kind: 'observe', name: 'first_event_ms', labels, valueMs: elapsedMs},
   ];
 }
@@ -90,9 +95,11 @@
   input: CallDone,
   nowMs: number,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
-  if (request === undefined) return [];
-  const entry = getEndpointEntry(state, request);
+  const found = findCall(state, input);
+  if (found === undefined) return [];
+  const {call, request} = found;
+  const effects = resolveStandby(state, request, call, nowMs);
+  const entry = getEndpointEntry(state, call);
   if (entry !== undefined) {
     recordOutcome(entry, true);
     const {service, version} = entry.endpoint;
@@ -102,10 +109,13 @@
       isFailed: false,
       isSlow: false,
     });
-    recordStreamEventGap(request, entry);
+    recordStreamEventGap(request, call, entry);
   }
   const reason = `${input.status}`;
-  return finishRequest(state, request, {outcome: 'done', reason}, nowMs);
+  return [
+    ...effects,
+    ...finishRequest(state, request, {outcome: 'done', reason}, nowMs),
+  ];
 }
 
 /**
@@ -114,11 +124,12 @@
  */
 function recordStreamEventGap(
   request: ActiveRequest,
+  call: ActiveCall,
   entry: EndpointEntry,
 ): void {
-  if (request.route.kind !== callKind.stream || request.events < 2) return;
-  const spanMs = request.lastProgressAtMs - request.callStartedAtMs;
-  recordEventGap(entry, spanMs / request.events);
+  if (request.route.kind !== callKind.stream || call.events < 2) return;
+  const spanMs = call.lastProgressAtMs - call.startedAtMs;
+  recordEventGap(entry, spanMs / call.events);
 }
 
 /** Ends a request whose caller closed the connection. */
@@ -130,10 +141,9 @@
   state.earlyRequests.delete(input.requestId);
   const request = state.requests.get(input.requestId);
   if (request === undefined) return [];
-  const {requestId} = input;
   const reason = request.phase;
   return [
-    {kind: 'cancelCall', requestId},
+    ...cancelCalls(request),
     createCount('requests_unanswered', {cause: 'caller_gone'}),
     ...finishRequest(state, request, {outcome: 'callerGone', reason}, nowMs),
   ];
@@ -147,9 +157,11 @@
 ): Effect[] {
   const request = state.requests.get(requestId);
   if (request === undefined) return [];
-  const entry = getEndpointEntry(state, request);
-  if (entry !== undefined && !request.hasFirstEvent) {
-    recordUnanswered(entry, toleratedCuts, nowMs);
+  for (const call of listCalls(request)) {
+    const entry = getEndpointEntry(state, call);
+    if (entry !== undefined && !call.hasFirstEvent) {
+      recordUnanswered(entry, toleratedCuts, nowMs);
+    }
   }
   if (request.possibleRuns > 0) {
     return failRequest(state, request, 'endpointTimeout', 'timeout', 0, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/silenceTimeout.ts
+++ b/packages/ryeworks-dispatch/src/requests/silenceTimeout.ts
@@ -5,7 +5,7 @@
   estimateFirstEventMs,
   getMeanFirstEventMs,
 } from '../endpoints/latency.js';
-import {ActiveRequest} from './activeRequest.js';
+import {ActiveCall, ActiveRequest} from './activeRequest.js';
 
 /**
  * Silence timeout of a stream before its first event, relative to the latency
@@ -33,13 +33,14 @@
 export function getSilenceTimeoutMs(
   state: DispatchState,
   request: ActiveRequest,
+  call: ActiveCall,
   entry: EndpointEntry,
 ): number {
   const {route} = request;
   if (route.kind !== callKind.stream) {
     return Math.max(minSilenceTimeoutMs, route.latencyTargetMs * plainFactor);
   }
-  if (request.hasFirstEvent) {
+  if (call.hasFirstEvent) {
     const gapMs = entry.eventGapMs * gapFactor;
     return Math.max(
       minSilenceTimeoutMs,
@@ -59,14 +60,18 @@
   return Math.max(minSilenceTimeoutMs, targetMs, firstEventMs);
 }
 
-/** Schedules the silence timeout of a call if its request may be retried. */
+/**
+ * Schedules the silence timeout of the current call of a request if the request
+ * may be retried.
+ */
 export function scheduleSilenceTimeout(
   state: DispatchState,
   request: ActiveRequest,
   entry: EndpointEntry,
   nowMs: number,
 ): void {
-  if (!request.isRetryable) return;
-  const dueMs = nowMs + getSilenceTimeoutMs(state, request, entry);
+  const {call} = request;
+  if (!request.isRetryable || call === undefined) return;
+  const dueMs = nowMs + getSilenceTimeoutMs(state, request, call, entry);
   state.timers.set('silence', request.requestId, dueMs);
 }
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -4,44 +4,71 @@
 import {createCount, createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {consumePermit} from '../rateLimits/permits.js';
-import {ActiveRequest} from './activeRequest.js';
+import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
 
-/** Starts a call of a request at an endpoint. */
-export function startCall(
+/** Takes a slot of an endpoint for a new call of a request. */
+export function createCall(
   state: DispatchState,
   request: ActiveRequest,
   entry: EndpointEntry,
   nowMs: number,
-): Effect[] {
-  const {requestId, attemptId, route} = request;
-  const {endpoint} = entry;
+): ActiveCall {
   consumePermit(state, entry, nowMs);
   entry.inFlight += 1;
+  request.callsStarted += 1;
+  return {
+    callNumber: request.callsStarted,
+    endpointId: entry.endpoint.id,
+    startedAtMs: nowMs,
+    hasFirstEvent: false,
+    lastProgressAtMs: nowMs,
+    events: 0,
+    isSilenceLogged: false,
+  };
+}
+
+/** Starts the current call of a request at an endpoint. */
+export function startCall(
+  state: DispatchState,
+  request: ActiveRequest,
+  entry: EndpointEntry,
+  nowMs: number,
+): Effect[] {
   request.phase = 'calling';
-  request.callNumber += 1;
-  request.endpointId = endpoint.id;
-  request.callStartedAtMs = nowMs;
-  request.lastProgressAtMs = nowMs;
-  request.hasFirstEvent = false;
-  request.events = 0;
+  request.call = createCall(state, request, entry, nowMs);
   scheduleSilenceTimeout(state, request, entry, nowMs);
+  const labels = {tier: `${request.tier}`};
+  const valueMs = Math.round(nowMs - request.receivedAtMs);
+  return [
+    ...createCallEffects(state, request, entry, nowMs),
+    {kind: 'observe', name: 'waited_ms', labels, valueMs},
+  ];
+}
+
+/** Returns the effects that send the last call of a request and report it. */
+export function createCallEffects(
+  state: DispatchState,
+  request: ActiveRequest,
+  entry: EndpointEntry,
+  nowMs: number,
+): Effect[] {
+  const {requestId, attemptId, route} = request;
+  const {endpoint} = entry;
   const isStream = route.kind === callKind.stream;
   const waitedMs = Math.round(nowMs - request.receivedAtMs);
-  const tier = `${request.tier}`;
   return [
     {
       kind: 'startCall',
       requestId,
-      callNumber: request.callNumber,
+      callNumber: request.callsStarted,
       endpoint,
       customer: request.customer,
       timeLeftMs: request.timeoutAtMs - nowMs,
       isStream,
       isResumable: isStream && route.isResumable,
     },
-    createCount('calls_started', {tier}),
-    {kind: 'observe', name: 'waited_ms', labels: {tier}, valueMs: waitedMs},
+    createCount('calls_started', {tier: `${request.tier}`}),
     createLog('call_started', {
       request: attemptId,
       endpoint: endpoint.id,
@@ -49,7 +76,7 @@
       desiredVersion: state.desiredState.current?.version ?? -1,
       tier: request.tier,
       waitedMs,
-      call: request.callNumber,
+      call: request.callsStarted,
       ownCalls: entry.inFlight,
       allCalls: countCalls(state, entry, nowMs),
       promptTokens: request.promptTokens,
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -172,7 +172,7 @@
     ...createReportHandlers(logger, metrics),
     ...createFetchHandlers(components),
     startCall: effect => endpointClient.startCall(effect),
-    cancelCall: ({requestId}) => endpointClient.cancelCall(requestId),
+    cancelCall: effect => endpointClient.cancelCall(effect),
     ...createAnswerHandlers(components),
     sendPeer: ({address, message}) => peerSocket.send(address, message),
     applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -48,6 +48,8 @@
   readonly submit: (input: Input) => void;
   /** Monotonic time, in ms. */
   readonly readNowMs: () => number;
+  /** Whether another call of the same request is in progress. */
+  readonly hasRival: () => boolean;
   /** Called once, when the call has completed, failed or been canceled. */
   readonly handleFinished: () => void;
 }
@@ -182,11 +184,23 @@
   }
 
   private handleData(chunk: Buffer): void {
+    this.reportRivalProgress();
     if (this.isFinished) return;
     if (this.mode === 'held') this.holdChunk(chunk);
     else if (this.mode === 'events') this.forwardEvents(chunk);
     else this.forwardBytes(chunk);
-    if (!this.isFinished) this.reportProgress();
+    if (!this.isFinished && !this.isFailure()) this.reportProgress();
+  }
+
+  /**
+   * Reports progress before the answer is forwarded if the request has another
+   * call, so that the core cancels one of the two: only one may forward. A
+   * failure of the endpoint is not progress.
+   */
+  private reportRivalProgress(): void {
+    if (this.isFinished || this.isFailure()) return;
+    if (!this.options.hasRival()) return;
+    this.submitEvent({kind: 'callProgressed', events: this.events});
   }
 
   /** Reports the first data at once, and later data at limited intervals. */
@@ -215,10 +229,11 @@
 
   /** Forwards what is left of an answer that was received completely. */
   private forwardAnswer(): void {
+    this.reportRivalProgress();
     if (this.isFinished) return;
     const {openRequest} = this.options;
     const {status} = this.head!;
-    if (this.mode === 'held' && status >= minFailureStatus) {
+    if (this.isFailure()) {
       openRequest.heldFailure = this.createHeldAnswer();
       this.fail('failed', `${status}`);
       return;
@@ -266,6 +281,11 @@
     });
   }
 
+  /** Returns whether the answer reports a failure of the endpoint. */
+  private isFailure(): boolean {
+    return this.head !== undefined && this.head.status >= minFailureStatus;
+  }
+
   /**
    * Returns whether only the end of the connection marks the answer's end; false
    * before an answer.
@@ -301,7 +321,7 @@
   private holdChunk(chunk: Buffer): void {
     this.held.push(chunk);
     this.heldBytes += chunk.length;
-    const isFailure = this.head!.status >= minFailureStatus;
+    const isFailure = this.isFailure();
     if (isFailure && this.heldBytes > maxFailureBytes) {
       this.fail('cut', 'failure_too_large');
     }
--- a/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
@@ -1,4 +1,4 @@
-import {Input, StartCall} from '@ryeworks/dispatch';
+import {CancelCall, Input, StartCall} from '@ryeworks/dispatch';
 import {OpenRequests} from '../callers/openRequest.js';
 import {WireFormat} from '../deploymentInterfaces.js';
 import {EndpointCall} from './endpointCall.js';
@@ -18,7 +18,8 @@
  * silently lost and never receives the answer to an earlier call.
  */
 export class EndpointClient {
-  private readonly calls = new Map<string, EndpointCall>();
+  /** Calls that have not ended, by request ID and call number. */
+  private readonly calls = new Map<string, Map<number, EndpointCall>>();
 
   constructor(private readonly options: EndpointClientOptions) {}
 
@@ -27,29 +28,34 @@
     const {openRequests, readNowMs, submit, wire} = this.options;
     const openRequest = openRequests.get(effect.requestId);
     if (openRequest === undefined) return;
-    const {requestId} = effect;
-    const handleFinished = () => {
-      if (this.calls.get(requestId) === call) this.calls.delete(requestId);
-    };
+    const {callNumber, requestId} = effect;
+    const requestCalls = this.calls.get(requestId) ?? new Map();
     const call = new EndpointCall({
       effect,
       openRequest,
       wire,
       submit,
       readNowMs,
-      handleFinished,
+      hasRival: () => requestCalls.size > 1,
+      handleFinished: () => {
+        requestCalls.delete(callNumber);
+        if (requestCalls.size === 0) this.calls.delete(requestId);
+      },
     });
-    this.calls.set(requestId, call);
+    requestCalls.set(callNumber, call);
+    this.calls.set(requestId, requestCalls);
     call.start();
   }
 
-  /** Cancels the call of a request. */
-  cancelCall(requestId: string): void {
-    this.calls.get(requestId)?.cancel();
+  /** Cancels one call of a request. */
+  cancelCall({callNumber, requestId}: CancelCall): void {
+    this.calls.get(requestId)?.get(callNumber)?.cancel();
   }
 
   /** Cancels every call. */
   close(): void {
-    for (const call of [...this.calls.values()]) call.cancel();
+    for (const requestCalls of [...this.calls.values()]) {
+      for (const call of [...requestCalls.values()]) call.cancel();
+    }
   }
 }
