Endpoint calls: an answer whose status is below 200 is not forwarded

One answer with status 000 or 099 that named the right attempt ended the process of the VM, and with it every open request: Node reads such a status and refuses to send it (ERR_HTTP_INVALID_STATUS_CODE, uncaught). An answer with 101 was not seen at all, so that its request was told nothing until its time limit. Both are now calls that were cut.

Before: containedFaults.test.ts, 'an answer with status 099 on /booking/1 fails one request' ended with 'Invalid status code: 99', and so on for 000; 'status 101 on /booking/1' and the two streams got another status than 502. All nine get 502 now.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -35,6 +35,8 @@
  * sends more is not going to answer.
  */
 const maxInterimResponses = 16;
+/** Lowest HTTP status of an answer; Node sends no lower one to a caller. */
+const minAnswerStatus = 200;
 /** Lowest HTTP status that reports a failure of the endpoint. */
 const minFailureStatus = 500;
 /** HTTP statuses from which a caller concludes that a request did not run. */
@@ -122,6 +124,7 @@
       this.fail(this.isSent ? 'cut' : 'notSent', error.code ?? error.message),
     );
     call.on('information', () => this.countInterimResponse());
+    call.on('upgrade', () => this.fail('cut', 'upgraded'));
     call.on('response', response => this.handleResponse(response));
     call.end(openRequest.body.length > 0 ? openRequest.body : undefined);
   }
@@ -168,8 +171,10 @@
     }
     // An unverified answer is not forwarded. Neither is a status from which the
     // caller would conclude that the request did not run, because the endpoint
-    // did not state that.
-    if (answerClass === 'unverified' || notRunStatuses.has(status)) {
+    // did not state that, nor a status that is none.
+    const isForwardable =
+      status >= minAnswerStatus && !notRunStatuses.has(status);
+    if (answerClass === 'unverified' || !isForwardable) {
       this.fail('cut', `${answerClass}_${status}`);
       return;
     }
