Dispatch loop: an error in one request's handling ends this request only

An error thrown by the core or by the handler of an effect ended the process, and with it every open request. Two ways to do that were found: a customer whose name no header can hold (ERR_INVALID_CHAR in the call to the endpoint: each VM that got a request of that customer), and a stream that is resumed after an event whose ID holds a control character.

The loop now catches such errors, logs internal_error with the stack, counts internal_errors by source, runs the remaining effects, and ends the request that they belong to: 503 if it has not run, 502 if it may have, closed if its answer had begun (new input requestFaulted of the core). Its call is not repeated, since it would fail at every endpoint and count against sound ones. An answer that was ended is never aborted any more.

Before: containedFaults.test.ts, 'an event ID with control characters ends no process' ended with 'Invalid character in header content [last-event-id]', 'a customer whose name no header can hold ends no process' with the same for x-tenant; both pass, and dispatchLoop.test.ts.

--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -131,6 +131,7 @@
   requests_refused: ['reason', 'tier'],
   requests_ended: ['outcome', 'tier'],
   requests_unanswered: ['cause'],
+  internal_errors: ['source'],
   calls_started: ['tier'],
   calls_failed: ['failure'],
   calls_repeated: ['reason'],
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -51,6 +51,7 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
+import {handleRequestFaulted} from './requests/handleRequestFaulted.js';
 import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
@@ -156,6 +157,7 @@
 const inputHandlers: {[K in Input['kind']]: InputHandler<K>} = {
   requestReceived: handleRequestReceived,
   callerGone: handleCallerGone,
+  requestFaulted: handleRequestFaulted,
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -36,6 +36,14 @@
   readonly requestId: string;
 }
 
+/** A fault of this VM has interrupted the handling of a request. */
+export interface RequestFaulted {
+  readonly kind: 'requestFaulted';
+  readonly requestId: string;
+  /** Whether the last call of the request was started. */
+  readonly isCallStarted: boolean;
+}
+
 /** Identifies the call of a request that an event refers to. */
 interface CallEvent {
   readonly requestId: string;
@@ -222,6 +230,7 @@
 export type Input =
   | RequestReceived
   | CallerGone
+  | RequestFaulted
   | CallSent
   | CallAnswered
   | CallProgressed
--- /dev/null
+++ b/packages/ryeworks-gateway/src/__tests__/dispatchLoop.test.ts
@@ -0,0 +1,57 @@
+import {createDispatchState} from '@ryeworks/dispatch';
+import {systemClock} from '@ryeworks/utils';
+import t, {Test} from 'tap';
+import {DispatchLoop, EffectHandlers, Fault} from '../core/dispatchLoop.js';
+
+/** Creates a loop whose faults are collected. */
+function createLoop(t: Test) {
+  const state = createDispatchState({
+    vm: 'vm-1',
+    peerAddress: '127.0.0.1:1',
+    availabilityZone: 'a',
+    incarnation: 1,
+    seed: 1,
+    retryBounds: {ratio: 0.2, windowMs: 10_000, allowance: 50},
+    limitBounds: {windowMs: 8000, overrunRatio: 0.1, allowance: 1000},
+    trialRatio: 0.1,
+    trialAllowance: 50,
+  });
+  const loop = new DispatchLoop(state, systemClock);
+  t.teardown(() => loop.stop());
+  const faults: Fault[] = [];
+  const handled: string[] = [];
+  const handlers = new Proxy({} as EffectHandlers, {
+    get: (_target, kind) => () => {
+      if (kind === 'count') throw new Error('refused');
+      handled.push(String(kind));
+    },
+  });
+  loop.start(handlers, fault => faults.push(fault));
+  return {faults, handled, loop, state};
+}
+
+// Guards against an error that ends the process or leaves the other effects of
+// the same input undone.
+t.test('an error in an effect handler ends nothing else', t => {
+  const {faults, handled, loop} = createLoop(t);
+  for (const isReachable of [true, false, true]) {
+    loop.submit({kind: 'storeReachabilityChanged', isReachable});
+  }
+  t.ok(handled.filter(kind => kind === 'log').length >= 2);
+  t.ok(faults.length >= 2, 'the loop goes on');
+  t.match(faults[0], {source: 'count', requestId: undefined});
+  t.end();
+});
+
+// Guards against an input that the core cannot handle.
+t.test('an error in the core ends nothing else', t => {
+  const {faults, handled, loop, state} = createLoop(t);
+  Object.assign(state, {requests: undefined});
+  loop.submit({kind: 'callerGone', requestId: '7'});
+  t.match(faults, [{source: 'callerGone', requestId: '7'}]);
+  for (const isReachable of [true, false]) {
+    loop.submit({kind: 'storeReachabilityChanged', isReachable});
+  }
+  t.ok(handled.includes('log'), 'the loop goes on');
+  t.end();
+});
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -37,6 +37,8 @@
   readonly loop: DispatchLoop;
   readonly wire: WireFormat;
   readonly openRequests: OpenRequests;
+  /** Called with an error of the gateway itself. */
+  readonly reportFault: (error: unknown) => void;
 }
 
 /** Returns the size of a request's headers, in bytes. */
@@ -65,7 +67,12 @@
         noDelay: true,
         requestTimeout: 0,
       },
-      (request, response) => void this.handleRequest(request, response),
+      (request, response) => {
+        this.handleRequest(request, response).catch(error => {
+          options.reportFault(error);
+          response.destroy();
+        });
+      },
     );
     this.server.on('connection', socket => this.connections.add(socket));
     this.applyBounds(defaultBounds);
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -130,8 +130,12 @@
     this.response.end();
   }
 
-  /** Closes the connection so that the answer is seen to be incomplete. */
+  /**
+   * Closes the connection so that the answer is seen to be incomplete. Has no
+   * effect on an answer that is complete.
+   */
   abort(): void {
+    if (this.response.writableEnded) return;
     // If the end of the connection marks the end of the answer, only a reset
     // shows that the answer was aborted.
     if (this.isUnframed) this.request.socket.resetAndDestroy();
--- /dev/null
+++ b/packages/ryeworks-gateway/src/core/createFaultHandler.ts
@@ -0,0 +1,53 @@
+import {DispatchState} from '@ryeworks/dispatch';
+import {Logger, PrometheusMetrics} from '@ryeworks/logger';
+import {OpenRequests} from '../callers/openRequest.js';
+import {DispatchLoop, Fault} from './dispatchLoop.js';
+
+/** Dependencies of the handler. */
+export interface FaultContext {
+  readonly logger: Logger;
+  readonly loop: DispatchLoop;
+  readonly metrics: PrometheusMetrics;
+  readonly openRequests: OpenRequests;
+  readonly state: DispatchState;
+}
+
+/** Reports an error that is a fault of the gateway itself. */
+export function reportFault(
+  {logger, metrics}: Pick<FaultContext, 'logger' | 'metrics'>,
+  error: unknown,
+  source: string,
+  request = '',
+): void {
+  metrics.count('internal_errors', {source});
+  const detail = error instanceof Error ? error.stack : undefined;
+  logger.error('internal_error', {
+    source,
+    request,
+    detail: detail ?? String(error),
+  });
+}
+
+/**
+ * Creates the handler of the errors that the core or the handler of an effect
+ * throws. It reports them and ends the request that they belong to, if any; all
+ * other requests go on.
+ */
+export function createFaultHandler(
+  context: FaultContext,
+): (fault: Fault) => void {
+  const {loop, openRequests, state} = context;
+  return ({error, requestId, source}) => {
+    const openRequest = openRequests.get(requestId ?? '');
+    const attemptId = openRequest?.requestInfo.attemptId;
+    reportFault(context, error, source, attemptId);
+    if (requestId === undefined) return;
+    if (state.requests.has(requestId) && source !== 'requestFaulted') {
+      const isCallStarted = source !== 'startCall';
+      loop.submit({kind: 'requestFaulted', requestId, isCallStarted});
+      return;
+    }
+    // The core does not know the request, or cannot end it.
+    openRequest?.sendError('outcomeUnknown', 0);
+  };
+}
--- a/packages/ryeworks-gateway/src/core/dispatchLoop.ts
+++ b/packages/ryeworks-gateway/src/core/dispatchLoop.ts
@@ -16,16 +16,33 @@
 /** A handler for each kind of effect. */
 export type EffectHandlers = {[K in Effect['kind']]: EffectHandler<K>};
 
+/** An error that the core or the handler of an effect has thrown. */
+export interface Fault {
+  readonly error: unknown;
+  /** Kind of the input or effect that was handled. */
+  readonly source: Input['kind'] | Effect['kind'];
+  /** Request that it belongs to; undefined if none. */
+  readonly requestId: string | undefined;
+}
+
+/** Creates the description of a fault in handling an input or an effect. */
+function createFault(error: unknown, handled: Input | Effect): Fault {
+  const requestId = 'requestId' in handled ? handled.requestId : undefined;
+  return {error, source: handled.kind, requestId};
+}
+
 /** Delay until the core runs again if it has no timer set, in ms. */
 const defaultTimerDelayMs = 1000;
 
 /**
  * The event loop around the dispatch core: passes inputs to the core one at a
  * time and runs the effects that it returns. Inputs submitted during this are
- * queued. Each process has one such loop.
+ * queued. Each process has one such loop. An error that is thrown meanwhile is
+ * reported and ends neither the loop nor the handling of the other effects.
  */
 export class DispatchLoop {
   private handlers: EffectHandlers | undefined;
+  private handleFault: ((fault: Fault) => void) | undefined;
   private readonly inputs: Input[] = [];
   private timer: NodeJS.Timeout | undefined;
   private timerDueMs = Number.POSITIVE_INFINITY;
@@ -38,8 +55,9 @@
   ) {}
 
   /** Starts the core and its timers. */
-  start(handlers: EffectHandlers): void {
+  start(handlers: EffectHandlers, handleFault: (fault: Fault) => void): void {
     this.handlers = handlers;
+    this.handleFault = handleFault;
     startDispatch(this.state, this.clock.readNowMs());
     this.scheduleTimer();
   }
@@ -68,17 +86,27 @@
     for (;;) {
       const input = this.inputs.shift();
       if (input === undefined) return;
-      const nowMs = this.clock.readNowMs();
-      for (const effect of handleInput(this.state, input, nowMs)) {
-        this.runEffect(effect);
-      }
+      for (const effect of this.decideEffects(input)) this.runEffect(effect);
+    }
+  }
+
+  private decideEffects(input: Input): Effect[] {
+    try {
+      return handleInput(this.state, input, this.clock.readNowMs());
+    } catch (error) {
+      this.handleFault?.(createFault(error, input));
+      return [];
     }
   }
 
   private runEffect(effect: Effect): void {
     const handler = this.handlers?.[effect.kind] as
       EffectHandler<Effect['kind']> | undefined;
-    handler?.(effect);
+    try {
+      handler?.(effect);
+    } catch (error) {
+      this.handleFault?.(createFault(error, effect));
+    }
   }
 
   private scheduleTimer(): void {
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -24,6 +24,7 @@
 import {CallerServer} from './callers/callerServer.js';
 import {createAnswerHandlers} from './callers/createAnswerHandlers.js';
 import {OpenRequests} from './callers/openRequest.js';
+import {createFaultHandler, reportFault} from './core/createFaultHandler.js';
 import {createFetchHandlers} from './core/createFetchHandlers.js';
 import {DispatchLoop, EffectHandlers} from './core/dispatchLoop.js';
 import {
@@ -77,6 +78,8 @@
   applySettings(settings: GatewaySettings): void;
   /** Logs a warning, for example about settings that cannot be read. */
   reportWarning(event: string, detail: string): void;
+  /** Reports an error that nothing has caught. */
+  reportUncaughtError(error: unknown): void;
   /**
    * Finishes the requests in progress, then stops the gateway. Later calls wait
    * for the same stop.
@@ -156,8 +159,14 @@
         }),
     ).singleton(),
     callerServer: asFunction(
-      ({clock, loop, openRequests}: Components) =>
-        new CallerServer({clock, loop, wire, openRequests}),
+      ({clock, logger, loop, metrics, openRequests}: Components) =>
+        new CallerServer({
+          clock,
+          loop,
+          wire,
+          openRequests,
+          reportFault: error => reportFault({logger, metrics}, error, 'caller'),
+        }),
     ).singleton(),
     storeWatcher: asFunction(
       ({logger, loop}: Components) =>
@@ -234,7 +243,7 @@
   await peerSocket.listen(peerListen);
   disposables.add(() => peerSocket.close());
   disposables.add(() => components.endpointClient.close());
-  loop.start(createEffectHandlers(components));
+  loop.start(createEffectHandlers(components), createFaultHandler(components));
   disposables.add(() => loop.stop());
   for (const address of seedPeers) {
     loop.submit({kind: 'seedListed', address});
@@ -270,6 +279,7 @@
   return {
     applySettings: bounds => loop.submit({kind: 'boundsChanged', bounds}),
     reportWarning: (event, detail) => logger.warn(event, {detail}),
+    reportUncaughtError: error => reportFault(components, error, 'uncaught'),
     stop: () => (stopped ??= stop()),
   };
 }
