Process: an error that nothing catches leads to a graceful stop

An error that nothing had caught, or a rejected promise that nothing awaited, ended the process of a VM at once, and every open request with it.

--- a/packages/ryeworksd/src/bin/ryeworksd.ts
+++ b/packages/ryeworksd/src/bin/ryeworksd.ts
@@ -3,8 +3,8 @@
 
 /** Exit code for invalid settings, `EX_CONFIG` of sysexits.h. */
 const exitInvalidConfig = 78;
-/** Exit code for a process that cannot start. */
-const exitCannotStart = 1;
+/** Exit code for a process that cannot start, or stops after an error. */
+const exitFailed = 1;
 
 // SIGHUP announces changed settings. Without a handler it would end a process
 // that is still starting, which reads the latest settings anyway.
@@ -40,6 +40,23 @@
   }
 }
 
+/** A component that reports errors that nothing has caught. */
+interface ErrorReporter extends Stoppable {
+  reportUncaughtError(error: unknown): void;
+}
+
+/**
+ * Stops gracefully after an error that nothing has caught, including rejections:
+ * the state of the process may be wrong, but most requests in progress can still
+ * be completed. Node would end the process at once.
+ */
+function stopAtError(running: ErrorReporter): void {
+  process.on('uncaughtException', error => {
+    running.reportUncaughtError(error);
+    void running.stop().finally(() => process.exit(exitFailed));
+  });
+}
+
 const program = new Command('ryeworksd').description(
   'Entry process of ryeworks: serves callers on one VM.',
 );
@@ -84,10 +101,11 @@
       console.log(`${file}: ok`);
       return;
     }
-    const gateway = await runOrExit(exitCannotStart, () =>
+    const gateway = await runOrExit(exitFailed, () =>
       platform.createPlatformGateway(settings),
     );
     platform.watchSettings(file, gateway);
+    stopAtError(gateway);
     stopAtSignal(gateway);
   });
 
