Stopping: requests that are open at the end of the grace period are told so

A request that was open when the process used up its grace period had its connection closed without a word, and the caller could not tell whether its VM was alive. 300 ms before that end, the process now ends its open requests: 503 if the request has not run, 502 if it may have, closed and counted (cause=stopped) if its answer had begun. The input of the core that ends a request after a fault is used for this, too (requestInterrupted).

Requests that ended where the core does not see it left no trace. request_unanswered and requests_unanswered now tell of callers that left before their request was complete (request_unfinished) or before they had read an answer that was ended (answer_unread), and of connections closed at the end of the process (process_ended).

--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -51,7 +51,7 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
-import {handleRequestFaulted} from './requests/handleRequestFaulted.js';
+import {handleRequestInterrupted} from './requests/handleRequestInterrupted.js';
 import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
@@ -157,7 +157,7 @@
 const inputHandlers: {[K in Input['kind']]: InputHandler<K>} = {
   requestReceived: handleRequestReceived,
   callerGone: handleCallerGone,
-  requestFaulted: handleRequestFaulted,
+  requestInterrupted: handleRequestInterrupted,
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -36,10 +36,12 @@
   readonly requestId: string;
 }
 
-/** A fault of this VM has interrupted the handling of a request. */
-export interface RequestFaulted {
-  readonly kind: 'requestFaulted';
+/** This VM cannot go on with a request: a fault, or the end of the process. */
+export interface RequestInterrupted {
+  readonly kind: 'requestInterrupted';
   readonly requestId: string;
+  /** Why, for logs and counters. */
+  readonly reason: string;
   /** Whether the last call of the request was started. */
   readonly isCallStarted: boolean;
 }
@@ -230,7 +232,7 @@
 export type Input =
   | RequestReceived
   | CallerGone
-  | RequestFaulted
+  | RequestInterrupted
   | CallSent
   | CallAnswered
   | CallProgressed
--- a/packages/ryeworks-dispatch/src/requests/handleRequestFaulted.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestInterrupted.ts
@@ -1,16 +1,16 @@
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
-import {RequestFaulted} from '../input.js';
+import {RequestInterrupted} from '../input.js';
 import {failRequest} from './endRequest.js';
 import {notRunRetryAfterMs} from './handleCallFailed.js';
 
 /**
- * Ends a request whose handling was interrupted by a fault of this VM. Its call is
- * not repeated, since the fault may lie in the request itself.
+ * Ends a request that this VM cannot go on with. Its call is not repeated: a fault
+ * may lie in the request itself, and a process that ends has no time for it.
  */
-export function handleRequestFaulted(
+export function handleRequestInterrupted(
   state: DispatchState,
-  {isCallStarted, requestId}: RequestFaulted,
+  {isCallStarted, reason, requestId}: RequestInterrupted,
   nowMs: number,
 ): Effect[] {
   const request = state.requests.get(requestId);
@@ -19,12 +19,5 @@
   const mayHaveRun = request.possibleRuns > 0 || isInCall;
   const error = mayHaveRun ? 'outcomeUnknown' : 'noEndpoint';
   const retryAfterMs = mayHaveRun ? 0 : notRunRetryAfterMs;
-  return failRequest(
-    state,
-    request,
-    error,
-    'internal_error',
-    retryAfterMs,
-    nowMs,
-  );
+  return failRequest(state, request, error, reason, retryAfterMs, nowMs);
 }
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -31,12 +31,30 @@
  */
 const maxDiscardMs = 5000;
 
+/**
+ * Why a request has ended without a complete answer, in addition to the causes
+ * that the core reports.
+ */
+const unansweredCause = {
+  /** The caller left before its request was complete. */
+  requestUnfinished: 'request_unfinished',
+  /** The caller left before it had read an answer that was ended. */
+  answerUnread: 'answer_unread',
+  /** The process has ended. */
+  stopped: 'process_ended',
+} as const;
+
 /** Dependencies of a caller server. */
 export interface CallerServerOptions {
   readonly clock: Clock;
   readonly loop: DispatchLoop;
   readonly wire: WireFormat;
   readonly openRequests: OpenRequests;
+  /**
+   * Called with the cause and the ID of the caller's attempt when a request has
+   * ended without a complete answer, for a reason that the core does not know.
+   */
+  readonly reportUnanswered: (cause: string, attemptId: string) => void;
   /** Called with an error of the gateway itself. */
   readonly reportFault: (error: unknown) => void;
 }
@@ -58,6 +76,7 @@
   private readonly connections = new CallerConnections();
   private nextRequestNumber = 1;
   private isStopping = false;
+  private isClosed = false;
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = createServer(
@@ -114,6 +133,7 @@
 
   /** Stops listening and closes every connection. */
   close(): Promise<void> {
+    this.isClosed = true;
     return new Promise(resolve => {
       this.server.close(() => resolve());
       this.server.closeAllConnections();
@@ -135,7 +155,7 @@
     response.sendDate = false;
     const requestId = `${this.nextRequestNumber++}`;
     this.connections.addRequest(request.socket, response, () =>
-      this.handleAnswerEnd(requestId, response),
+      this.handleAnswerEnd(requestId, request, response),
     );
     if (countHeaderBytes(request) > maxHeaderBytes) {
       this.refuse(request, response, 'headersTooLarge');
@@ -145,8 +165,7 @@
     try {
       body = await readBody(request, maxBodyBytes);
     } catch {
-      // The caller disconnected before its request was complete, so no answer
-      // can be sent.
+      // No answer can be sent; `handleAnswerEnd` reports it.
       return;
     }
     if (body === undefined) {
@@ -156,10 +175,30 @@
     this.submitRequest(requestId, request, response, body, receivedAtMs);
   }
 
-  private handleAnswerEnd(requestId: string, response: ServerResponse): void {
-    const {loop, openRequests} = this.options;
-    if (!openRequests.delete(requestId) || response.writableFinished) return;
-    loop.submit({kind: 'callerGone', requestId});
+  private handleAnswerEnd(
+    requestId: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {loop, openRequests, reportUnanswered, wire} = this.options;
+    const openRequest = openRequests.get(requestId);
+    openRequests.delete(requestId);
+    if (response.writableFinished || openRequest?.isAborted) return;
+    const isRefused = openRequest === undefined && response.headersSent;
+    if (isRefused) return;
+    const {attemptId} = wire.readRequestInfo(
+      request.url ?? '/',
+      request.headers,
+    );
+    if (this.isClosed) {
+      reportUnanswered(unansweredCause.stopped, attemptId);
+    } else if (response.writableEnded) {
+      reportUnanswered(unansweredCause.answerUnread, attemptId);
+    } else if (openRequest === undefined) {
+      reportUnanswered(unansweredCause.requestUnfinished, attemptId);
+    } else {
+      loop.submit({kind: 'callerGone', requestId});
+    }
   }
 
   private submitRequest(
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -44,6 +44,8 @@
    * last event that the caller received from an earlier stream; empty if none.
    */
   lastEventId: string;
+  /** Whether the answer was aborted. */
+  isAborted = false;
   private isClosing = false;
   private isUnframed = false;
 
@@ -136,6 +138,7 @@
    */
   abort(): void {
     if (this.response.writableEnded) return;
+    this.isAborted = true;
     // If the end of the connection marks the end of the answer, only a reset
     // shows that the answer was aborted.
     if (this.isUnframed) this.request.socket.resetAndDestroy();
--- a/packages/ryeworks-gateway/src/core/createFaultHandler.ts
+++ b/packages/ryeworks-gateway/src/core/createFaultHandler.ts
@@ -42,9 +42,14 @@
     const attemptId = openRequest?.requestInfo.attemptId;
     reportFault(context, error, source, attemptId);
     if (requestId === undefined) return;
-    if (state.requests.has(requestId) && source !== 'requestFaulted') {
+    if (state.requests.has(requestId) && source !== 'requestInterrupted') {
       const isCallStarted = source !== 'startCall';
-      loop.submit({kind: 'requestFaulted', requestId, isCallStarted});
+      loop.submit({
+        kind: 'requestInterrupted',
+        requestId,
+        reason: 'internal_error',
+        isCallStarted,
+      });
       return;
     }
     // The core does not know the request, or cannot end it.
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -46,6 +46,8 @@
 const stopPollMs = 25;
 /** Time reserved at the end of the grace period for shutting down, in ms. */
 const stopMarginMs = 300;
+/** Part of that time for the last answers to be sent, in ms. */
+const lastAnswersMs = 100;
 /** File descriptor of standard output. */
 const logFd = 1;
 
@@ -165,6 +167,10 @@
           loop,
           wire,
           openRequests,
+          reportUnanswered: (cause, request) => {
+            metrics.count('requests_unanswered', {cause});
+            logger.warn('request_unanswered', {cause, request});
+          },
           reportFault: error => reportFault({logger, metrics}, error, 'caller'),
         }),
     ).singleton(),
@@ -214,7 +220,8 @@
  * after the next answer whose headers are sent on it. Idle connections are closed
  * after `idleCloseDelayMs`, or after half of the grace period if that is shorter.
  * From then on, returns as soon as every used connection is closed, at the latest
- * `stopMarginMs` before the end of the grace period.
+ * `stopMarginMs` before the end of the grace period, when it ends the requests that
+ * are still open.
  */
 async function finishRequests(components: Components): Promise<void> {
   const {callerServer, clock, loop, settings} = components;
@@ -228,6 +235,25 @@
     await sleep(stopPollMs);
     if (!callerServer.isUsed) return;
   }
+  endOpenRequests(components);
+  await sleep(lastAnswersMs);
+}
+
+/**
+ * Ends the requests that are open at the end of the grace period. Those whose
+ * answer has not begun are refused, or told that their outcome is unknown.
+ */
+function endOpenRequests({loop, openRequests, state}: Components): void {
+  for (const [requestId, openRequest] of [...openRequests]) {
+    if (!state.requests.has(requestId)) {
+      // It waits for the VM to become ready, or its answer is being sent.
+      if (!openRequest.hasStarted) openRequest.sendError('notReady', 0);
+      continue;
+    }
+    const reason = 'stopped';
+    const isCallStarted = true;
+    loop.submit({kind: 'requestInterrupted', requestId, reason, isCallStarted});
+  }
 }
 
 /** Starts a gateway on a deployment. */
