Callers: what cannot be read after a request does not end that request

A caller that sent further bytes while its request was in progress was told 400, or 408 if they were the beginning of a next request that came too slowly; the call of the first was canceled. 408 promises that the request has not run, which was not known. The gateway now completes the requests that it has read and closes the connection then. Such refusals by the HTTP parser left no trace; they are logged (request_unreadable) and counted now.

Before: callerConnections.test.ts, 'bytes that are no request after a request do not end it' got 400, 'half a head after a request do not end it' 408, and the three tests of refusals found no counter. All five pass.

--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -1,6 +1,7 @@
 import {CallerBounds} from '@ryeworks/dispatch';
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
 import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
@@ -8,6 +9,12 @@
 import {CallerConnections} from './callerConnections.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
+import {
+  formatUnreadableAnswer,
+  getUnreadableRefusal,
+  isDisconnect,
+  ReadError,
+} from './unreadableRequest.js';
 
 /**
  * Maximum header size that the HTTP parser accepts, in bytes. The limit of the
@@ -55,6 +62,8 @@
    * ended without a complete answer, for a reason that the core does not know.
    */
   readonly reportUnanswered: (cause: string, attemptId: string) => void;
+  /** Called with the reason when a request cannot be read. */
+  readonly reportUnreadable: (reason: string, detail: string) => void;
   /** Called with an error of the gateway itself. */
   readonly reportFault: (error: unknown) => void;
 }
@@ -75,6 +84,8 @@
   private readonly server: Server;
   private readonly connections = new CallerConnections();
   private nextRequestNumber = 1;
+  /** Connections on which nothing can be read any more. */
+  private readonly unreadable = new WeakSet<Socket>();
   private isStopping = false;
   private isClosed = false;
 
@@ -94,6 +105,9 @@
       },
     );
     this.server.on('connection', socket => this.connections.add(socket));
+    this.server.on('clientError', (error: ReadError, socket) =>
+      this.handleReadError(error, socket as Socket),
+    );
     this.applyBounds(defaultBounds);
   }
 
@@ -175,6 +189,32 @@
     this.submitRequest(requestId, request, response, body, receivedAtMs);
   }
 
+  /**
+   * Refuses a request that cannot be read and closes its connection. Requests
+   * that were read before it on the same connection are completed first.
+   */
+  private handleReadError(error: ReadError, socket: Socket): void {
+    if (!socket.writable || isDisconnect(error)) {
+      socket.destroy();
+      return;
+    }
+    if (this.unreadable.has(socket)) return;
+    this.unreadable.add(socket);
+    const refusal = getUnreadableRefusal(error);
+    const {code, message} = error;
+    this.options.reportUnreadable(refusal.reason, code ?? message);
+    if (this.hasOpenRequest(socket)) return;
+    socket.write(formatUnreadableAnswer(refusal));
+    socket.destroySoon();
+  }
+
+  private hasOpenRequest(socket: Socket): boolean {
+    for (const {request} of this.options.openRequests.values()) {
+      if (request.socket === socket) return true;
+    }
+    return false;
+  }
+
   private handleAnswerEnd(
     requestId: string,
     request: IncomingMessage,
@@ -183,6 +223,10 @@
     const {loop, openRequests, reportUnanswered, wire} = this.options;
     const openRequest = openRequests.get(requestId);
     openRequests.delete(requestId);
+    const {socket} = request;
+    if (this.unreadable.has(socket) && !this.hasOpenRequest(socket)) {
+      socket.destroySoon();
+    }
     if (response.writableFinished || openRequest?.isAborted) return;
     const isRefused = openRequest === undefined && response.headersSent;
     if (isRefused) return;
@@ -251,6 +295,8 @@
       emptyBody,
       response,
     );
+    // An error in the rest of its body is no other request.
+    this.unreadable.add(request.socket);
     void openRequest.refuseUnread(error, maxDiscardMs);
   }
 }
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -171,6 +171,10 @@
             metrics.count('requests_unanswered', {cause});
             logger.warn('request_unanswered', {cause, request});
           },
+          reportUnreadable: (reason, detail) => {
+            metrics.count('requests_refused', {reason, tier: 'none'});
+            logger.warn('request_unreadable', {reason, detail});
+          },
           reportFault: error => reportFault({logger, metrics}, error, 'caller'),
         }),
     ).singleton(),
