After a pause of the process, arrived data is read before timers run

What callers saw: after a long step of the VM, for example a large desired state, all silent-looking calls were sent a second time at once, and endpoints that had accepted a connection were cooled down as if they had not.

Cause: expired timers run before sockets are read.

--- a/packages/ryeworks-gateway/src/core/dispatchLoop.ts
+++ b/packages/ryeworks-gateway/src/core/dispatchLoop.ts
@@ -6,7 +6,7 @@
   Input,
   startDispatch,
 } from '@ryeworks/dispatch';
-import {Clock} from '@ryeworks/utils';
+import {Clock, startIoTimer} from '@ryeworks/utils';
 
 /** Handles the effects of one kind. */
 type EffectHandler<K extends Effect['kind']> = (
@@ -27,7 +27,7 @@
 export class DispatchLoop {
   private handlers: EffectHandlers | undefined;
   private readonly inputs: Input[] = [];
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimer = () => {};
   private timerDueMs = Number.POSITIVE_INFINITY;
   private isRunning = false;
   private isStopped = false;
@@ -61,7 +61,7 @@
   /** Stops the timers; later inputs are ignored. */
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.timer);
+    this.cancelTimer();
   }
 
   private handleInputs(): void {
@@ -86,10 +86,10 @@
     const nowMs = this.clock.readNowMs();
     const dueMs = getNextDueMs(this.state) ?? nowMs + defaultTimerDelayMs;
     if (dueMs === this.timerDueMs) return;
-    clearTimeout(this.timer);
+    this.cancelTimer();
     this.timerDueMs = dueMs;
     const delayMs = Math.max(0, Math.ceil(dueMs - nowMs));
-    this.timer = setTimeout(() => {
+    this.cancelTimer = startIoTimer(() => {
       this.timerDueMs = Number.POSITIVE_INFINITY;
       this.submit({kind: 'timerDue'});
     }, delayMs);
--- a/packages/ryeworks-gateway/src/endpoints/connectEndpoint.ts
+++ b/packages/ryeworks-gateway/src/endpoints/connectEndpoint.ts
@@ -1,3 +1,4 @@
+import {startIoTimer} from '@ryeworks/utils';
 import {connect, Socket} from 'node:net';
 
 /** Maximum time to open a connection to an endpoint, in ms. */
@@ -16,12 +17,11 @@
  */
 export function connectEndpoint(host: string, port: number): Socket {
   const socket = connect({host, port, noDelay: true, allowHalfOpen: true});
-  const timer = setTimeout(() => {
+  const cancelTimer = startIoTimer(() => {
     const message = `no connection to ${host}:${port} in ${connectTimeoutMs} ms`;
     socket.destroy(new ConnectTimeoutError(message));
   }, connectTimeoutMs);
-  const clearTimer = () => clearTimeout(timer);
-  socket.once('connect', clearTimer);
-  socket.once('close', clearTimer);
+  socket.once('connect', cancelTimer);
+  socket.once('close', cancelTimer);
   return socket;
 }
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -4,6 +4,7 @@
 export * from './rankByKey.js';
 export * from './timerQueue.js';
 export * from './sequentialTest.js';
+export * from './startIoTimer.js';
 export * from './callHttp.js';
 export * from './clock.js';
 export * from './hostPort.js';
