--- a/packages/ryeworks-gateway/src/__tests__/connectEndpoint.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/connectEndpoint.test.ts
@@ -1,3 +1,4 @@
+import {systemClock} from '@ryeworks/utils';
 import {once} from 'node:events';
 import {AddressInfo, createServer} from 'node:net';
 import t from 'tap';
@@ -8,8 +9,8 @@
 
 /** Blocks this process for a time. */
 function blockProcess(durationMs: number): void {
-  const untilMs = performance.now() + durationMs;
-  while (performance.now() < untilMs);
+  const untilMs = systemClock.readNowMs() + durationMs;
+  while (systemClock.readNowMs() < untilMs);
 }
 
 // Guards against a connection that counts as not opened because the process was
