A begun answer outlasts refusals and a retry budget that is used up

What callers saw: after an endpoint broke a stream off or was given up, the stream was closed although its time limit was seconds away, because other endpoints refused it, could not be reached (for half a second after a restart of many), or other requests had used up the retry budget of that moment.

Cause: an obstacle that passes by itself (budget_used), or that asks for a slower pace (calls_used, arrivals_used), ended a request as one that stays (attempts_used, may_have_run). Both new tests in silentCalls.test.ts failed before: the request had ended after 3 refused calls, and at once with no budget.

Such a request is now retried each 250 ms, each retry charged to the budget, until its time limit. A request without an answer is still refused at once.

--- a/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
@@ -169,3 +169,58 @@
     [],
   );
 });
+
+/** Starts a stream whose first event arrives, and fails its first call. */
+function startCutStream(state: DispatchState) {
+  const {first, requestId, second} = startStream(state);
+  const failure = 'cut';
+  const detail = 'test';
+  const hasResponseStarted = true;
+  const input = {kind: 'callFailed', ...first, failure, detail} as const;
+  runInput(state, {...input, hasResponseStarted}, 110);
+  return {requestId, second};
+}
+
+// Guards against a begun answer that is ended, long before its time limit,
+// because the endpoints that could go on with it refuse it for now.
+t.test('a begun answer outlasts the refusals of other endpoints', async t => {
+  const numbers = [1, 2, 3, 4, 5, 6, 7, 8];
+  const state = createReadyState(
+    numbers.map(number => createEndpoint(`m${number}`, names.model)),
+  );
+  const {requestId} = startCutStream(state);
+  let refusals = 0;
+  for (let nowMs = 120; nowMs < 3000; nowMs += 20) {
+    const call = state.requests.get(requestId)?.call;
+    if (call === undefined) {
+      runTimers(state, nowMs);
+      continue;
+    }
+    const {callNumber} = call;
+    runInput(state, {kind: 'callSent', requestId, callNumber}, nowMs);
+    runInput(state, createRefusal({requestId, callNumber}), nowMs);
+    refusals += 1;
+  }
+  t.ok(state.requests.has(requestId), 'it still waits for an endpoint');
+  t.ok(refusals > 4 && refusals < 20, `${refusals} calls were refused`);
+  const late = runTimers(state, 8001);
+  t.equal(listEffects(late, 'answerError')[0].error, 'endpointTimeout');
+});
+
+// Guards against a begun answer that is ended because other requests have used
+// up the retry budget for the moment.
+t.test('a begun answer outlasts a retry budget that is used up', async t => {
+  const state = createReadyState(models);
+  const {options, retryBudgets} = state;
+  runInput(state, createRequest('urgent', 0), 0);
+  const budget = retryBudgets.get(names.model)!;
+  while (budget.consumeRetry(options.retryBounds, 1, true, 0));
+  const {requestId} = startCutStream(state);
+  t.ok(state.requests.has(requestId));
+  t.equal(state.requests.get(requestId)?.call, undefined);
+  const retryBounds = {...options.retryBounds, allowance: 500};
+  state.options = {...options, retryBounds};
+  const effects = runTimers(state, 1000);
+  const calls = listEffects(effects, 'startCall');
+  t.match(calls, [{requestId}], 'it goes on once the budget allows it');
+});
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -27,6 +27,8 @@
   | 'silence'
   /** Ends the time for which a silent call and its standby call both run. */
   | 'standby'
+  /** Retries a request whose retry was put off. */
+  | 'retry'
   /** Refuses queued requests that have waited too long. */
   | 'sweepWaiting'
   /**
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -51,6 +51,7 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
+import {expireRetryDelay} from './requests/retryRequest.js';
 import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
@@ -68,6 +69,7 @@
   requestTimeout: expireRequest,
   silence: expireSilentCall,
   standby: expireStandbyOverlap,
+  retry: expireRetryDelay,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
   digest: sendDigest,
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -73,6 +73,7 @@
   const durationMs = Math.round(nowMs - request.receivedAtMs);
   state.requests.delete(requestId);
   state.timers.clear('requestTimeout', requestId);
+  state.timers.clear('retry', requestId);
   removeWaiting(getQueue(state, request.service), request);
   if (possibleRuns === 0) {
     refundUnits(state.usageByCustomer, request.customer, request.units, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -1,25 +1,21 @@
-import {startWaiting} from '../admission/refuseOrQueue.js';
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect, Log} from '../effect.js';
 import {recordFailure} from '../endpoints/recordFailure.js';
 import {CallFailed, callFailure, CallFailure} from '../input.js';
 import {ActiveRequest} from './activeRequest.js';
-import {
-  breakRequest,
-  failRequest,
-  finishRequest,
-  releaseCalls,
-} from './endRequest.js';
+import {breakRequest, failRequest, finishRequest} from './endRequest.js';
 import {findCall, FoundCall, getEndpointEntry} from './findCall.js';
 import {
   consumeRetry,
   findRetryObstacle,
   provesNotRun,
 } from './findRetryObstacle.js';
+import {canRetryLater, retryRequest, scheduleRetry} from './retryRequest.js';
 import {releaseFailedCall} from './standbyCall.js';
 
 /** Retry-after time of a request that no endpoint ran, in ms. */
 export const notRunRetryAfterMs = 300;
+
 /** Ends a request whose call failed and is not retried. */
 function endFailedRequest(
   state: DispatchState,
@@ -117,8 +113,16 @@
     return effects;
   }
   const obstacle = findObstacle(state, request, failure, nowMs);
-  const next = obstacle ?? 'repeat';
+  const isRetriedLater =
+    obstacle !== undefined &&
+    input.hasResponseStarted &&
+    canRetryLater(obstacle);
+  const next = isRetriedLater ? 'repeat_later' : (obstacle ?? 'repeat');
   effects.push(createFailureLog(found, input, next, nowMs));
+  if (isRetriedLater) {
+    effects.push(...scheduleRetry(state, request, nowMs));
+    return effects;
+  }
   if (obstacle !== undefined) {
     effects.push(createCount('calls_not_repeated', {reason: obstacle}));
     effects.push(...endFailedRequest(state, request, input, obstacle, nowMs));
@@ -130,16 +134,3 @@
   );
   return effects;
 }
-
-/** Puts a request back into its queue, to be sent to another endpoint. */
-function retryRequest(
-  state: DispatchState,
-  request: ActiveRequest,
-  nowMs: number,
-): Effect[] {
-  request.phase = 'waiting';
-  return [
-    ...releaseCalls(state, request, nowMs),
-    ...startWaiting(state, request, nowMs),
-  ];
-}
