A caller that reads slowly is no silence of its endpoint

What callers saw: a caller with a slow link had its sound stream sent to a second endpoint; the first one counted as failing.

Cause: while the caller's connection has no room, the gateway does not read the endpoint's answer, and the core took that for silence. The gateway now reports when it pauses an answer and when it goes on.

--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -42,6 +42,7 @@
   expireRequest,
   handleCallDone,
   handleCallerGone,
+  handleCallPaused,
   handleCallProgressed,
   handleCallSent,
 } from './requests/handleCallEvents.js';
@@ -161,6 +162,7 @@
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
+  callPaused: handleCallPaused,
   callDone: handleCallDone,
   callFailed: handleCallFailed,
   desiredStateRead: handleDesiredStateRead,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -63,6 +63,15 @@
   readonly events: number;
 }
 
+/**
+ * The response is no longer read, because the caller reads more slowly, or is
+ * read again.
+ */
+export interface CallPaused extends CallEvent {
+  readonly kind: 'callPaused';
+  readonly isPaused: boolean;
+}
+
 /** The complete response arrived and was forwarded to the caller. */
 export interface CallDone extends CallEvent {
   readonly kind: 'callDone';
@@ -225,6 +234,7 @@
   | CallSent
   | CallAnswered
   | CallProgressed
+  | CallPaused
   | CallDone
   | CallFailed
   | DesiredStateRead
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -17,6 +17,8 @@
   lastProgressAtMs: number;
   /** Number of events received. */
   events: number;
+  /** Whether its response is not read because the caller reads slowly. */
+  isPaused: boolean;
   /** Whether the log tells of its current silence. */
   isSilenceLogged: boolean;
 }
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -51,7 +51,8 @@
   const entry = getEndpointEntry(state, call);
   if (entry === undefined || request.standbyCall !== undefined) return [];
   const timeoutMs = getSilenceTimeoutMs(state, request, call, entry);
-  const dueMs = call.lastProgressAtMs + timeoutMs;
+  const silentSinceMs = call.isPaused ? nowMs : call.lastProgressAtMs;
+  const dueMs = silentSinceMs + timeoutMs;
   if (dueMs > nowMs) {
     state.timers.set('silence', requestId, dueMs);
     return [];
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -9,7 +9,13 @@
 } from '../endpoints/endpointTable.js';
 import {recordEventGap, recordFirstEvent} from '../endpoints/latency.js';
 import {recordZoneResponse} from '../endpoints/zoneCooldown.js';
-import {CallDone, CallerGone, CallProgressed, CallSent} from '../input.js';
+import {
+  CallDone,
+  CallerGone,
+  CallPaused,
+  CallProgressed,
+  CallSent,
+} from '../input.js';
 import {recordMoveEvidence} from '../moves/recordMoveEvidence.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {cancelCalls, failRequest, finishRequest} from './endRequest.js';
@@ -69,6 +75,20 @@
   ];
 }
 
+/** Records that a response is not read, or that it is read again. */
+export function handleCallPaused(
+  state: DispatchState,
+  input: CallPaused,
+  nowMs: number,
+): Effect[] {
+  const call = findCall(state, input)?.call;
+  if (call === undefined) return [];
+  call.isPaused = input.isPaused;
+  // The endpoint could not make progress meanwhile.
+  call.lastProgressAtMs = nowMs;
+  return [];
+}
+
 /**
  * Records a slow answer for the endpoint's version if the first event of a call
  * was late.
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -24,6 +24,7 @@
     hasFirstEvent: false,
     lastProgressAtMs: nowMs,
     events: 0,
+    isPaused: false,
     isSilenceLogged: false,
   };
 }
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -259,6 +259,7 @@
       | {kind: 'callSent'}
       | {kind: 'callAnswered'; limitStatement: LimitStatement}
       | {kind: 'callProgressed'; events: number}
+      | {kind: 'callPaused'; isPaused: boolean}
       | {kind: 'callDone'; status: number},
   ): void {
     const {callNumber, requestId} = this.options.effect;
@@ -379,6 +380,11 @@
     const {openRequest} = this.options;
     if (openRequest.write(bytes)) return;
     this.response?.pause();
-    openRequest.waitForDrain(() => this.response?.resume());
+    this.submitEvent({kind: 'callPaused', isPaused: true});
+    openRequest.waitForDrain(() => {
+      if (this.isFinished) return;
+      this.response?.resume();
+      this.submitEvent({kind: 'callPaused', isPaused: false});
+    });
   }
 }
