--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -52,6 +52,7 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
+import {handleRequestFaulted} from './requests/handleRequestFaulted.js';
 import {expireRetryDelay} from './requests/retryRequest.js';
 import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
@@ -159,6 +160,7 @@
 const inputHandlers: {[K in Input['kind']]: InputHandler<K>} = {
   requestReceived: handleRequestReceived,
   callerGone: handleCallerGone,
+  requestFaulted: handleRequestFaulted,
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -24,6 +24,7 @@
 import {CallerServer} from './callers/callerServer.js';
 import {createAnswerHandlers} from './callers/createAnswerHandlers.js';
 import {OpenRequests} from './callers/openRequest.js';
+import {createFaultHandler, reportFault} from './core/createFaultHandler.js';
 import {createFetchHandlers} from './core/createFetchHandlers.js';
 import {DispatchLoop, EffectHandlers} from './core/dispatchLoop.js';
 import {
@@ -77,7 +78,12 @@
   applySettings(settings: GatewaySettings): void;
   /** Logs a warning, for example about settings that cannot be read. */
   reportWarning(event: string, detail: string): void;
-  /** Finishes the requests in progress, then stops the gateway. */
+  /** Reports an error that nothing has caught. */
+  reportUncaughtError(error: unknown): void;
+  /**
+   * Finishes the requests in progress, then stops the gateway. Later calls wait
+   * for the same stop.
+   */
   stop(): Promise<void>;
 }
 
@@ -153,8 +159,14 @@
         }),
     ).singleton(),
     callerServer: asFunction(
-      ({clock, loop, openRequests}: Components) =>
-        new CallerServer({clock, loop, wire, openRequests}),
+      ({clock, logger, loop, metrics, openRequests}: Components) =>
+        new CallerServer({
+          clock,
+          loop,
+          wire,
+          openRequests,
+          reportFault: error => reportFault({logger, metrics}, error, 'caller'),
+        }),
     ).singleton(),
     storeWatcher: asFunction(
       ({logger, loop}: Components) =>
@@ -201,11 +213,11 @@
  * served until the load balancer stops sending them. Each connection is closed
  * after the next answer whose headers are sent on it. Idle connections are closed
  * after `idleCloseDelayMs`, or after half of the grace period if that is shorter.
- * From then on, returns as soon as no request is open, at the latest
+ * From then on, returns as soon as every used connection is closed, at the latest
  * `stopMarginMs` before the end of the grace period.
  */
 async function finishRequests(components: Components): Promise<void> {
-  const {callerServer, clock, loop, openRequests, settings} = components;
+  const {callerServer, clock, loop, settings} = components;
   const startedMs = clock.readNowMs();
   const deadlineMs = startedMs + settings.stopGraceMs - stopMarginMs;
   loop.submit({kind: 'stopRequested', endAtMs: deadlineMs});
@@ -214,7 +226,7 @@
   while (clock.readNowMs() < deadlineMs) {
     callerServer.closeIdle();
     await sleep(stopPollMs);
-    if (openRequests.size === 0) return;
+    if (!callerServer.isUsed) return;
   }
 }
 
@@ -231,7 +243,7 @@
   await peerSocket.listen(peerListen);
   disposables.add(() => peerSocket.close());
   disposables.add(() => components.endpointClient.close());
-  loop.start(createEffectHandlers(components));
+  loop.start(createEffectHandlers(components), createFaultHandler(components));
   disposables.add(() => loop.stop());
   for (const address of seedPeers) {
     loop.submit({kind: 'seedListed', address});
@@ -258,13 +270,16 @@
     },
     disposables,
   );
+  const stop = async () => {
+    await finishRequests(components);
+    logger.info('stopped', {openRequests: components.openRequests.size});
+    await disposables.dispose();
+  };
+  let stopped: Promise<void> | undefined;
   return {
     applySettings: bounds => loop.submit({kind: 'boundsChanged', bounds}),
     reportWarning: (event, detail) => logger.warn(event, {detail}),
-    stop: async () => {
-      await finishRequests(components);
-      logger.info('stopped', {openRequests: components.openRequests.size});
-      await disposables.dispose();
-    },
+    reportUncaughtError: error => reportFault(components, error, 'uncaught'),
+    stop: () => (stopped ??= stop()),
   };
 }
