--- a/packages/ryeworks-lab/src/fleet/createFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/createFleet.ts
@@ -1,3 +1,4 @@
+import {callKind} from '@ryeworks/dispatch';
 import {createFleetRoute, DispatchFleet} from './dispatchFleet.js';
 
 /** Name of the service of all endpoints of a fleet. */
@@ -11,7 +12,8 @@
 }
 
 /**
- * Creates a fleet with the routes `urgent` and `relaxed` to one service. Its
+ * Creates a fleet with the routes `urgent` and `relaxed`, `story` (a stream that
+ * can be resumed) and `booking` (which may run only once) to one service. Its
  * endpoints `e0`, `e1` and so on are spread over the zones `zone-0`, `zone-1` and
  * so on.
  */
@@ -25,6 +27,11 @@
   const routes = [
     createFleetRoute('urgent', service),
     createFleetRoute('relaxed', service, {tier: 2}),
+    createFleetRoute('story', service, {
+      kind: callKind.stream,
+      isResumable: true,
+    }),
+    createFleetRoute('booking', service, {kind: callKind.nonIdempotent}),
   ];
   const {vmsPerZone} = size;
   return new DispatchFleet({zones, vmsPerZone, endpoints, routes, seed});
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -10,18 +10,17 @@
 } from '@ryeworks/dispatch';
 import {createRandomSource, RandomSource} from '@ryeworks/utils';
 import {EventQueue} from '../harness/eventQueue.js';
+import {FleetCalls} from './fleetCalls.js';
 import {FleetEndpoint} from './fleetEndpoint.js';
+import {FleetRequest} from './fleetRequest.js';
 import {FleetVm} from './fleetVm.js';
 
-/** Time of a message between two VMs or to an endpoint, in ms. */
+/** Time of a message between two VMs, in ms. */
 const linkDelayMs = 1;
-/** Time from a call's arrival until its answer begins and until it ends, in ms. */
-const answerBeginsMs = 40;
-const answerEndsMs = 120;
-/** Time after which a VM gives up connecting to an endpoint, in ms. */
-const connectTimeoutMs = 150;
 /** How long callers wait for an answer, in ms. */
-const callerDeadlineMs = 8000;
+export const callerDeadlineMs = 8000;
+/** Longest time until a VM reads a change of the desired state, in ms. */
+const maxReadDelayMs = 500;
 const host = 'calls.example';
 const apiKey = 'key-1';
 
@@ -75,10 +74,13 @@
 }
 
 /** Creates the desired state of a fleet. */
-function createFleetDesiredState(routes: readonly Route[]): DesiredState {
+function createFleetDesiredState(
+  routes: readonly Route[],
+  version: number,
+): DesiredState {
   const customer = {name: 'clinic', apiKeys: [apiKey]};
   return {
-    version: 1,
+    version,
     routes,
     customers: [{...customer, tier: undefined, limit: undefined}],
     bounds: {
@@ -111,7 +113,12 @@
   private readonly random: RandomSource;
   /** Zones that are cut off from all others. */
   private readonly cutZones = new Set<string>();
-  private readonly routeByRequestId = new Map<string, string>();
+  readonly requests = new Map<string, FleetRequest>();
+  private readonly calls = new FleetCalls(
+    this.events,
+    () => (this.counts.served += 1),
+  );
+  private desiredVersion = 1;
   private nextRequestNumber = 1;
 
   constructor(private readonly options: FleetOptions) {
@@ -159,9 +166,8 @@
       (sender, effect) => this.handleEffect(sender, effect),
     );
     this.vms.set(name, vm);
-    const desiredState = createFleetDesiredState(this.options.routes);
     vm.submit({kind: 'storeReachabilityChanged', isReachable: true});
-    vm.submit({kind: 'desiredStateRead', desiredState});
+    this.passDesiredState(vm);
     const endpoints = [...this.endpoints.values()].map(item => item.endpoint);
     vm.submit({kind: 'endpointsListed', era: 1, endpoints});
     for (const other of this.vms.values()) {
@@ -174,6 +180,15 @@
     return vm;
   }
 
+  /** Sets a new version of the desired state, which each VM reads later. */
+  setNextDesiredState(): void {
+    this.desiredVersion += 1;
+    for (const vm of this.vms.values()) {
+      const delayMs = this.random.nextInt(maxReadDelayMs);
+      this.events.schedule(delayMs, () => this.passDesiredState(vm));
+    }
+  }
+
   /** Ends the process of a VM. */
   killVm(name: string): void {
     this.vms.get(name)!.isDead = true;
@@ -207,7 +222,15 @@
     const live = [...this.vms.values()].filter(vm => !vm.isDead);
     const vm = live[this.random.nextInt(live.length)];
     const requestId = `r${this.nextRequestNumber++}`;
-    this.routeByRequestId.set(requestId, routeName);
+    this.requests.set(requestId, {
+      route: this.options.routes.find(({name}) => name === routeName)!,
+      vm: vm.options.vm,
+      sentAtMs: this.events.nowMs,
+      events: 0,
+      runs: 0,
+      outcome: 'open',
+      error: undefined,
+    });
     this.counts.sent += 1;
     const input: Omit<RequestReceived, 'receivedAtMs'> = {
       kind: 'requestReceived',
@@ -229,7 +252,11 @@
     } = {
       sendPeer: sent => this.sendMessage(vm, sent),
       startCall: call => this.startCall(vm, call),
+      cancelCall: ({requestId}) => this.calls.cancel(requestId),
       answerError: answer => this.recordRefusal(answer),
+      abortResponse: ({requestId}) => {
+        this.requests.get(requestId)!.outcome = 'cut';
+      },
     };
     const handler = handlers[effect.kind] as
       ((effect: Effect) => void) | undefined;
@@ -255,41 +282,25 @@
     );
   }
 
-  private startCall(vm: FleetVm, {callNumber, endpoint, requestId}: StartCall) {
-    const fake = this.getEndpoint(endpoint.id);
-    const call = {requestId, callNumber};
-    const {availabilityZone: zone, vm: name} = vm.options;
-    if (this.isCut(zone, endpoint.availabilityZone)) {
-      this.events.schedule(connectTimeoutMs, () =>
-        vm.submit({
-          kind: 'callFailed',
-          ...call,
-          failure: 'notSent',
-          hasResponseStarted: false,
-          detail: 'cut',
-        }),
-      );
-      return;
-    }
-    const {tier} = vm.state.requests.get(requestId)!;
-    this.events.schedule(linkDelayMs, () => {
-      const atMs = this.events.nowMs;
-      fake.addArrival({atMs, vm: name, tier});
-      vm.submit({kind: 'callSent', ...call});
-      this.events.schedule(answerBeginsMs, () => {
-        const limitStatement = fake.createStatement(name, this.events.nowMs);
-        vm.submit({kind: 'callAnswered', ...call, limitStatement});
-        vm.submit({kind: 'callProgressed', ...call, events: 1});
-      });
-      this.events.schedule(answerEndsMs, () => {
-        this.counts.served += 1;
-        vm.submit({kind: 'callDone', ...call, status: 200});
-      });
-    });
+  private passDesiredState(vm: FleetVm): void {
+    const {routes} = this.options;
+    const desiredState = createFleetDesiredState(routes, this.desiredVersion);
+    vm.submit({kind: 'desiredStateRead', desiredState});
+  }
+
+  private startCall(vm: FleetVm, effect: StartCall): void {
+    const {endpoint, requestId} = effect;
+    const {availabilityZone: zone} = vm.options;
+    const hasPath = !this.isCut(zone, endpoint.availabilityZone);
+    const request = this.requests.get(requestId)!;
+    const target = this.getEndpoint(endpoint.id);
+    this.calls.start(vm, effect, request, target, hasPath);
   }
 
-  private recordRefusal({requestId, retryAfterMs}: AnswerError): void {
-    const route = this.routeByRequestId.get(requestId) ?? '';
+  private recordRefusal({error, requestId, retryAfterMs}: AnswerError): void {
+    const request = this.requests.get(requestId)!;
+    Object.assign(request, {outcome: 'failed', error});
+    const route = request.route.name;
     this.refusals.push({atMs: this.events.nowMs, route, retryAfterMs});
   }
 }
--- /dev/null
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -0,0 +1,165 @@
+import {callKind, StartCall} from '@ryeworks/dispatch';
+import {EventQueue} from '../harness/eventQueue.js';
+import {FleetEndpoint} from './fleetEndpoint.js';
+import {FleetRequest} from './fleetRequest.js';
+import {FleetVm} from './fleetVm.js';
+
+/** Time until a call reaches its endpoint, in ms. */
+const linkDelayMs = 1;
+/** Time from a call's arrival until its answer begins and until it ends, in ms. */
+const answerBeginsMs = 40;
+const answerEndsMs = 120;
+/** Number of events of a stream, and the time between two of them, in ms. */
+const streamEvents = 20;
+const eventGapMs = 20;
+/** Time after which a VM gives up connecting to an endpoint, in ms. */
+const connectTimeoutMs = 150;
+
+/** A call from a VM to an endpoint. */
+interface FleetCall {
+  readonly vm: FleetVm;
+  readonly target: FleetEndpoint;
+  /** Identifies the call in the inputs of the VM. */
+  readonly ids: {readonly requestId: string; readonly callNumber: number};
+  readonly request: FleetRequest;
+  /** Whether the endpoint runs it, so that it takes one of the slots. */
+  isRunning: boolean;
+  /** Whether the VM has closed the connection. */
+  isCanceled: boolean;
+}
+
+/** Runs the calls from the VMs of a fleet to its endpoints. */
+export class FleetCalls {
+  private readonly callsByRequestId = new Map<string, FleetCall[]>();
+
+  constructor(
+    private readonly events: EventQueue,
+    /** Called when the caller of a request has its complete answer. */
+    private readonly handleServed: (request: FleetRequest) => void,
+  ) {}
+
+  /** Starts a call; without a path to the endpoint, it fails unsent. */
+  start(
+    vm: FleetVm,
+    {callNumber, requestId}: StartCall,
+    request: FleetRequest,
+    target: FleetEndpoint,
+    hasPath: boolean,
+  ): void {
+    const ids = {requestId, callNumber};
+    const flags = {isRunning: false, isCanceled: false};
+    const call = {vm, target, ids, request, ...flags};
+    const calls = this.callsByRequestId.get(requestId) ?? [];
+    this.callsByRequestId.set(requestId, [...calls, call]);
+    if (!hasPath) {
+      this.events.schedule(connectTimeoutMs, () => this.fail(call, 'notSent'));
+      return;
+    }
+    this.events.schedule(linkDelayMs, () => {
+      if (call.isCanceled) return;
+      vm.submit({kind: 'callSent', ...ids});
+      target.runUnlessPaused(() => this.handleArrival(call));
+    });
+  }
+
+  /** Closes the connections of a request's calls. */
+  cancel(requestId: string): void {
+    for (const call of this.callsByRequestId.get(requestId) ?? []) {
+      call.isCanceled = true;
+      call.target.runUnlessPaused(() => this.release(call));
+    }
+    this.callsByRequestId.delete(requestId);
+  }
+
+  /**
+   * Handles a call that an endpoint reads, which may have been canceled since it
+   * was sent.
+   */
+  private handleArrival(call: FleetCall): void {
+    const {request, target, vm} = call;
+    const {tier} = request.route;
+    const atMs = this.events.nowMs;
+    target.addArrival({atMs, vm: vm.options.vm, tier});
+    if (target.running >= target.endpoint.slots) {
+      this.submitHead(call);
+      this.fail(call, 'refused');
+      return;
+    }
+    request.runs += 1;
+    target.running += 1;
+    call.isRunning = true;
+    if (request.route.kind === callKind.stream) {
+      const firstEvent = request.events + 1;
+      this.schedule(call, answerBeginsMs, () => {
+        this.submitHead(call);
+        this.sendEvents(call, firstEvent);
+      });
+      return;
+    }
+    this.schedule(call, answerBeginsMs, () => {
+      this.submitHead(call);
+      call.vm.submit({kind: 'callProgressed', ...call.ids, events: 1});
+    });
+    this.schedule(call, answerEndsMs, () => this.finish(call));
+  }
+
+  /** Schedules a step of an endpoint's work on a call. */
+  private schedule(call: FleetCall, delayMs: number, run: () => void): void {
+    const runStep = () => {
+      if (!call.isCanceled) run();
+      else this.release(call);
+    };
+    this.events.schedule(delayMs, () => call.target.runUnlessPaused(runStep));
+  }
+
+  private submitHead({ids, target, vm}: FleetCall): void {
+    const limitStatement = target.createStatement(
+      vm.options.vm,
+      this.events.nowMs,
+    );
+    vm.submit({kind: 'callAnswered', ...ids, limitStatement});
+  }
+
+  /** Sends an event of a stream and the ones after it. */
+  private sendEvents(call: FleetCall, event: number): void {
+    const {ids, request, vm} = call;
+    if (event > streamEvents) {
+      this.finish(call);
+      return;
+    }
+    request.events = Math.max(request.events, event);
+    vm.submit({kind: 'callProgressed', ...ids, events: event});
+    this.schedule(call, eventGapMs, () => this.sendEvents(call, event + 1));
+  }
+
+  private finish(call: FleetCall): void {
+    const {ids, request, vm} = call;
+    this.release(call);
+    if (vm.isDead || request.outcome !== 'open') return;
+    request.outcome = 'done';
+    this.handleServed(request);
+    vm.submit({kind: 'callDone', ...ids, status: 200});
+    this.callsByRequestId.delete(ids.requestId);
+  }
+
+  private fail(call: FleetCall, failure: 'notSent' | 'refused'): void {
+    const {ids, request, vm} = call;
+    if (call.isCanceled) return;
+    const hasResponseStarted = request.events > 0;
+    const detail = failure;
+    vm.submit({
+      kind: 'callFailed',
+      ...ids,
+      failure,
+      hasResponseStarted,
+      detail,
+    });
+  }
+
+  /** Frees the slot of a call that has ended. */
+  private release(call: FleetCall): void {
+    if (!call.isRunning) return;
+    call.isRunning = false;
+    call.target.running -= 1;
+  }
+}
--- a/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
@@ -9,12 +9,22 @@
   readonly tier: number;
 }
 
-/** Stand-in for an endpoint that may name a rate limit in its answers. */
+/**
+ * Stand-in for an endpoint that may name a rate limit in its answers. It refuses
+ * calls beyond its slots. While paused it does nothing; connections stay open and
+ * keep what arrives, so that nothing is lost.
+ */
 export class FleetEndpoint {
   readonly arrivals: FleetArrival[] = [];
   /** Descriptions of the windows in which its limit was exceeded. */
   readonly exceeded: string[] = [];
+  /** Number of calls that it runs. */
+  running = 0;
   private readonly limit = new NamedRateLimit();
+  /** When the current pause ends, in ms; 0 if it is not paused. */
+  private pausedUntilMs = 0;
+  /** Steps of its work that came due during the pause, in order. */
+  private dueSteps: Array<() => void> = [];
 
   constructor(readonly endpoint: Endpoint) {}
 
@@ -40,4 +50,22 @@
       ? {kind: 'unlimited'}
       : {kind: 'limited', perSecond};
   }
+
+  /** Pauses it until a time, or for longer if it is paused already. */
+  pause(untilMs: number): void {
+    this.pausedUntilMs = Math.max(this.pausedUntilMs, untilMs);
+  }
+
+  /** Ends a pause that is over and does what has come due in it. */
+  resume(nowMs: number): void {
+    if (nowMs < this.pausedUntilMs) return;
+    this.pausedUntilMs = 0;
+    for (const run of this.dueSteps.splice(0)) run();
+  }
+
+  /** Does a step of its work, at the end of the pause if it is paused. */
+  runUnlessPaused(run: () => void): void {
+    if (this.pausedUntilMs > 0) this.dueSteps.push(run);
+    else run();
+  }
 }
--- a/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
+++ b/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
@@ -195,41 +195,41 @@
   const peg$c27 = "vm";
   const peg$c28 = "pause";
   const peg$c29 = "for";
-  const peg$c30 = "cut";
-  const peg$c31 = "heal";
-  const peg$c32 = "lose";
-  const peg$c33 = "messages";
-  const peg$c34 = "repeat";
-  const peg$c35 = "platform";
-  const peg$c36 = "down";
-  const peg$c37 = "up";
-  const peg$c38 = "loses";
-  const peg$c39 = "answers";
-  const peg$c40 = "slow";
-  const peg$c41 = "by";
-  const peg$c42 = "silence";
-  const peg$c43 = "unsilence";
-  const peg$c44 = "crash";
-  const peg$c45 = "limit";
-  const peg$c46 = "unlimit";
-  const peg$c47 = "leave";
-  const peg$c48 = "version";
-  const peg$c49 = "fails";
-  const peg$c50 = "slows";
-  const peg$c51 = "move";
-  const peg$c52 = "within";
-  const peg$c53 = "change";
-  const peg$c54 = "plans";
-  const peg$c55 = "invalid";
-  const peg$c56 = "operators";
-  const peg$c57 = "race";
-  const peg$c58 = "after";
-  const peg$c59 = "calls";
-  const peg$c60 = "batch";
-  const peg$c61 = "on";
-  const peg$c62 = "expect";
-  const peg$c63 = "tier";
-  const peg$c64 = "endpoint";
+  const peg$c30 = "endpoint";
+  const peg$c31 = "cut";
+  const peg$c32 = "heal";
+  const peg$c33 = "lose";
+  const peg$c34 = "messages";
+  const peg$c35 = "repeat";
+  const peg$c36 = "platform";
+  const peg$c37 = "down";
+  const peg$c38 = "up";
+  const peg$c39 = "loses";
+  const peg$c40 = "answers";
+  const peg$c41 = "slow";
+  const peg$c42 = "by";
+  const peg$c43 = "silence";
+  const peg$c44 = "unsilence";
+  const peg$c45 = "crash";
+  const peg$c46 = "limit";
+  const peg$c47 = "unlimit";
+  const peg$c48 = "leave";
+  const peg$c49 = "version";
+  const peg$c50 = "fails";
+  const peg$c51 = "slows";
+  const peg$c52 = "move";
+  const peg$c53 = "within";
+  const peg$c54 = "change";
+  const peg$c55 = "plans";
+  const peg$c56 = "invalid";
+  const peg$c57 = "operators";
+  const peg$c58 = "race";
+  const peg$c59 = "after";
+  const peg$c60 = "calls";
+  const peg$c61 = "batch";
+  const peg$c62 = "on";
+  const peg$c63 = "expect";
+  const peg$c64 = "tier";
   const peg$c65 = "since";
   const peg$c66 = "until";
   const peg$c67 = ">=";
@@ -280,41 +280,41 @@
   const peg$e27 = peg$literalExpectation("vm", false);
   const peg$e28 = peg$literalExpectation("pause", false);
   const peg$e29 = peg$literalExpectation("for", false);
-  const peg$e30 = peg$literalExpectation("cut", false);
-  const peg$e31 = peg$literalExpectation("heal", false);
-  const peg$e32 = peg$literalExpectation("lose", false);
-  const peg$e33 = peg$literalExpectation("messages", false);
-  const peg$e34 = peg$literalExpectation("repeat", false);
-  const peg$e35 = peg$literalExpectation("platform", false);
-  const peg$e36 = peg$literalExpectation("down", false);
-  const peg$e37 = peg$literalExpectation("up", false);
-  const peg$e38 = peg$literalExpectation("loses", false);
-  const peg$e39 = peg$literalExpectation("answers", false);
-  const peg$e40 = peg$literalExpectation("slow", false);
-  const peg$e41 = peg$literalExpectation("by", false);
-  const peg$e42 = peg$literalExpectation("silence", false);
-  const peg$e43 = peg$literalExpectation("unsilence", false);
-  const peg$e44 = peg$literalExpectation("crash", false);
-  const peg$e45 = peg$literalExpectation("limit", false);
-  const peg$e46 = peg$literalExpectation("unlimit", false);
-  const peg$e47 = peg$literalExpectation("leave", false);
-  const peg$e48 = peg$literalExpectation("version", false);
-  const peg$e49 = peg$literalExpectation("fails", false);
-  const peg$e50 = peg$literalExpectation("slows", false);
-  const peg$e51 = peg$literalExpectation("move", false);
-  const peg$e52 = peg$literalExpectation("within", false);
-  const peg$e53 = peg$literalExpectation("change", false);
-  const peg$e54 = peg$literalExpectation("plans", false);
-  const peg$e55 = peg$literalExpectation("invalid", false);
-  const peg$e56 = peg$literalExpectation("operators", false);
-  const peg$e57 = peg$literalExpectation("race", false);
-  const peg$e58 = peg$literalExpectation("after", false);
-  const peg$e59 = peg$literalExpectation("calls", false);
-  const peg$e60 = peg$literalExpectation("batch", false);
-  const peg$e61 = peg$literalExpectation("on", false);
-  const peg$e62 = peg$literalExpectation("expect", false);
-  const peg$e63 = peg$literalExpectation("tier", false);
-  const peg$e64 = peg$literalExpectation("endpoint", false);
+  const peg$e30 = peg$literalExpectation("endpoint", false);
+  const peg$e31 = peg$literalExpectation("cut", false);
+  const peg$e32 = peg$literalExpectation("heal", false);
+  const peg$e33 = peg$literalExpectation("lose", false);
+  const peg$e34 = peg$literalExpectation("messages", false);
+  const peg$e35 = peg$literalExpectation("repeat", false);
+  const peg$e36 = peg$literalExpectation("platform", false);
+  const peg$e37 = peg$literalExpectation("down", false);
+  const peg$e38 = peg$literalExpectation("up", false);
+  const peg$e39 = peg$literalExpectation("loses", false);
+  const peg$e40 = peg$literalExpectation("answers", false);
+  const peg$e41 = peg$literalExpectation("slow", false);
+  const peg$e42 = peg$literalExpectation("by", false);
+  const peg$e43 = peg$literalExpectation("silence", false);
+  const peg$e44 = peg$literalExpectation("unsilence", false);
+  const peg$e45 = peg$literalExpectation("crash", false);
+  const peg$e46 = peg$literalExpectation("limit", false);
+  const peg$e47 = peg$literalExpectation("unlimit", false);
+  const peg$e48 = peg$literalExpectation("leave", false);
+  const peg$e49 = peg$literalExpectation("version", false);
+  const peg$e50 = peg$literalExpectation("fails", false);
+  const peg$e51 = peg$literalExpectation("slows", false);
+  const peg$e52 = peg$literalExpectation("move", false);
+  const peg$e53 = peg$literalExpectation("within", false);
+  const peg$e54 = peg$literalExpectation("change", false);
+  const peg$e55 = peg$literalExpectation("plans", false);
+  const peg$e56 = peg$literalExpectation("invalid", false);
+  const peg$e57 = peg$literalExpectation("operators", false);
+  const peg$e58 = peg$literalExpectation("race", false);
+  const peg$e59 = peg$literalExpectation("after", false);
+  const peg$e60 = peg$literalExpectation("calls", false);
+  const peg$e61 = peg$literalExpectation("batch", false);
+  const peg$e62 = peg$literalExpectation("on", false);
+  const peg$e63 = peg$literalExpectation("expect", false);
+  const peg$e64 = peg$literalExpectation("tier", false);
   const peg$e65 = peg$literalExpectation("since", false);
   const peg$e66 = peg$literalExpectation("until", false);
   const peg$e67 = peg$literalExpectation(">=", false);
@@ -372,48 +372,49 @@
   function peg$f17(atMs, action) {    return {kind: 'fault', atMs, action};  }
   function peg$f18(verb, vm) {    return {verb: `${verb}Vm`, vm};  }
   function peg$f19(vm, durationMs) {    return {verb: 'pauseVm', vm, durationMs};  }
-  function peg$f20(a, b) {    return {verb: 'cut', a, b};  }
-  function peg$f21() {    return {verb: 'heal'};  }
-  function peg$f22(rate) {    return {verb: 'loseMessages', rate};  }
-  function peg$f23(rate) {    return {verb: 'repeatMessages', rate};  }
-  function peg$f24() {    return {verb: 'platformDown'};  }
-  function peg$f25() {    return {verb: 'platformUp'};  }
-  function peg$f26(count) {    return {verb: 'platformLoses', count};  }
-  function peg$f27(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
-  function peg$f28(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
-  function peg$f29(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
-  function peg$f30(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
-  function peg$f31(endpoint, rate) {    return {verb: 'limitEndpoint', endpoint, rate};  }
-  function peg$f32(endpoint) {    return {verb: 'unlimitEndpoint', endpoint};  }
-  function peg$f33(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
-  function peg$f34(version) {    return {verb: 'startVersion', version};  }
-  function peg$f35(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
-  function peg$f36(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
-  function peg$f37(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
-  function peg$f38() {    return {verb: 'changePlans'};  }
-  function peg$f39() {    return {verb: 'invalidPlans'};  }
-  function peg$f40() {    return {verb: 'operatorsRace'};  }
-  function peg$f41(calls) {    return {afterCalls: calls};  }
-  function peg$f42(batch) {    return {fromBatch: batch};  }
-  function peg$f43(route) {    return {route};  }
-  function peg$f44() {    return {};  }
-  function peg$f45(metric, qualifiers, operator, value) {
+  function peg$f20(endpoint, durationMs) {    return {verb: 'pauseEndpoint', endpoint, durationMs};  }
+  function peg$f21(a, b) {    return {verb: 'cut', a, b};  }
+  function peg$f22() {    return {verb: 'heal'};  }
+  function peg$f23(rate) {    return {verb: 'loseMessages', rate};  }
+  function peg$f24(rate) {    return {verb: 'repeatMessages', rate};  }
+  function peg$f25() {    return {verb: 'platformDown'};  }
+  function peg$f26() {    return {verb: 'platformUp'};  }
+  function peg$f27(count) {    return {verb: 'platformLoses', count};  }
+  function peg$f28(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
+  function peg$f29(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
+  function peg$f30(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
+  function peg$f31(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
+  function peg$f32(endpoint, rate) {    return {verb: 'limitEndpoint', endpoint, rate};  }
+  function peg$f33(endpoint) {    return {verb: 'unlimitEndpoint', endpoint};  }
+  function peg$f34(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
+  function peg$f35(version) {    return {verb: 'startVersion', version};  }
+  function peg$f36(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
+  function peg$f37(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
+  function peg$f38(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
+  function peg$f39() {    return {verb: 'changePlans'};  }
+  function peg$f40() {    return {verb: 'invalidPlans'};  }
+  function peg$f41() {    return {verb: 'operatorsRace'};  }
+  function peg$f42(calls) {    return {afterCalls: calls};  }
+  function peg$f43(batch) {    return {fromBatch: batch};  }
+  function peg$f44(route) {    return {route};  }
+  function peg$f45() {    return {};  }
+  function peg$f46(metric, qualifiers, operator, value) {
     return {kind: 'expect', metric, qualifiers: Object.assign({}, ...qualifiers), operator, value};
   }
-  function peg$f46(first, w) {    return w;  }
-  function peg$f47(first, rest) {    return [first, ...rest].join(' ');  }
-  function peg$f48(w) {    return w;  }
-  function peg$f49(tier) {    return {tier};  }
-  function peg$f50(version) {    return {version};  }
-  function peg$f51(endpoint) {    return {endpoint};  }
-  function peg$f52(sinceMs) {    return {sinceMs};  }
-  function peg$f53(untilMs) {    return {untilMs};  }
-  function peg$f54(value, unit) {
+  function peg$f47(first, w) {    return w;  }
+  function peg$f48(first, rest) {    return [first, ...rest].join(' ');  }
+  function peg$f49(w) {    return w;  }
+  function peg$f50(tier) {    return {tier};  }
+  function peg$f51(version) {    return {version};  }
+  function peg$f52(endpoint) {    return {endpoint};  }
+  function peg$f53(sinceMs) {    return {sinceMs};  }
+  function peg$f54(untilMs) {    return {untilMs};  }
+  function peg$f55(value, unit) {
     return value * {ms: 1, s: 1000, m: 60000}[unit];
   }
-  function peg$f55(digits) {    return Number(digits);  }
   function peg$f56(digits) {    return Number(digits);  }
-  function peg$f57(text) {    return text;  }
+  function peg$f57(digits) {    return Number(digits);  }
+  function peg$f58(text) {    return text;  }
   let peg$currPos = options.peg$currPos | 0;
   let peg$savedPos = peg$currPos;
   const peg$posDetailsCache = [{ line: 1, column: 1 }];
@@ -1623,34 +1624,52 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c30) {
-          s1 = peg$c30;
-          peg$currPos += 3;
+        if (input.substr(peg$currPos, 5) === peg$c28) {
+          s1 = peg$c28;
+          peg$currPos += 5;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e30); }
+          if (peg$silentFails === 0) { peg$fail(peg$e28); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
           if (s2 !== peg$FAILED) {
-            s3 = peg$parseName();
+            if (input.substr(peg$currPos, 8) === peg$c30) {
+              s3 = peg$c30;
+              peg$currPos += 8;
+            } else {
+              s3 = peg$FAILED;
+              if (peg$silentFails === 0) { peg$fail(peg$e30); }
+            }
             if (s3 !== peg$FAILED) {
               s4 = peg$parse__();
               if (s4 !== peg$FAILED) {
-                if (input.substr(peg$currPos, 4) === peg$c14) {
-                  s5 = peg$c14;
-                  peg$currPos += 4;
-                } else {
-                  s5 = peg$FAILED;
-                  if (peg$silentFails === 0) { peg$fail(peg$e14); }
-                }
+                s5 = peg$parseName();
                 if (s5 !== peg$FAILED) {
                   s6 = peg$parse__();
                   if (s6 !== peg$FAILED) {
-                    s7 = peg$parseName();
+                    if (input.substr(peg$currPos, 3) === peg$c29) {
+                      s7 = peg$c29;
+                      peg$currPos += 3;
+                    } else {
+                      s7 = peg$FAILED;
+                      if (peg$silentFails === 0) { peg$fail(peg$e29); }
+                    }
                     if (s7 !== peg$FAILED) {
-                      peg$savedPos = s0;
-                      s0 = peg$f20(s3, s7);
+                      s8 = peg$parse__();
+                      if (s8 !== peg$FAILED) {
+                        s9 = peg$parseDuration();
+                        if (s9 !== peg$FAILED) {
+                          peg$savedPos = s0;
+                          s0 = peg$f20(s5, s9);
+                        } else {
+                          peg$currPos = s0;
+                          s0 = peg$FAILED;
+                        }
+                      } else {
+                        peg$currPos = s0;
+                        s0 = peg$FAILED;
+                      }
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1681,58 +1700,34 @@
         }
         if (s0 === peg$FAILED) {
           s0 = peg$currPos;
-          if (input.substr(peg$currPos, 4) === peg$c31) {
+          if (input.substr(peg$currPos, 3) === peg$c31) {
             s1 = peg$c31;
-            peg$currPos += 4;
+            peg$currPos += 3;
           } else {
             s1 = peg$FAILED;
             if (peg$silentFails === 0) { peg$fail(peg$e31); }
           }
           if (s1 !== peg$FAILED) {
-            peg$savedPos = s0;
-            s1 = peg$f21();
-          }
-          s0 = s1;
-          if (s0 === peg$FAILED) {
-            s0 = peg$currPos;
-            if (input.substr(peg$currPos, 4) === peg$c32) {
-              s1 = peg$c32;
-              peg$currPos += 4;
-            } else {
-              s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e32); }
-            }
-            if (s1 !== peg$FAILED) {
-              s2 = peg$parse__();
-              if (s2 !== peg$FAILED) {
-                s3 = peg$parseNumber();
-                if (s3 !== peg$FAILED) {
-                  s4 = peg$parse__();
-                  if (s4 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 2) === peg$c6) {
-                      s5 = peg$c6;
-                      peg$currPos += 2;
-                    } else {
-                      s5 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e6); }
-                    }
-                    if (s5 !== peg$FAILED) {
-                      s6 = peg$parse__();
-                      if (s6 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 8) === peg$c33) {
-                          s7 = peg$c33;
-                          peg$currPos += 8;
-                        } else {
-                          s7 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e33); }
-                        }
-                        if (s7 !== peg$FAILED) {
-                          peg$savedPos = s0;
-                          s0 = peg$f22(s3);
-                        } else {
-                          peg$currPos = s0;
-                          s0 = peg$FAILED;
-                        }
+            s2 = peg$parse__();
+            if (s2 !== peg$FAILED) {
+              s3 = peg$parseName();
+              if (s3 !== peg$FAILED) {
+                s4 = peg$parse__();
+                if (s4 !== peg$FAILED) {
+                  if (input.substr(peg$currPos, 4) === peg$c14) {
+                    s5 = peg$c14;
+                    peg$currPos += 4;
+                  } else {
+                    s5 = peg$FAILED;
+                    if (peg$silentFails === 0) { peg$fail(peg$e14); }
+                  }
+                  if (s5 !== peg$FAILED) {
+                    s6 = peg$parse__();
+                    if (s6 !== peg$FAILED) {
+                      s7 = peg$parseName();
+                      if (s7 !== peg$FAILED) {
+                        peg$savedPos = s0;
+                        s0 = peg$f21(s3, s7);
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -1757,14 +1752,32 @@
               peg$currPos = s0;
               s0 = peg$FAILED;
             }
+          } else {
+            peg$currPos = s0;
+            s0 = peg$FAILED;
+          }
+          if (s0 === peg$FAILED) {
+            s0 = peg$currPos;
+            if (input.substr(peg$currPos, 4) === peg$c32) {
+              s1 = peg$c32;
+              peg$currPos += 4;
+            } else {
+              s1 = peg$FAILED;
+              if (peg$silentFails === 0) { peg$fail(peg$e32); }
+            }
+            if (s1 !== peg$FAILED) {
+              peg$savedPos = s0;
+              s1 = peg$f22();
+            }
+            s0 = s1;
             if (s0 === peg$FAILED) {
               s0 = peg$currPos;
-              if (input.substr(peg$currPos, 6) === peg$c34) {
-                s1 = peg$c34;
-                peg$currPos += 6;
+              if (input.substr(peg$currPos, 4) === peg$c33) {
+                s1 = peg$c33;
+                peg$currPos += 4;
               } else {
                 s1 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e34); }
+                if (peg$silentFails === 0) { peg$fail(peg$e33); }
               }
               if (s1 !== peg$FAILED) {
                 s2 = peg$parse__();
@@ -1783,12 +1796,12 @@
                       if (s5 !== peg$FAILED) {
                         s6 = peg$parse__();
                         if (s6 !== peg$FAILED) {
-                          if (input.substr(peg$currPos, 8) === peg$c33) {
-                            s7 = peg$c33;
+                          if (input.substr(peg$currPos, 8) === peg$c34) {
+                            s7 = peg$c34;
                             peg$currPos += 8;
                           } else {
                             s7 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e33); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e34); }
                           }
                           if (s7 !== peg$FAILED) {
                             peg$savedPos = s0;
@@ -1823,9 +1836,9 @@
               }
               if (s0 === peg$FAILED) {
                 s0 = peg$currPos;
-                if (input.substr(peg$currPos, 8) === peg$c35) {
+                if (input.substr(peg$currPos, 6) === peg$c35) {
                   s1 = peg$c35;
-                  peg$currPos += 8;
+                  peg$currPos += 6;
                 } else {
                   s1 = peg$FAILED;
                   if (peg$silentFails === 0) { peg$fail(peg$e35); }
@@ -1833,16 +1846,46 @@
                 if (s1 !== peg$FAILED) {
                   s2 = peg$parse__();
                   if (s2 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 4) === peg$c36) {
-                      s3 = peg$c36;
-                      peg$currPos += 4;
-                    } else {
-                      s3 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e36); }
-                    }
+                    s3 = peg$parseNumber();
                     if (s3 !== peg$FAILED) {
-                      peg$savedPos = s0;
-                      s0 = peg$f24();
+                      s4 = peg$parse__();
+                      if (s4 !== peg$FAILED) {
+                        if (input.substr(peg$currPos, 2) === peg$c6) {
+                          s5 = peg$c6;
+                          peg$currPos += 2;
+                        } else {
+                          s5 = peg$FAILED;
+                          if (peg$silentFails === 0) { peg$fail(peg$e6); }
+                        }
+                        if (s5 !== peg$FAILED) {
+                          s6 = peg$parse__();
+                          if (s6 !== peg$FAILED) {
+                            if (input.substr(peg$currPos, 8) === peg$c34) {
+                              s7 = peg$c34;
+                              peg$currPos += 8;
+                            } else {
+                              s7 = peg$FAILED;
+                              if (peg$silentFails === 0) { peg$fail(peg$e34); }
+                            }
+                            if (s7 !== peg$FAILED) {
+                              peg$savedPos = s0;
+                              s0 = peg$f24(s3);
+                            } else {
+                              peg$currPos = s0;
+                              s0 = peg$FAILED;
+                            }
+                          } else {
+                            peg$currPos = s0;
+                            s0 = peg$FAILED;
+                          }
+                        } else {
+                          peg$currPos = s0;
+                          s0 = peg$FAILED;
+                        }
+                      } else {
+                        peg$currPos = s0;
+                        s0 = peg$FAILED;
+                      }
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1857,19 +1900,19 @@
                 }
                 if (s0 === peg$FAILED) {
                   s0 = peg$currPos;
-                  if (input.substr(peg$currPos, 8) === peg$c35) {
-                    s1 = peg$c35;
+                  if (input.substr(peg$currPos, 8) === peg$c36) {
+                    s1 = peg$c36;
                     peg$currPos += 8;
                   } else {
                     s1 = peg$FAILED;
-                    if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                    if (peg$silentFails === 0) { peg$fail(peg$e36); }
                   }
                   if (s1 !== peg$FAILED) {
                     s2 = peg$parse__();
                     if (s2 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 2) === peg$c37) {
+                      if (input.substr(peg$currPos, 4) === peg$c37) {
                         s3 = peg$c37;
-                        peg$currPos += 2;
+                        peg$currPos += 4;
                       } else {
                         s3 = peg$FAILED;
                         if (peg$silentFails === 0) { peg$fail(peg$e37); }
@@ -1891,56 +1934,26 @@
                   }
                   if (s0 === peg$FAILED) {
                     s0 = peg$currPos;
-                    if (input.substr(peg$currPos, 8) === peg$c35) {
-                      s1 = peg$c35;
+                    if (input.substr(peg$currPos, 8) === peg$c36) {
+                      s1 = peg$c36;
                       peg$currPos += 8;
                     } else {
                       s1 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                      if (peg$silentFails === 0) { peg$fail(peg$e36); }
                     }
                     if (s1 !== peg$FAILED) {
                       s2 = peg$parse__();
                       if (s2 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 5) === peg$c38) {
+                        if (input.substr(peg$currPos, 2) === peg$c38) {
                           s3 = peg$c38;
-                          peg$currPos += 5;
+                          peg$currPos += 2;
                         } else {
                           s3 = peg$FAILED;
                           if (peg$silentFails === 0) { peg$fail(peg$e38); }
                         }
                         if (s3 !== peg$FAILED) {
-                          s4 = peg$parse__();
-                          if (s4 !== peg$FAILED) {
-                            s5 = peg$parseInteger();
-                            if (s5 !== peg$FAILED) {
-                              s6 = peg$parse__();
-                              if (s6 !== peg$FAILED) {
-                                if (input.substr(peg$currPos, 7) === peg$c39) {
-                                  s7 = peg$c39;
-                                  peg$currPos += 7;
-                                } else {
-                                  s7 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e39); }
-                                }
-                                if (s7 !== peg$FAILED) {
-                                  peg$savedPos = s0;
-                                  s0 = peg$f26(s5);
-                                } else {
-                                  peg$currPos = s0;
-                                  s0 = peg$FAILED;
-                                }
-                              } else {
-                                peg$currPos = s0;
-                                s0 = peg$FAILED;
-                              }
-                            } else {
-                              peg$currPos = s0;
-                              s0 = peg$FAILED;
-                            }
-                          } else {
-                            peg$currPos = s0;
-                            s0 = peg$FAILED;
-                          }
+                          peg$savedPos = s0;
+                          s0 = peg$f26();
                         } else {
                           peg$currPos = s0;
                           s0 = peg$FAILED;
@@ -1955,34 +1968,40 @@
                     }
                     if (s0 === peg$FAILED) {
                       s0 = peg$currPos;
-                      if (input.substr(peg$currPos, 4) === peg$c40) {
-                        s1 = peg$c40;
-                        peg$currPos += 4;
+                      if (input.substr(peg$currPos, 8) === peg$c36) {
+                        s1 = peg$c36;
+                        peg$currPos += 8;
                       } else {
                         s1 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e36); }
                       }
                       if (s1 !== peg$FAILED) {
                         s2 = peg$parse__();
                         if (s2 !== peg$FAILED) {
-                          s3 = peg$parseName();
+                          if (input.substr(peg$currPos, 5) === peg$c39) {
+                            s3 = peg$c39;
+                            peg$currPos += 5;
+                          } else {
+                            s3 = peg$FAILED;
+                            if (peg$silentFails === 0) { peg$fail(peg$e39); }
+                          }
                           if (s3 !== peg$FAILED) {
                             s4 = peg$parse__();
                             if (s4 !== peg$FAILED) {
-                              if (input.substr(peg$currPos, 2) === peg$c41) {
-                                s5 = peg$c41;
-                                peg$currPos += 2;
-                              } else {
-                                s5 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e41); }
-                              }
+                              s5 = peg$parseInteger();
                               if (s5 !== peg$FAILED) {
                                 s6 = peg$parse__();
                                 if (s6 !== peg$FAILED) {
-                                  s7 = peg$parseNumber();
+                                  if (input.substr(peg$currPos, 7) === peg$c40) {
+                                    s7 = peg$c40;
+                                    peg$currPos += 7;
+                                  } else {
+                                    s7 = peg$FAILED;
+                                    if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                                  }
                                   if (s7 !== peg$FAILED) {
                                     peg$savedPos = s0;
-                                    s0 = peg$f27(s3, s7);
+                                    s0 = peg$f27(s5);
                                   } else {
                                     peg$currPos = s0;
                                     s0 = peg$FAILED;
@@ -2013,20 +2032,50 @@
                       }
                       if (s0 === peg$FAILED) {
                         s0 = peg$currPos;
-                        if (input.substr(peg$currPos, 7) === peg$c42) {
-                          s1 = peg$c42;
-                          peg$currPos += 7;
+                        if (input.substr(peg$currPos, 4) === peg$c41) {
+                          s1 = peg$c41;
+                          peg$currPos += 4;
                         } else {
                           s1 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e41); }
                         }
                         if (s1 !== peg$FAILED) {
                           s2 = peg$parse__();
                           if (s2 !== peg$FAILED) {
                             s3 = peg$parseName();
                             if (s3 !== peg$FAILED) {
-                              peg$savedPos = s0;
-                              s0 = peg$f28(s3);
+                              s4 = peg$parse__();
+                              if (s4 !== peg$FAILED) {
+                                if (input.substr(peg$currPos, 2) === peg$c42) {
+                                  s5 = peg$c42;
+                                  peg$currPos += 2;
+                                } else {
+                                  s5 = peg$FAILED;
+                                  if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                }
+                                if (s5 !== peg$FAILED) {
+                                  s6 = peg$parse__();
+                                  if (s6 !== peg$FAILED) {
+                                    s7 = peg$parseNumber();
+                                    if (s7 !== peg$FAILED) {
+                                      peg$savedPos = s0;
+                                      s0 = peg$f28(s3, s7);
+                                    } else {
+                                      peg$currPos = s0;
+                                      s0 = peg$FAILED;
+                                    }
+                                  } else {
+                                    peg$currPos = s0;
+                                    s0 = peg$FAILED;
+                                  }
+                                } else {
+                                  peg$currPos = s0;
+                                  s0 = peg$FAILED;
+                                }
+                              } else {
+                                peg$currPos = s0;
+                                s0 = peg$FAILED;
+                              }
                             } else {
                               peg$currPos = s0;
                               s0 = peg$FAILED;
@@ -2041,9 +2090,9 @@
                         }
                         if (s0 === peg$FAILED) {
                           s0 = peg$currPos;
-                          if (input.substr(peg$currPos, 9) === peg$c43) {
+                          if (input.substr(peg$currPos, 7) === peg$c43) {
                             s1 = peg$c43;
-                            peg$currPos += 9;
+                            peg$currPos += 7;
                           } else {
                             s1 = peg$FAILED;
                             if (peg$silentFails === 0) { peg$fail(peg$e43); }
@@ -2069,9 +2118,9 @@
                           }
                           if (s0 === peg$FAILED) {
                             s0 = peg$currPos;
-                            if (input.substr(peg$currPos, 5) === peg$c44) {
+                            if (input.substr(peg$currPos, 9) === peg$c44) {
                               s1 = peg$c44;
-                              peg$currPos += 5;
+                              peg$currPos += 9;
                             } else {
                               s1 = peg$FAILED;
                               if (peg$silentFails === 0) { peg$fail(peg$e44); }
@@ -2109,42 +2158,74 @@
                                 if (s2 !== peg$FAILED) {
                                   s3 = peg$parseName();
                                   if (s3 !== peg$FAILED) {
-                                    s4 = peg$parse__();
-                                    if (s4 !== peg$FAILED) {
-                                      if (input.substr(peg$currPos, 2) === peg$c15) {
-                                        s5 = peg$c15;
-                                        peg$currPos += 2;
-                                      } else {
-                                        s5 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e15); }
-                                      }
-                                      if (s5 !== peg$FAILED) {
-                                        s6 = peg$parse__();
-                                        if (s6 !== peg$FAILED) {
-                                          s7 = peg$parseNumber();
-                                          if (s7 !== peg$FAILED) {
-                                            s8 = peg$parse__();
-                                            if (s8 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 3) === peg$c3) {
-                                                s9 = peg$c3;
-                                                peg$currPos += 3;
-                                              } else {
-                                                s9 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e3); }
-                                              }
-                                              if (s9 !== peg$FAILED) {
-                                                s10 = peg$parse__();
-                                                if (s10 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 6) === peg$c17) {
-                                                    s11 = peg$c17;
-                                                    peg$currPos += 6;
-                                                  } else {
-                                                    s11 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e17); }
-                                                  }
-                                                  if (s11 !== peg$FAILED) {
-                                                    peg$savedPos = s0;
-                                                    s0 = peg$f31(s3, s7);
+                                    peg$savedPos = s0;
+                                    s0 = peg$f31(s3);
+                                  } else {
+                                    peg$currPos = s0;
+                                    s0 = peg$FAILED;
+                                  }
+                                } else {
+                                  peg$currPos = s0;
+                                  s0 = peg$FAILED;
+                                }
+                              } else {
+                                peg$currPos = s0;
+                                s0 = peg$FAILED;
+                              }
+                              if (s0 === peg$FAILED) {
+                                s0 = peg$currPos;
+                                if (input.substr(peg$currPos, 5) === peg$c46) {
+                                  s1 = peg$c46;
+                                  peg$currPos += 5;
+                                } else {
+                                  s1 = peg$FAILED;
+                                  if (peg$silentFails === 0) { peg$fail(peg$e46); }
+                                }
+                                if (s1 !== peg$FAILED) {
+                                  s2 = peg$parse__();
+                                  if (s2 !== peg$FAILED) {
+                                    s3 = peg$parseName();
+                                    if (s3 !== peg$FAILED) {
+                                      s4 = peg$parse__();
+                                      if (s4 !== peg$FAILED) {
+                                        if (input.substr(peg$currPos, 2) === peg$c15) {
+                                          s5 = peg$c15;
+                                          peg$currPos += 2;
+                                        } else {
+                                          s5 = peg$FAILED;
+                                          if (peg$silentFails === 0) { peg$fail(peg$e15); }
+                                        }
+                                        if (s5 !== peg$FAILED) {
+                                          s6 = peg$parse__();
+                                          if (s6 !== peg$FAILED) {
+                                            s7 = peg$parseNumber();
+                                            if (s7 !== peg$FAILED) {
+                                              s8 = peg$parse__();
+                                              if (s8 !== peg$FAILED) {
+                                                if (input.substr(peg$currPos, 3) === peg$c3) {
+                                                  s9 = peg$c3;
+                                                  peg$currPos += 3;
+                                                } else {
+                                                  s9 = peg$FAILED;
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e3); }
+                                                }
+                                                if (s9 !== peg$FAILED) {
+                                                  s10 = peg$parse__();
+                                                  if (s10 !== peg$FAILED) {
+                                                    if (input.substr(peg$currPos, 6) === peg$c17) {
+                                                      s11 = peg$c17;
+                                                      peg$currPos += 6;
+                                                    } else {
+                                                      s11 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e17); }
+                                                    }
+                                                    if (s11 !== peg$FAILED) {
+                                                      peg$savedPos = s0;
+                                                      s0 = peg$f32(s3, s7);
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
                                                   } else {
                                                     peg$currPos = s0;
                                                     s0 = peg$FAILED;
@@ -2185,43 +2266,11 @@
                                   peg$currPos = s0;
                                   s0 = peg$FAILED;
                                 }
-                              } else {
-                                peg$currPos = s0;
-                                s0 = peg$FAILED;
-                              }
-                              if (s0 === peg$FAILED) {
-                                s0 = peg$currPos;
-                                if (input.substr(peg$currPos, 7) === peg$c46) {
-                                  s1 = peg$c46;
-                                  peg$currPos += 7;
-                                } else {
-                                  s1 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e46); }
-                                }
-                                if (s1 !== peg$FAILED) {
-                                  s2 = peg$parse__();
-                                  if (s2 !== peg$FAILED) {
-                                    s3 = peg$parseName();
-                                    if (s3 !== peg$FAILED) {
-                                      peg$savedPos = s0;
-                                      s0 = peg$f32(s3);
-                                    } else {
-                                      peg$currPos = s0;
-                                      s0 = peg$FAILED;
-                                    }
-                                  } else {
-                                    peg$currPos = s0;
-                                    s0 = peg$FAILED;
-                                  }
-                                } else {
-                                  peg$currPos = s0;
-                                  s0 = peg$FAILED;
-                                }
                                 if (s0 === peg$FAILED) {
                                   s0 = peg$currPos;
-                                  if (input.substr(peg$currPos, 5) === peg$c47) {
+                                  if (input.substr(peg$currPos, 7) === peg$c47) {
                                     s1 = peg$c47;
-                                    peg$currPos += 5;
+                                    peg$currPos += 7;
                                   } else {
                                     s1 = peg$FAILED;
                                     if (peg$silentFails === 0) { peg$fail(peg$e47); }
@@ -2247,38 +2296,20 @@
                                   }
                                   if (s0 === peg$FAILED) {
                                     s0 = peg$currPos;
-                                    if (input.substr(peg$currPos, 5) === peg$c25) {
-                                      s1 = peg$c25;
+                                    if (input.substr(peg$currPos, 5) === peg$c48) {
+                                      s1 = peg$c48;
                                       peg$currPos += 5;
                                     } else {
                                       s1 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e25); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                     }
                                     if (s1 !== peg$FAILED) {
                                       s2 = peg$parse__();
                                       if (s2 !== peg$FAILED) {
-                                        if (input.substr(peg$currPos, 7) === peg$c48) {
-                                          s3 = peg$c48;
-                                          peg$currPos += 7;
-                                        } else {
-                                          s3 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e48); }
-                                        }
+                                        s3 = peg$parseName();
                                         if (s3 !== peg$FAILED) {
-                                          s4 = peg$parse__();
-                                          if (s4 !== peg$FAILED) {
-                                            s5 = peg$parseName();
-                                            if (s5 !== peg$FAILED) {
-                                              peg$savedPos = s0;
-                                              s0 = peg$f34(s5);
-                                            } else {
-                                              peg$currPos = s0;
-                                              s0 = peg$FAILED;
-                                            }
-                                          } else {
-                                            peg$currPos = s0;
-                                            s0 = peg$FAILED;
-                                          }
+                                          peg$savedPos = s0;
+                                          s0 = peg$f34(s3);
                                         } else {
                                           peg$currPos = s0;
                                           s0 = peg$FAILED;
@@ -2293,48 +2324,30 @@
                                     }
                                     if (s0 === peg$FAILED) {
                                       s0 = peg$currPos;
-                                      if (input.substr(peg$currPos, 7) === peg$c48) {
-                                        s1 = peg$c48;
-                                        peg$currPos += 7;
+                                      if (input.substr(peg$currPos, 5) === peg$c25) {
+                                        s1 = peg$c25;
+                                        peg$currPos += 5;
                                       } else {
                                         s1 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e25); }
                                       }
                                       if (s1 !== peg$FAILED) {
                                         s2 = peg$parse__();
                                         if (s2 !== peg$FAILED) {
-                                          s3 = peg$parseName();
+                                          if (input.substr(peg$currPos, 7) === peg$c49) {
+                                            s3 = peg$c49;
+                                            peg$currPos += 7;
+                                          } else {
+                                            s3 = peg$FAILED;
+                                            if (peg$silentFails === 0) { peg$fail(peg$e49); }
+                                          }
                                           if (s3 !== peg$FAILED) {
                                             s4 = peg$parse__();
                                             if (s4 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 5) === peg$c49) {
-                                                s5 = peg$c49;
-                                                peg$currPos += 5;
-                                              } else {
-                                                s5 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e49); }
-                                              }
+                                              s5 = peg$parseName();
                                               if (s5 !== peg$FAILED) {
-                                                s6 = peg$parse__();
-                                                if (s6 !== peg$FAILED) {
-                                                  s7 = peg$parseNumber();
-                                                  if (s7 !== peg$FAILED) {
-                                                    s8 = peg$parseBadTail();
-                                                    if (s8 !== peg$FAILED) {
-                                                      peg$savedPos = s0;
-                                                      s0 = peg$f35(s3, s7, s8);
-                                                    } else {
-                                                      peg$currPos = s0;
-                                                      s0 = peg$FAILED;
-                                                    }
-                                                  } else {
-                                                    peg$currPos = s0;
-                                                    s0 = peg$FAILED;
-                                                  }
-                                                } else {
-                                                  peg$currPos = s0;
-                                                  s0 = peg$FAILED;
-                                                }
+                                                peg$savedPos = s0;
+                                                s0 = peg$f35(s5);
                                               } else {
                                                 peg$currPos = s0;
                                                 s0 = peg$FAILED;
@@ -2357,12 +2370,12 @@
                                       }
                                       if (s0 === peg$FAILED) {
                                         s0 = peg$currPos;
-                                        if (input.substr(peg$currPos, 7) === peg$c48) {
-                                          s1 = peg$c48;
+                                        if (input.substr(peg$currPos, 7) === peg$c49) {
+                                          s1 = peg$c49;
                                           peg$currPos += 7;
                                         } else {
                                           s1 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e49); }
                                         }
                                         if (s1 !== peg$FAILED) {
                                           s2 = peg$parse__();
@@ -2421,48 +2434,36 @@
                                         }
                                         if (s0 === peg$FAILED) {
                                           s0 = peg$currPos;
-                                          if (input.substr(peg$currPos, 4) === peg$c51) {
-                                            s1 = peg$c51;
-                                            peg$currPos += 4;
+                                          if (input.substr(peg$currPos, 7) === peg$c49) {
+                                            s1 = peg$c49;
+                                            peg$currPos += 7;
                                           } else {
                                             s1 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e51); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e49); }
                                           }
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 2) === peg$c15) {
-                                                s3 = peg$c15;
-                                                peg$currPos += 2;
-                                              } else {
-                                                s3 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e15); }
-                                              }
+                                              s3 = peg$parseName();
                                               if (s3 !== peg$FAILED) {
                                                 s4 = peg$parse__();
                                                 if (s4 !== peg$FAILED) {
-                                                  s5 = peg$parseName();
+                                                  if (input.substr(peg$currPos, 5) === peg$c51) {
+                                                    s5 = peg$c51;
+                                                    peg$currPos += 5;
+                                                  } else {
+                                                    s5 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e51); }
+                                                  }
                                                   if (s5 !== peg$FAILED) {
                                                     s6 = peg$parse__();
                                                     if (s6 !== peg$FAILED) {
-                                                      if (input.substr(peg$currPos, 6) === peg$c52) {
-                                                        s7 = peg$c52;
-                                                        peg$currPos += 6;
-                                                      } else {
-                                                        s7 = peg$FAILED;
-                                                        if (peg$silentFails === 0) { peg$fail(peg$e52); }
-                                                      }
+                                                      s7 = peg$parseNumber();
                                                       if (s7 !== peg$FAILED) {
-                                                        s8 = peg$parse__();
+                                                        s8 = peg$parseBadTail();
                                                         if (s8 !== peg$FAILED) {
-                                                          s9 = peg$parseDuration();
-                                                          if (s9 !== peg$FAILED) {
-                                                            peg$savedPos = s0;
-                                                            s0 = peg$f37(s5, s9);
-                                                          } else {
-                                                            peg$currPos = s0;
-                                                            s0 = peg$FAILED;
-                                                          }
+                                                          peg$savedPos = s0;
+                                                          s0 = peg$f37(s3, s7, s8);
                                                         } else {
                                                           peg$currPos = s0;
                                                           s0 = peg$FAILED;
@@ -2497,26 +2498,68 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 6) === peg$c53) {
-                                              s1 = peg$c53;
-                                              peg$currPos += 6;
+                                            if (input.substr(peg$currPos, 4) === peg$c52) {
+                                              s1 = peg$c52;
+                                              peg$currPos += 4;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e53); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e52); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 5) === peg$c54) {
-                                                  s3 = peg$c54;
-                                                  peg$currPos += 5;
+                                                if (input.substr(peg$currPos, 2) === peg$c15) {
+                                                  s3 = peg$c15;
+                                                  peg$currPos += 2;
                                                 } else {
                                                   s3 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e54); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e15); }
                                                 }
                                                 if (s3 !== peg$FAILED) {
-                                                  peg$savedPos = s0;
-                                                  s0 = peg$f38();
+                                                  s4 = peg$parse__();
+                                                  if (s4 !== peg$FAILED) {
+                                                    s5 = peg$parseName();
+                                                    if (s5 !== peg$FAILED) {
+                                                      s6 = peg$parse__();
+                                                      if (s6 !== peg$FAILED) {
+                                                        if (input.substr(peg$currPos, 6) === peg$c53) {
+                                                          s7 = peg$c53;
+                                                          peg$currPos += 6;
+                                                        } else {
+                                                          s7 = peg$FAILED;
+                                                          if (peg$silentFails === 0) { peg$fail(peg$e53); }
+                                                        }
+                                                        if (s7 !== peg$FAILED) {
+                                                          s8 = peg$parse__();
+                                                          if (s8 !== peg$FAILED) {
+                                                            s9 = peg$parseDuration();
+                                                            if (s9 !== peg$FAILED) {
+                                                              peg$savedPos = s0;
+                                                              s0 = peg$f38(s5, s9);
+                                                            } else {
+                                                              peg$currPos = s0;
+                                                              s0 = peg$FAILED;
+                                                            }
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
                                                 } else {
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
@@ -2531,22 +2574,22 @@
                                             }
                                             if (s0 === peg$FAILED) {
                                               s0 = peg$currPos;
-                                              if (input.substr(peg$currPos, 7) === peg$c55) {
-                                                s1 = peg$c55;
-                                                peg$currPos += 7;
+                                              if (input.substr(peg$currPos, 6) === peg$c54) {
+                                                s1 = peg$c54;
+                                                peg$currPos += 6;
                                               } else {
                                                 s1 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e55); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e54); }
                                               }
                                               if (s1 !== peg$FAILED) {
                                                 s2 = peg$parse__();
                                                 if (s2 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 5) === peg$c54) {
-                                                    s3 = peg$c54;
+                                                  if (input.substr(peg$currPos, 5) === peg$c55) {
+                                                    s3 = peg$c55;
                                                     peg$currPos += 5;
                                                   } else {
                                                     s3 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e54); }
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e55); }
                                                   }
                                                   if (s3 !== peg$FAILED) {
                                                     peg$savedPos = s0;
@@ -2565,9 +2608,9 @@
                                               }
                                               if (s0 === peg$FAILED) {
                                                 s0 = peg$currPos;
-                                                if (input.substr(peg$currPos, 9) === peg$c56) {
+                                                if (input.substr(peg$currPos, 7) === peg$c56) {
                                                   s1 = peg$c56;
-                                                  peg$currPos += 9;
+                                                  peg$currPos += 7;
                                                 } else {
                                                   s1 = peg$FAILED;
                                                   if (peg$silentFails === 0) { peg$fail(peg$e56); }
@@ -2575,12 +2618,12 @@
                                                 if (s1 !== peg$FAILED) {
                                                   s2 = peg$parse__();
                                                   if (s2 !== peg$FAILED) {
-                                                    if (input.substr(peg$currPos, 4) === peg$c57) {
-                                                      s3 = peg$c57;
-                                                      peg$currPos += 4;
+                                                    if (input.substr(peg$currPos, 5) === peg$c55) {
+                                                      s3 = peg$c55;
+                                                      peg$currPos += 5;
                                                     } else {
                                                       s3 = peg$FAILED;
-                                                      if (peg$silentFails === 0) { peg$fail(peg$e57); }
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e55); }
                                                     }
                                                     if (s3 !== peg$FAILED) {
                                                       peg$savedPos = s0;
@@ -2597,6 +2640,41 @@
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
                                                 }
+                                                if (s0 === peg$FAILED) {
+                                                  s0 = peg$currPos;
+                                                  if (input.substr(peg$currPos, 9) === peg$c57) {
+                                                    s1 = peg$c57;
+                                                    peg$currPos += 9;
+                                                  } else {
+                                                    s1 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e57); }
+                                                  }
+                                                  if (s1 !== peg$FAILED) {
+                                                    s2 = peg$parse__();
+                                                    if (s2 !== peg$FAILED) {
+                                                      if (input.substr(peg$currPos, 4) === peg$c58) {
+                                                        s3 = peg$c58;
+                                                        peg$currPos += 4;
+                                                      } else {
+                                                        s3 = peg$FAILED;
+                                                        if (peg$silentFails === 0) { peg$fail(peg$e58); }
+                                                      }
+                                                      if (s3 !== peg$FAILED) {
+                                                        peg$savedPos = s0;
+                                                        s0 = peg$f41();
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                }
                                               }
                                             }
                                           }
@@ -2629,12 +2707,12 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 5) === peg$c58) {
-        s2 = peg$c58;
+      if (input.substr(peg$currPos, 5) === peg$c59) {
+        s2 = peg$c59;
         peg$currPos += 5;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e58); }
+        if (peg$silentFails === 0) { peg$fail(peg$e59); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
@@ -2643,16 +2721,16 @@
           if (s4 !== peg$FAILED) {
             s5 = peg$parse__();
             if (s5 !== peg$FAILED) {
-              if (input.substr(peg$currPos, 5) === peg$c59) {
-                s6 = peg$c59;
+              if (input.substr(peg$currPos, 5) === peg$c60) {
+                s6 = peg$c60;
                 peg$currPos += 5;
               } else {
                 s6 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e59); }
+                if (peg$silentFails === 0) { peg$fail(peg$e60); }
               }
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f41(s4);
+                s0 = peg$f42(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2691,12 +2769,12 @@
         if (s2 !== peg$FAILED) {
           s3 = peg$parse__();
           if (s3 !== peg$FAILED) {
-            if (input.substr(peg$currPos, 5) === peg$c60) {
-              s4 = peg$c60;
+            if (input.substr(peg$currPos, 5) === peg$c61) {
+              s4 = peg$c61;
               peg$currPos += 5;
             } else {
               s4 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e60); }
+              if (peg$silentFails === 0) { peg$fail(peg$e61); }
             }
             if (s4 !== peg$FAILED) {
               s5 = peg$parse__();
@@ -2704,7 +2782,7 @@
                 s6 = peg$parseInteger();
                 if (s6 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f42(s6);
+                  s0 = peg$f43(s6);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -2733,12 +2811,12 @@
         s0 = peg$currPos;
         s1 = peg$parse__();
         if (s1 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 2) === peg$c61) {
-            s2 = peg$c61;
+          if (input.substr(peg$currPos, 2) === peg$c62) {
+            s2 = peg$c62;
             peg$currPos += 2;
           } else {
             s2 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e61); }
+            if (peg$silentFails === 0) { peg$fail(peg$e62); }
           }
           if (s2 !== peg$FAILED) {
             s3 = peg$parse__();
@@ -2746,7 +2824,7 @@
               s4 = peg$parseText();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f43(s4);
+                s0 = peg$f44(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2767,7 +2845,7 @@
           s0 = peg$currPos;
           s1 = '';
           peg$savedPos = s0;
-          s1 = peg$f44();
+          s1 = peg$f45();
           s0 = s1;
         }
       }
@@ -2780,12 +2858,12 @@
     let s0, s1, s2, s3, s4, s5, s6, s7, s8;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 6) === peg$c62) {
-      s1 = peg$c62;
+    if (input.substr(peg$currPos, 6) === peg$c63) {
+      s1 = peg$c63;
       peg$currPos += 6;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e62); }
+      if (peg$silentFails === 0) { peg$fail(peg$e63); }
     }
     if (s1 !== peg$FAILED) {
       s2 = peg$parse__();
@@ -2808,7 +2886,7 @@
             }
             if (s8 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f45(s3, s4, s6, s8);
+              s0 = peg$f46(s3, s4, s6, s8);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -2845,7 +2923,7 @@
       s5 = peg$parseQualifiedWord();
       if (s5 !== peg$FAILED) {
         peg$savedPos = s3;
-        s3 = peg$f46(s1, s5);
+        s3 = peg$f47(s1, s5);
       } else {
         peg$currPos = s3;
         s3 = peg$FAILED;
@@ -2857,14 +2935,14 @@
         s5 = peg$parseQualifiedWord();
         if (s5 !== peg$FAILED) {
           peg$savedPos = s3;
-          s3 = peg$f46(s1, s5);
+          s3 = peg$f47(s1, s5);
         } else {
           peg$currPos = s3;
           s3 = peg$FAILED;
         }
       }
       peg$savedPos = s0;
-      s0 = peg$f47(s1, s2);
+      s0 = peg$f48(s1, s2);
     } else {
       peg$currPos = s0;
       s0 = peg$FAILED;
@@ -2880,12 +2958,12 @@
     s1 = peg$currPos;
     peg$silentFails++;
     s2 = peg$currPos;
-    if (input.substr(peg$currPos, 4) === peg$c63) {
-      s3 = peg$c63;
+    if (input.substr(peg$currPos, 4) === peg$c64) {
+      s3 = peg$c64;
       peg$currPos += 4;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e63); }
+      if (peg$silentFails === 0) { peg$fail(peg$e64); }
     }
     if (s3 !== peg$FAILED) {
       s4 = peg$parse__();
@@ -2917,12 +2995,12 @@
       s2 = peg$currPos;
       peg$silentFails++;
       s3 = peg$currPos;
-      if (input.substr(peg$currPos, 7) === peg$c48) {
-        s4 = peg$c48;
+      if (input.substr(peg$currPos, 7) === peg$c49) {
+        s4 = peg$c49;
         peg$currPos += 7;
       } else {
         s4 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e48); }
+        if (peg$silentFails === 0) { peg$fail(peg$e49); }
       }
       if (s4 !== peg$FAILED) {
         s5 = peg$parse__();
@@ -2948,12 +3026,12 @@
         s3 = peg$currPos;
         peg$silentFails++;
         s4 = peg$currPos;
-        if (input.substr(peg$currPos, 8) === peg$c64) {
-          s5 = peg$c64;
+        if (input.substr(peg$currPos, 8) === peg$c30) {
+          s5 = peg$c30;
           peg$currPos += 8;
         } else {
           s5 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e64); }
+          if (peg$silentFails === 0) { peg$fail(peg$e30); }
         }
         if (s5 !== peg$FAILED) {
           s6 = peg$parse__();
@@ -3041,7 +3119,7 @@
               s6 = peg$parseWord();
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f48(s6);
+                s0 = peg$f49(s6);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -3076,12 +3154,12 @@
     s0 = peg$currPos;
     s1 = peg$parse__();
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 4) === peg$c63) {
-        s2 = peg$c63;
+      if (input.substr(peg$currPos, 4) === peg$c64) {
+        s2 = peg$c64;
         peg$currPos += 4;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e63); }
+        if (peg$silentFails === 0) { peg$fail(peg$e64); }
       }
       if (s2 !== peg$FAILED) {
         s3 = peg$parse__();
@@ -3089,7 +3167,7 @@
           s4 = peg$parseInteger();
           if (s4 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f49(s4);
+            s0 = peg$f50(s4);
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -3110,12 +3188,12 @@
       s0 = peg$currPos;
       s1 = peg$parse__();
       if (s1 !== peg$FAILED) {
-        if (input.substr(peg$currPos, 7) === peg$c48) {
-          s2 = peg$c48;
+        if (input.substr(peg$currPos, 7) === peg$c49) {
+          s2 = peg$c49;
           peg$currPos += 7;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e48); }
+          if (peg$silentFails === 0) { peg$fail(peg$e49); }
         }
         if (s2 !== peg$FAILED) {
           s3 = peg$parse__();
@@ -3123,7 +3201,7 @@
             s4 = peg$parseName();
             if (s4 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f50(s4);
+              s0 = peg$f51(s4);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -3144,12 +3222,12 @@
         s0 = peg$currPos;
         s1 = peg$parse__();
         if (s1 !== peg$FAILED) {
-          if (input.substr(peg$currPos, 8) === peg$c64) {
-            s2 = peg$c64;
+          if (input.substr(peg$currPos, 8) === peg$c30) {
+            s2 = peg$c30;
             peg$currPos += 8;
           } else {
             s2 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e64); }
+            if (peg$silentFails === 0) { peg$fail(peg$e30); }
           }
           if (s2 !== peg$FAILED) {
             s3 = peg$parse__();
@@ -3157,7 +3235,7 @@
               s4 = peg$parseName();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f51(s4);
+                s0 = peg$f52(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -3191,7 +3269,7 @@
                 s4 = peg$parseDuration();
                 if (s4 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f52(s4);
+                  s0 = peg$f53(s4);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -3225,7 +3303,7 @@
                   s4 = peg$parseDuration();
                   if (s4 !== peg$FAILED) {
                     peg$savedPos = s0;
-                    s0 = peg$f53(s4);
+                    s0 = peg$f54(s4);
                   } else {
                     peg$currPos = s0;
                     s0 = peg$FAILED;
@@ -3318,7 +3396,7 @@
         }
         if (s3 !== peg$FAILED) {
           peg$savedPos = s0;
-          s0 = peg$f54(s1, s2);
+          s0 = peg$f55(s1, s2);
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -3375,7 +3453,7 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f55(s1);
+      s1 = peg$f56(s1);
     }
     s0 = s1;
     peg$silentFails--;
@@ -3475,7 +3553,7 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f56(s1);
+      s1 = peg$f57(s1);
     }
     s0 = s1;
     peg$silentFails--;
@@ -3529,7 +3607,7 @@
       }
       if (s3 !== peg$FAILED) {
         peg$savedPos = s0;
-        s0 = peg$f57(s2);
+        s0 = peg$f58(s2);
       } else {
         peg$currPos = s0;
         s0 = peg$FAILED;
--- a/packages/ryeworks-lab/src/scenarios/runFleetScenario.ts
+++ b/packages/ryeworks-lab/src/scenarios/runFleetScenario.ts
@@ -1,5 +1,9 @@
+import {callKind} from '@ryeworks/dispatch';
+import {errorAnswers, runStatus} from '@ryeworks/types';
 import {createFleet} from '../fleet/createFleet.js';
-import {DispatchFleet} from '../fleet/dispatchFleet.js';
+import {callerDeadlineMs, DispatchFleet} from '../fleet/dispatchFleet.js';
+import {FleetEndpoint} from '../fleet/fleetEndpoint.js';
+import {FleetRequest, isWrongNotRun} from '../fleet/fleetRequest.js';
 import {
   getStatements,
   MetricQualifiers,
@@ -11,16 +15,39 @@
 /** Name that stands for all endpoints or zones in an action. */
 const allName = 'all';
 
+/** Time past its deadline by which a request must be answered, in ms. */
+const answerGraceMs = 250;
+
+/** Lists an endpoint, or all of them. */
+function listEndpoints(
+  {endpoints}: DispatchFleet,
+  endpoint: string | undefined,
+): FleetEndpoint[] {
+  const all = [...endpoints.values()];
+  if (endpoint === allName) return all;
+  return all.filter(target => target.endpoint.id === endpoint);
+}
+
 /** Names a limit at an endpoint, or at all of them; undefined withdraws it. */
 function setLimit(
   fleet: DispatchFleet,
   endpoint: string | undefined,
   perSecond: number | undefined,
 ): void {
-  const {endpoints, events} = fleet;
-  for (const [id, target] of endpoints) {
-    if (endpoint !== allName && endpoint !== id) continue;
-    target.setLimit(perSecond, events.nowMs);
+  for (const target of listEndpoints(fleet, endpoint)) {
+    target.setLimit(perSecond, fleet.events.nowMs);
+  }
+}
+
+/** Pauses an endpoint, or all of them, for a time. */
+function pauseEndpoint(
+  fleet: DispatchFleet,
+  {durationMs = 0, endpoint}: ScenarioAction,
+): void {
+  const {events} = fleet;
+  for (const target of listEndpoints(fleet, endpoint)) {
+    target.pause(events.nowMs + durationMs);
+    events.schedule(durationMs, () => target.resume(events.nowMs));
   }
 }
 
@@ -30,6 +57,8 @@
 > = {
   limitEndpoint: (fleet, {endpoint, rate}) => setLimit(fleet, endpoint, rate),
   unlimitEndpoint: (fleet, {endpoint}) => setLimit(fleet, endpoint, undefined),
+  pauseEndpoint,
+  changePlans: fleet => fleet.setNextDesiredState(),
   killVm: (fleet, {vm}) => fleet.killVm(vm!),
   startVm: (fleet, {vm}) => {
     fleet.startVm(vm!, vm!.slice(0, vm!.lastIndexOf('-')));
@@ -53,6 +82,18 @@
   return count;
 }
 
+/** Counts the requests of VMs that live for which a condition holds. */
+function countRequests(
+  {requests, vms}: DispatchFleet,
+  isCounted: (request: FleetRequest) => boolean,
+): number {
+  let count = 0;
+  for (const request of requests.values()) {
+    if (!vms.get(request.vm)!.isDead && isCounted(request)) count += 1;
+  }
+  return count;
+}
+
 /** The metrics of a fleet that a scenario can state expectations of, by name. */
 export const fleetMetrics: Readonly<
   Record<string, (fleet: DispatchFleet, qualifiers: MetricQualifiers) => number>
@@ -60,6 +101,27 @@
   dispatches: countCalls,
   goodput: ({counts}) => counts.served / Math.max(1, counts.sent),
   refusals: ({refusals}) => refusals.length,
+  'cut answers': fleet =>
+    countRequests(fleet, ({outcome}) => outcome === 'cut'),
+  unanswered: fleet => {
+    const dueAtMs = fleet.events.nowMs - callerDeadlineMs - answerGraceMs;
+    return countRequests(
+      fleet,
+      ({outcome, sentAtMs}) => outcome === 'open' && sentAtMs < dueAtMs,
+    );
+  },
+  'unknown outcomes': fleet =>
+    countRequests(
+      fleet,
+      ({error}) =>
+        error !== undefined && errorAnswers[error].ran === runStatus.unknown,
+    ),
+  duplicates: fleet =>
+    countRequests(
+      fleet,
+      ({route, runs}) => route.kind === callKind.nonIdempotent && runs > 1,
+    ),
+  'wrong not-run': fleet => countRequests(fleet, isWrongNotRun),
   'exceeded limits': ({endpoints}) => {
     let count = 0;
     for (const {exceeded} of endpoints.values()) count += exceeded.length;
--- a/packages/ryeworks-lab/src/scenarios/runScenario.ts
+++ b/packages/ryeworks-lab/src/scenarios/runScenario.ts
@@ -103,7 +103,7 @@
   }
   const qualifierText = Object.entries(qualifiers).flat().join(' ');
   const text = [metric, qualifierText, operator, value]
-    .filter(Boolean)
+    .filter(part => part !== '')
     .join(' ');
   return {line, text, actual, isMet: comparisons[operator](actual, value)};
 }
