Stand-ins: engine, service and proxy can be silent for a time and go on

A sound endpoint may fall silent for a second or so and go on; the stand-ins could only lose data, slow down or end connections. POST /control takes pauseMs (engine, service) and holdMs (proxy). In a pause, calls in progress stop before the head or between events, new connections are accepted and answered later, and /load, /runs and /version are answered as ever. A proxy that holds data passes on half of the first, so that the silence also falls inside a head or an event.

--- a/packages/ryeworks-standins/src/engine/startEngine.ts
+++ b/packages/ryeworks-standins/src/engine/startEngine.ts
@@ -1,5 +1,6 @@
 import {getHash} from '@ryeworks/utils';
 import Fastify, {FastifyInstance, FastifyReply} from 'fastify';
+import {WorkPause} from '../pause/workPause.js';
 import {
   addSequence,
   cancelSequence,
@@ -21,6 +22,14 @@
 /** Number of characters of a prompt that form its prefix. */
 const prefixCharacters = 256;
 
+/** Paths that are answered during a pause, too. */
+const controlPaths: ReadonlySet<string> = new Set([
+  '/load',
+  '/runs',
+  '/version',
+  '/control',
+]);
+
 /** An answer stream that can be read, interrupted and resumed. */
 interface EngineStream {
   /** Idempotency key or, without one, the request ID; part of each word. */
@@ -62,11 +71,16 @@
   const streams = new Map<string, EngineStream>();
   const runs: Record<string, number> = {};
   const loadReports: {running: number; queued: number}[] = [];
+  const pause = new WorkPause();
   let fencing = 0;
   let isStepping = false;
 
   const server = Fastify({forceCloseConnections: true, bodyLimit: 8_388_608});
 
+  server.addHook('onRequest', async request => {
+    if (!controlPaths.has(request.url)) await pause.waitForEnd();
+  });
+
   /** Stores an event of a stream and sends it to the reader, if any. */
   function emitEvent(stream: EngineStream, data: string): void {
     const frame = `id: ${stream.events.length + 1}\ndata: ${data}\n\n`;
@@ -105,7 +119,8 @@
     if (isStepping || isIdle(model)) return;
     isStepping = true;
     const stepMs = startStep(model);
-    setTimeout(() => {
+    setTimeout(async () => {
+      await pause.waitForEnd();
       for (const event of finishStep(model)) applyEvent(event);
       isStepping = false;
       runSteps();
@@ -184,15 +199,15 @@
     return {fencing};
   });
 
-  server.post<{Body: Partial<FaultOptions> & {slowdown?: number}}>(
-    '/control',
-    request => {
-      const {slowdown, ...faults} = request.body;
-      if (slowdown !== undefined) model.slowdown = slowdown;
-      Object.assign(model.faults, faults);
-      return model.faults;
-    },
-  );
+  server.post<{
+    Body: Partial<FaultOptions> & {slowdown?: number; pauseMs?: number};
+  }>('/control', request => {
+    const {pauseMs, slowdown, ...faults} = request.body;
+    if (slowdown !== undefined) model.slowdown = slowdown;
+    if (pauseMs !== undefined) pause.start(pauseMs);
+    Object.assign(model.faults, faults);
+    return model.faults;
+  });
 
   const loadTimer = setInterval(() => {
     loadReports.push({
--- a/packages/ryeworks-standins/src/proxy/faultProxy.ts
+++ b/packages/ryeworks-standins/src/proxy/faultProxy.ts
@@ -1,4 +1,5 @@
 import {systemClock} from '@ryeworks/utils';
+import {WorkPause} from '../pause/workPause.js';
 import {AddressInfo, connect, createServer, Server, Socket} from 'node:net';
 
 /** Faults that can be injected into a network path. */
@@ -64,6 +65,7 @@
 /** A TCP proxy that can reset, delay and silence connections. */
 export class FaultProxy {
   private readonly faults = createNoFaults();
+  private readonly pause = new WorkPause();
   private readonly connections = new Set<Connection>();
   private readonly server: Server;
 
@@ -89,6 +91,15 @@
     return this.faults;
   }
 
+  /**
+   * Holds all data for a time, then passes it on, so that nothing is lost. Of the
+   * first data of each connection in that time, half is passed on at once: the
+   * rest of a head or an event may then be missing for the time.
+   */
+  holdFor(durationMs: number): void {
+    this.pause.start(durationMs);
+  }
+
   /** Resets the open connections; new connections are not affected. */
   resetOpenConnections(): void {
     for (const {client} of this.connections) client.resetAndDestroy();
@@ -132,16 +143,27 @@
   ): void {
     const {faults} = this;
     const queue = new DelayQueue();
+    let isHolding = false;
     from.on('data', chunk => {
       const isDropped =
         connection.isSilent || faults.isBlackholed || faults[dropFault];
-      if (!isDropped) queue.run(faults.delayMs, () => to.write(chunk));
+      if (isDropped) return;
+      const heldMs = this.pause.getLeftMs();
+      const passedBytes = heldMs > 0 && !isHolding ? chunk.length >> 1 : 0;
+      isHolding = heldMs > 0;
+      if (passedBytes > 0) {
+        const passed = chunk.subarray(0, passedBytes);
+        queue.run(faults.delayMs, () => to.write(passed));
+      }
+      const rest = chunk.subarray(passedBytes);
+      queue.run(Math.max(heldMs, faults.delayMs), () => to.write(rest));
     });
     from.on('error', () => to.destroy());
     from.on('close', () => {
       this.connections.delete(connection);
       if (connection.isSilent) return;
-      queue.run(faults.delayMs, () => to.destroy());
+      const delayMs = Math.max(this.pause.getLeftMs(), faults.delayMs);
+      queue.run(delayMs, () => to.destroy());
     });
   }
 }
--- a/packages/ryeworks-standins/src/proxy/startFaultProxy.ts
+++ b/packages/ryeworks-standins/src/proxy/startFaultProxy.ts
@@ -13,14 +13,14 @@
 ): Promise<FastifyInstance> {
   const proxy = new FaultProxy(options);
   const control = Fastify({forceCloseConnections: true});
-  control.post<{Body: Partial<ProxyFaults> & {silenceOpen?: boolean}}>(
-    '/control',
-    request => {
-      const {silenceOpen, ...changes} = request.body;
-      if (silenceOpen === true) proxy.silenceOpenConnections();
-      return proxy.setFaults(changes);
-    },
-  );
+  control.post<{
+    Body: Partial<ProxyFaults> & {holdMs?: number; silenceOpen?: boolean};
+  }>('/control', request => {
+    const {holdMs, silenceOpen, ...changes} = request.body;
+    if (holdMs !== undefined) proxy.holdFor(holdMs);
+    if (silenceOpen === true) proxy.silenceOpenConnections();
+    return proxy.setFaults(changes);
+  });
   control.addHook('onClose', () => proxy.close());
   await proxy.listen();
   await control.listen({host: options.host, port: options.controlPort});
--- a/packages/ryeworks-standins/src/service/startService.ts
+++ b/packages/ryeworks-standins/src/service/startService.ts
@@ -1,4 +1,5 @@
 import Fastify, {FastifyInstance} from 'fastify';
+import {WorkPause} from '../pause/workPause.js';
 
 /** Options of {@link startService}. */
 export interface ServiceServerOptions {
@@ -33,6 +34,7 @@
     refuseRate: 0,
     callMs: options.callMs,
   };
+  const pause = new WorkPause();
   let refuseCount = 0;
   let failCount = 0;
 
@@ -43,11 +45,17 @@
 
   server.get('/runs', () => runs);
   server.get('/load', () => ({running: 0, queued: 0}));
-  server.post<{Body: Partial<ServiceFaults>}>('/control', request =>
-    Object.assign(faults, request.body),
+  server.post<{Body: Partial<ServiceFaults> & {pauseMs?: number}}>(
+    '/control',
+    request => {
+      const {pauseMs, ...changes} = request.body;
+      if (pauseMs !== undefined) pause.start(pauseMs);
+      return Object.assign(faults, changes);
+    },
   );
 
   server.all('/*', async (request, reply) => {
+    await pause.waitForEnd();
     refuseCount += 1;
     if (isAffected(faults.refuseRate, refuseCount)) {
       return reply
@@ -60,6 +68,7 @@
     );
     runs[key] = (runs[key] ?? 0) + 1;
     await new Promise(resolve => setTimeout(resolve, faults.callMs));
+    await pause.waitForEnd();
     failCount += 1;
     if (isAffected(faults.failRate, failCount)) {
       return reply.code(500).send({error: 'failed'});
