--- a/packages/ryeworks-standins/src/proxy/faultProxy.ts
+++ b/packages/ryeworks-standins/src/proxy/faultProxy.ts
@@ -46,19 +46,33 @@
 
 /** Runs actions after a delay, in the order in which they were added. */
 class DelayQueue {
-  private lastDueMs = 0;
+  private readonly waiting: Array<{dueMs: number; action: () => void}> = [];
 
   /** Runs an action after a delay, in ms, and after all earlier actions. */
   run(delayMs: number, action: () => void): void {
-    const nowMs = systemClock.readNowMs();
-    const dueMs = Math.max(nowMs + delayMs, this.lastDueMs);
-    if (dueMs <= nowMs) {
+    if (delayMs <= 0 && this.waiting.length === 0) {
       action();
       return;
     }
-    // Timers with the same duration fire in the order in which they were set.
-    this.lastDueMs = Math.ceil(dueMs) + 1;
-    setTimeout(action, this.lastDueMs - nowMs);
+    this.waiting.push({dueMs: systemClock.readNowMs() + delayMs, action});
+    if (this.waiting.length === 1) this.scheduleFirst();
+  }
+
+  /**
+   * Sets one timer, for the first action only: timers with different durations
+   * may fire in another order than they are due.
+   */
+  private scheduleFirst(): void {
+    const leftMs = this.waiting[0].dueMs - systemClock.readNowMs();
+    setTimeout(() => this.runDue(), Math.max(0, Math.ceil(leftMs)));
+  }
+
+  private runDue(): void {
+    const nowMs = systemClock.readNowMs();
+    while (this.waiting.length > 0 && this.waiting[0].dueMs <= nowMs) {
+      this.waiting.shift()!.action();
+    }
+    if (this.waiting.length > 0) this.scheduleFirst();
   }
 }
 
