Moves: a waiting request is not called at an old version once all go to the new one

What callers saw: a request that had been assigned to the old version when it arrived, and then waited for a slot, a permit or its next call, was called at the old version after all requests went to the new one. Its call could run there when the move completed; the platform then stops the old endpoints without draining, which cut it (a request that must not be run again got no answer).

Cause: the version is chosen when the request arrives, and listAllowedEndpoints kept to that choice whatever the move had come to since.

Evidence: moves.test.ts, 'a request that waits for the old version is not called there once all go to the new one', failed before (called at no endpoint at 75 % of the move, as the old endpoint was busy; expected e2).

Why it works: the share is asked again at each choice of an endpoint; once it is 1, no call starts at an old version while the new one has endpoints. The wait of the result for the calls at old versions then only has calls to wait for that end.

rateLimits/requestPermits.ts passes the time on; nothing else changes there.

--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {
   DispatchState,
+  Effect,
   handleInput,
   MoveOrder,
   startDispatch,
@@ -106,3 +107,24 @@
   t.equal(run.writtenPhases.at(-1), 'reverted');
   t.equal(run.afterVerdict, 0);
 });
+
+// Guards against calls that start at endpoints which stop without draining.
+t.test(
+  'a request that waits for the old version is not called there once all go to the new one',
+  async t => {
+    const state = createReadyState([
+      createEndpoint('e1', names.ledger, {slots: 1}),
+      createEndpoint('e2', names.ledger, {slots: 50, version: 'v2'}),
+    ]);
+    const durationMs = 1000;
+    const orders = [{...order, durationMs}];
+    runInput(state, {kind: 'movesRead', era: 1, orders}, 0);
+    let effects: Effect[] = [];
+    do effects = runInput(state, createRequest('booking', 0), 0);
+    while (listEffects(effects, 'startCall').length > 0);
+    t.strictSame(runInput(state, {kind: 'timerDue'}, 500), [], 'waits');
+    const sweep = runInput(state, {kind: 'timerDue'}, 0.75 * durationMs);
+    const called = listEffects(sweep, 'startCall').map(call => call.endpoint);
+    t.match(called, [{id: 'e2'}]);
+  },
+);
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -158,8 +158,9 @@
   nowMs: number,
 ): Candidate[] {
   const {isTrial, service} = request;
+  const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
   const candidates: Candidate[] = [];
-  for (const entry of listAllowedEndpoints(state, service, entries, isTrial)) {
+  for (const entry of allowed) {
     if (!isUsable(entry, nowMs)) continue;
     if (request.avoidedEndpoints.has(entry.endpoint.id)) continue;
     if (!hasPermit(state, entry, request.rank, nowMs)) continue;
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -89,14 +89,17 @@
 /**
  * Returns the endpoints that may serve a request. While its service is being
  * moved, these are the endpoints of the new version for a trial and those of
- * the old versions otherwise, or the others if there are none. A version that
- * was detected as bad serves no requests.
+ * the old versions otherwise, or the others if there are none. Once all requests
+ * are routed to the new version, this includes those that arrived earlier: the
+ * endpoints of the old versions stop without draining when the move completes.
+ * A version that was detected as bad serves no requests.
  */
 export function listAllowedEndpoints(
   state: DispatchState,
   service: string,
   entries: readonly EndpointEntry[],
   isTrial: boolean,
+  nowMs: number,
 ): readonly EndpointEntry[] {
   const move = state.moves.get(service);
   if (move === undefined) return entries;
@@ -105,7 +108,8 @@
   const oldEntries = entries.filter(entry => !isNew(entry));
   if (move.isBad) return oldEntries;
   const newEntries = entries.filter(isNew);
-  const [preferred, others] = isTrial
+  const isNewPreferred = isTrial || getNewVersionShare(move, nowMs) >= 1;
+  const [preferred, others] = isNewPreferred
     ? [newEntries, oldEntries]
     : [oldEntries, newEntries];
   return preferred.length > 0 ? preferred : others;
--- a/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
@@ -54,8 +54,9 @@
 ): LimitedEntry[] {
   const {isTrial, service} = request;
   const entries = [...listEndpoints(state.endpoints, service)];
+  const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
   const limited: LimitedEntry[] = [];
-  for (const entry of listAllowedEndpoints(state, service, entries, isTrial)) {
+  for (const entry of allowed) {
     const {limit} = entry;
     if (limit === undefined || !isUsable(entry, nowMs)) continue;
     if (request.avoidedEndpoints.has(entry.endpoint.id)) continue;
