Moves: a VM that starts during a move goes on where its peers are

What callers saw: a VM that was restarted during a move began the move anew: it sent 96 % of its requests to the old version again. Its calls there were cut when the other VMs completed the move at nine tenths of its duration, and the old endpoints stopped without draining. If it was the VM that writes results, the result came after the end of the move's duration.

Cause: the start of a move was the time at which the VM itself read the order.

Evidence: moves.test.ts, 'a VM that starts during a move routes as its peers do', failed without updateStart: the requests were called at the old version.

Why it works: a digest reports the age of each move under way and the share that the VM routes to the new version; the start is the earliest that a peer reports. Ages are durations, so that no clocks are compared. The new field is optional, for peers of another build, and ages alone do not make a digest worth sending.

--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -7,6 +7,7 @@
   startDispatch,
 } from '../index.js';
 import {
+  createDigest,
   createEndpoint,
   createReadyState,
   createRequest,
@@ -128,3 +129,29 @@
     t.match(called, [{id: 'e2'}]);
   },
 );
+
+/** Creates a VM that reads the order at time 0. */
+function createMovingState(): DispatchState {
+  const state = createReadyState([
+    createEndpoint('e1', names.ledger, {slots: 50}),
+    createEndpoint('e2', names.ledger, {slots: 50, version: 'v2'}),
+  ]);
+  startDispatch(state, 0);
+  runInput(state, {kind: 'movesRead', era: 1, orders: [order]}, 0);
+  return state;
+}
+
+const moveKey = 'ledger|1.10';
+// Guards against calls at old endpoints that are about to stop, and against a
+// result that is written after the move's end.
+t.test('a VM that starts during a move routes as its peers do', async t => {
+  const state = createMovingState();
+  const moves = {[moveKey]: {ageMs: 9000, share: 1}};
+  const message = createDigest({moves});
+  runInput(state, {kind: 'peerMessageReceived', message}, 10);
+  runInput(state, {kind: 'timerDue'}, 250);
+  for (let nowMs = 300; nowMs < 400; nowMs += 10) {
+    const effects = runInput(state, createRequest('booking', nowMs), nowMs);
+    t.match(listEffects(effects, 'startCall'), [{endpoint: {id: 'e2'}}]);
+  }
+});
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -1,14 +1,18 @@
 import {addObservations, estimateFailureRates} from '@ryeworks/utils';
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
-import {listEndpoints} from '../endpoints/endpointTable.js';
-import {countCalls} from '../admission/pickEndpoint.js';
 import {isProbablyAlive} from '../peers/peerTable.js';
 import {VersionCounts} from '../peers/peerMessage.js';
 import {startMove} from './handleMovesRead.js';
 import {getElapsedFraction, getNewVersionShare} from './decideTrial.js';
 import {MoveState, noCounts, VersionEvidence} from './moveTable.js';
-import {MoveOrder, MovePhase} from './moveOrder.js';
+import {MovePhase} from './moveOrder.js';
+import {
+  createEvidenceKey,
+  hasEnded,
+  hasOldVersionCalls,
+  updateStart,
+} from './moveProgress.js';
 import {isLossLikely} from '../store/storeEra.js';
 
 /** Time between two updates of the moves, in ms. */
@@ -21,23 +25,13 @@
 /** Fraction of a move's duration after which it may be completed. */
 const minCompletionFraction = 0.65;
 /**
- * Fraction of a move's duration after which calls in flight on old versions no
- * longer delay its completion.
+ * Fraction of a move's duration after which calls on old versions, in flight or
+ * possible, no longer delay its completion.
  */
 const forcedCompletionFraction = 0.9;
 /** Rates of slow answers between which the slowness test distinguishes. */
 const slowRates = {acceptable: 0.08, unacceptable: 0.4};
 
-/**
- * Creates the key under which a digest holds the counts of a move's new version
- * or of its old versions.
- */
-export function createEvidenceKey(order: MoveOrder, isNew: boolean): string {
-  const {createdAt, service} = order;
-  const {era, revision} = createdAt;
-  return `${service}|${era}.${revision}|${isNew ? 'new' : 'old'}`;
-}
-
 /** Sums up the counts of a move's new or old version over all VMs. */
 function sumEvidence(state: DispatchState, move: MoveState, isNew: boolean) {
   const evidence = isNew ? move.newEvidence : move.oldEvidence;
@@ -97,19 +91,6 @@
   return [createLog('move_version_bad', fields)];
 }
 
-/** Returns whether calls are in flight on versions that a move replaces. */
-function hasOldVersionCalls(
-  state: DispatchState,
-  move: MoveState,
-  nowMs: number,
-): boolean {
-  for (const entry of listEndpoints(state.endpoints, move.order.service)) {
-    if (entry.endpoint.version === move.order.toVersion) continue;
-    if (countCalls(state, entry, nowMs) > 0) return true;
-  }
-  return false;
-}
-
 /**
  * Returns the phase to be written for a move; undefined if there is none now.
  */
@@ -119,7 +100,7 @@
   nowMs: number,
 ): MovePhase | undefined {
   const {phase} = move.order;
-  if (phase === 'completed' || phase === 'reverted') return undefined;
+  if (hasEnded(move.order)) return undefined;
   if (move.isBad) return 'reverted';
   if (move.wasCompleted) return 'completed';
   const fraction = getElapsedFraction(move, nowMs);
@@ -168,6 +149,7 @@
   state.timers.set('moves', '', nowMs + moveUpdatePeriodMs);
   const effects = endOrderWaits(state, nowMs);
   for (const move of state.moves.values()) {
+    updateStart(state, move);
     effects.push(...testNewVersion(state, move));
     if (move.isMissing) continue;
     const phase = decideNextPhase(state, move, nowMs);
--- a/packages/ryeworks-dispatch/src/moves/moveTable.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveTable.ts
@@ -24,7 +24,8 @@
   heldOrder: MoveOrder | undefined;
   /** Whether the move was completed in an earlier era of the store. */
   wasCompleted: boolean;
-  readonly startedAtMs: number;
+  /** When the first VM, as far as is known, read the order, in ms. */
+  startedAtMs: number;
   /** Whether the new version was detected as bad; never reset. */
   isBad: boolean;
   readonly newEvidence: VersionEvidence;
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -18,6 +18,14 @@
   readonly slow: number;
 }
 
+/** How far a move under way has come on one VM. */
+export interface MoveReport {
+  /** Time since the first VM, as far as is known, read the order, in ms. */
+  readonly ageMs: number;
+  /** Share of the requests that the VM routes to the new version. */
+  readonly share: number;
+}
+
 /** What a VM knows of an endpoint's rate limit. */
 export interface LimitReport {
   /** Requests per second from all VMs together, as last named. */
@@ -72,6 +80,11 @@
   readonly unitsTaken: Readonly<Record<string, number>>;
   /** Call outcomes by move and version; see `createEvidenceKey`. */
   readonly evidence: Readonly<Record<string, VersionCounts>>;
+  /**
+   * Moves under way; see `createMoveKey`. Undefined from a build that does not
+   * report them.
+   */
+  readonly moves?: Readonly<Record<string, MoveReport>>;
   /**
    * Rate limits of endpoints that this VM owns or has just observed, by endpoint
    * id; undefined from a build that knows no limits.
--- a/packages/ryeworks-dispatch/src/peers/peerTable.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerTable.ts
@@ -1,4 +1,4 @@
-import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
+import {Digest, MoveReport, QueueHead, VersionCounts} from './peerMessage.js';
 
 /** Age above which a digest received directly from its VM is stale, in ms. */
 const directDigestMaxAgeMs = 600;
@@ -38,6 +38,8 @@
   heads: Map<string, QueueHead>;
   unitsTaken: Readonly<Record<string, number>>;
   evidence: Readonly<Record<string, VersionCounts>>;
+  /** Moves under way; undefined from a build that does not report them. */
+  moves: Readonly<Record<string, MoveReport>> | undefined;
   /** Whether the VM runs a build that keeps to the rate limits of endpoints. */
   knowsLimits: boolean;
 }
@@ -93,6 +95,7 @@
     heads: new Map(),
     unitsTaken: {},
     evidence: {},
+    moves: undefined,
     knowsLimits: false,
   };
   table.byVm.set(vm, peer);
@@ -255,6 +258,7 @@
   peer.heads = new Map(Object.entries(digest.heads));
   peer.unitsTaken = digest.unitsTaken;
   peer.evidence = digest.evidence;
+  peer.moves = digest.moves;
   peer.knowsLimits = digest.limits !== undefined;
   return usages;
 }
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -1,7 +1,7 @@
 import {getQueueHead} from '../admission/assignFreedSlot.js';
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
-import {createEvidenceKey} from '../moves/handleMoves.js';
+import {createEvidenceKey, createMoveReports} from '../moves/moveProgress.js';
 import {createLimitReports} from '../rateLimits/limitReports.js';
 import {updateRateLimits} from '../rateLimits/updateRateLimits.js';
 import {Digest, QueueHead, VersionCounts} from './peerMessage.js';
@@ -85,6 +85,7 @@
     heads: createQueueHeads(state, nowMs),
     unitsTaken: createUnitsTaken(state),
     evidence: createEvidence(state),
+    moves: createMoveReports(state, nowMs),
     limits: createLimitReports(state, nowMs),
   };
 }
@@ -132,7 +133,12 @@
   const limits = Object.entries(digest.limits ?? {}).map(
     ([id, {isLifted, perSecond}]) => [id, isLifted, perSecond],
   );
-  const compared = {...digest, storeReachedForMs: 0, sequence: 0, limits};
+  const shares = Object.entries(digest.moves ?? {}).map(([key, {share}]) => [
+    key,
+    share,
+  ]);
+  const changing = {storeReachedForMs: 0, sequence: 0, moves: shares, limits};
+  const compared = {...digest, ...changing};
   const text = JSON.stringify(compared);
   const isUnchanged = text === state.lastDigestText;
   state.lastDigestText = text;
