Moves: not completed while a peer may still call the old version

What callers saw: a call in flight at an old endpoint was cut by the completion of the move, although the result waits for calls at old versions. The wait missed three kinds: calls of a VM whose digests had stopped for two seconds (paused, or cut off from its peers only), after which they counted as ended; calls that a VM starts which has not read the order; and calls that a VM starts which still routes a part of its requests to the old version, as it knows of fewer answers.

Cause: the wait looked only at the calls that digests show at one moment.

Evidence: moves.test.ts, 'a move is not completed while a peer may call the old version', failed without the loop over the peers ('order not read', 'not moved', 'silent').

Why it works: a peer delays the result until its digest says that it routes all requests to the new version; no call starts at the old version after that, and the same digest shows those in flight. A silent peer delays it for as long as a call may take. As before, nothing delays it after nine tenths of the move's duration.

--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import {
+  Digest,
   DispatchState,
   Effect,
   handleInput,
@@ -141,7 +142,49 @@
   return state;
 }
 
+/** A peer that sends digests until it falls silent. */
+interface MovingPeer {
+  readonly moves: Digest['moves'];
+  readonly inFlight: Digest['inFlight'];
+  readonly silentFromMs: number;
+}
+
+/** Runs the timers beside a peer; returns when the move was completed, in ms. */
+function runBesidePeer(peer: MovingPeer): number | undefined {
+  const state = createMovingState();
+  for (let nowMs = 100; nowMs < order.durationMs; nowMs += 100) {
+    if (nowMs < peer.silentFromMs) {
+      const message = createDigest({...peer, sequence: nowMs});
+      runInput(state, {kind: 'peerMessageReceived', message}, nowMs);
+    }
+    const effects = runInput(state, {kind: 'timerDue'}, nowMs);
+    for (const {result} of listEffects(effects, 'writeMoveResult')) {
+      if (result.phase === 'completed') return nowMs;
+    }
+  }
+  return undefined;
+}
+
 const moveKey = 'ledger|1.10';
+/** Time from which calls at old endpoints no longer delay the result, in ms. */
+const forcedAtMs = 0.9 * order.durationMs;
+
+// Guards against calls of a peer that are cut when the old endpoints stop.
+t.test(
+  'a move is not completed while a peer may call the old version',
+  async t => {
+    const peer = {inFlight: {}, silentFromMs: Number.POSITIVE_INFINITY};
+    const moved = {[moveKey]: {ageMs: 0, share: 1}};
+    const moving = {[moveKey]: {ageMs: 0, share: 0.3}};
+    const completedAtMs = runBesidePeer({...peer, moves: moved});
+    t.ok(completedAtMs! < forcedAtMs, 'a peer that has moved delays nothing');
+    t.equal(runBesidePeer({...peer, moves: {}}), forcedAtMs, 'order not read');
+    t.equal(runBesidePeer({...peer, moves: moving}), forcedAtMs, 'not moved');
+    const silent = {inFlight: {e1: 1}, silentFromMs: 5000};
+    t.equal(runBesidePeer({...silent, moves: moving}), forcedAtMs, 'silent');
+  },
+);
+
 // Guards against calls at old endpoints that are about to stop, and against a
 // result that is written after the move's end.
 t.test('a VM that starts during a move routes as its peers do', async t => {
--- a/packages/ryeworks-dispatch/src/moves/moveProgress.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveProgress.ts
@@ -2,7 +2,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {listEndpoints} from '../endpoints/endpointTable.js';
 import {MoveReport} from '../peers/peerMessage.js';
-import {PeerState} from '../peers/peerTable.js';
+import {isProbablyAlive, PeerState} from '../peers/peerTable.js';
 import {getNewVersionShare} from './decideTrial.js';
 import {MoveOrder, movePhase} from './moveOrder.js';
 import {MoveState} from './moveTable.js';
@@ -61,8 +61,38 @@
   }
 }
 
+/** Returns the longest time that a call may take, in ms. */
+function getLongestCallMs(state: DispatchState): number {
+  const {routes = []} = state.desiredState.current ?? {};
+  return Math.max(0, ...routes.map(route => route.timeoutMs));
+}
+
+/**
+ * Returns whether a peer may start calls at versions that a move replaces, or
+ * may have some in flight that its last digest does not show: it has not yet
+ * reported that it routes all requests to the new version, or it has not been
+ * silent for so long that its calls must have ended.
+ */
+function canCallOldVersions(
+  state: DispatchState,
+  peer: PeerState,
+  move: MoveState,
+  nowMs: number,
+): boolean {
+  if (!isProbablyAlive(state.peers, peer, nowMs)) {
+    return nowMs - peer.digestReceivedAtMs <= getLongestCallMs(state);
+  }
+  // A build that does not report its moves shows only that it knows the order.
+  if (peer.moves === undefined) {
+    return peer.evidence[createEvidenceKey(move.order, true)] === undefined;
+  }
+  const {share = 0} = findReport(peer, move) ?? {};
+  return share < 1;
+}
+
 /**
- * Returns whether calls at versions that a move replaces are in flight on any VM.
+ * Returns whether calls at versions that a move replaces are in flight on any VM
+ * or may still start.
  */
 export function hasOldVersionCalls(
   state: DispatchState,
@@ -74,5 +104,8 @@
     if (entry.endpoint.version === toVersion) continue;
     if (countCalls(state, entry, nowMs) > 0) return true;
   }
+  for (const peer of state.peers.byVm.values()) {
+    if (canCallOldVersions(state, peer, move, nowMs)) return true;
+  }
   return false;
 }
