Moves: a version that one VM found bad is bad on every VM

What callers saw: a VM that had found the new version bad routed its requests to the old one for good. If the VM that writes results had not found it (it had been restarted, or had missed digests), it completed the move; the old endpoints stopped, and the first VM had no endpoint left for the service.

Cause: each VM judges by the counts in the digests that reach it, and only the verdict of the writer counted for the result.

Evidence: moves.test.ts, 'a version that a peer found bad is bad on every VM', failed before (the writer wrote 'moving' and called e2).

Why it works: the digest says which versions the VM found bad; a peer takes the verdict over unless it has read that the move ended, and the writer reverts it.

--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -174,8 +174,8 @@
   'a move is not completed while a peer may call the old version',
   async t => {
     const peer = {inFlight: {}, silentFromMs: Number.POSITIVE_INFINITY};
-    const moved = {[moveKey]: {ageMs: 0, share: 1}};
-    const moving = {[moveKey]: {ageMs: 0, share: 0.3}};
+    const moved = {[moveKey]: {ageMs: 0, share: 1, isBad: false}};
+    const moving = {[moveKey]: {ageMs: 0, share: 0.3, isBad: false}};
     const completedAtMs = runBesidePeer({...peer, moves: moved});
     t.ok(completedAtMs! < forcedAtMs, 'a peer that has moved delays nothing');
     t.equal(runBesidePeer({...peer, moves: {}}), forcedAtMs, 'order not read');
@@ -189,7 +189,7 @@
 // result that is written after the move's end.
 t.test('a VM that starts during a move routes as its peers do', async t => {
   const state = createMovingState();
-  const moves = {[moveKey]: {ageMs: 9000, share: 1}};
+  const moves = {[moveKey]: {ageMs: 9000, share: 1, isBad: false}};
   const message = createDigest({moves});
   runInput(state, {kind: 'peerMessageReceived', message}, 10);
   runInput(state, {kind: 'timerDue'}, 250);
@@ -198,3 +198,19 @@
     t.match(listEffects(effects, 'startCall'), [{endpoint: {id: 'e2'}}]);
   }
 });
+
+// Guards against a move that one VM completes and that leaves another VM, which
+// found the version bad, without any endpoint to call.
+t.test('a version that a peer found bad is bad on every VM', async t => {
+  const state = createMovingState();
+  const moves = {[moveKey]: {ageMs: 10_000, share: 0, isBad: true}};
+  const message = createDigest({moves});
+  runInput(state, {kind: 'peerMessageReceived', message}, 240);
+  const effects = runInput(state, {kind: 'timerDue'}, 250);
+  t.match(listEffects(effects, 'writeMoveResult'), [
+    {result: {phase: 'reverted'}},
+  ]);
+  const request = createRequest('booking', 300);
+  const [call] = listEffects(runInput(state, request, 300), 'startCall');
+  t.equal(call.endpoint.id, 'e1');
+});
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -11,7 +11,7 @@
   createEvidenceKey,
   hasEnded,
   hasOldVersionCalls,
-  updateStart,
+  applyReports,
 } from './moveProgress.js';
 import {isLossLikely} from '../store/storeEra.js';
 
@@ -149,7 +149,7 @@
   state.timers.set('moves', '', nowMs + moveUpdatePeriodMs);
   const effects = endOrderWaits(state, nowMs);
   for (const move of state.moves.values()) {
-    updateStart(state, move);
+    effects.push(...applyReports(state, move));
     effects.push(...testNewVersion(state, move));
     if (move.isMissing) continue;
     const phase = decideNextPhase(state, move, nowMs);
--- a/packages/ryeworks-dispatch/src/moves/moveProgress.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveProgress.ts
@@ -1,5 +1,6 @@
 import {countCalls} from '../admission/pickEndpoint.js';
 import {DispatchState} from '../dispatchState.js';
+import {createLog, Effect} from '../effect.js';
 import {listEndpoints} from '../endpoints/endpointTable.js';
 import {MoveReport} from '../peers/peerMessage.js';
 import {isProbablyAlive, PeerState} from '../peers/peerTable.js';
@@ -35,7 +36,8 @@
     if (hasEnded(move.order)) continue;
     const ageMs = Math.round(nowMs - move.startedAtMs);
     const share = getNewVersionShare(move, nowMs);
-    reports[createMoveKey(move.order)] = {ageMs, share};
+    const {isBad} = move;
+    reports[createMoveKey(move.order)] = {ageMs, share, isBad};
   }
   return reports;
 }
@@ -48,17 +50,26 @@
 }
 
 /**
- * Sets the start of a move to the earliest that a peer reports. A VM that starts
- * during a move then routes its requests as the others do, rather than to an old
- * version that is about to stop.
+ * Applies the peers' reports of a move under way. Its start is the earliest that
+ * a peer reports: a VM that starts during a move then routes its requests as the
+ * others do, rather than to an old version that is about to stop. A version that
+ * a peer found bad is bad here as well, or else this VM might complete the move.
  */
-export function updateStart(state: DispatchState, move: MoveState): void {
+export function applyReports(state: DispatchState, move: MoveState): Effect[] {
+  if (hasEnded(move.order)) return [];
+  const effects: Effect[] = [];
   for (const peer of state.peers.byVm.values()) {
     const report = findReport(peer, move);
     if (report === undefined) continue;
     const startedAtMs = peer.digestReceivedAtMs - report.ageMs;
     move.startedAtMs = Math.min(move.startedAtMs, startedAtMs);
+    if (!report.isBad || move.isBad) continue;
+    move.isBad = true;
+    const {service, toVersion} = move.order;
+    const fields = {service, toVersion, reason: 'peer', peer: peer.vm};
+    effects.push(createLog('move_version_bad', fields));
   }
+  return effects;
 }
 
 /** Returns the longest time that a call may take, in ms. */
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -24,6 +24,8 @@
   readonly ageMs: number;
   /** Share of the requests that the VM routes to the new version. */
   readonly share: number;
+  /** Whether the VM found the new version bad. */
+  readonly isBad: boolean;
 }
 
 /** What a VM knows of an endpoint's rate limit. */
