Moves: the result is written by a VM that reaches the store

What callers saw: nothing at once. While the first VM by name could not reach the store but sent digests, no VM wrote the results of moves: a bad version was not reverted in the store, and a good one not completed before its time was up.

Cause: the writer was the first VM by name that is probably alive, whether or not it reached the store. The others left the writing to it.

Evidence: moves.test.ts, 'a result is written by a VM that reaches the store', failed before: nothing was written beside a peer vm-0 that does not reach the store.

Why it works: digests say whether a VM reaches the store; those that do come first. Two writers for a moment do no harm, as the write is conditional.

--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -138,6 +138,7 @@
     createEndpoint('e2', names.ledger, {slots: 50, version: 'v2'}),
   ]);
   startDispatch(state, 0);
+  runInput(state, {kind: 'storeReachabilityChanged', isReachable: true}, 0);
   runInput(state, {kind: 'movesRead', era: 1, orders: [order]}, 0);
   return state;
 }
@@ -214,3 +215,18 @@
   const [call] = listEffects(runInput(state, request, 300), 'startCall');
   t.equal(call.endpoint.id, 'e1');
 });
+
+// Guards against a result that nobody writes: the first VM cannot, and the others
+// leave it to the first.
+t.test('a result is written by a VM that reaches the store', async t => {
+  for (const [storeReachedForMs, writes] of [
+    [0, 1],
+    [1000, 0],
+  ]) {
+    const state = createMovingState();
+    const message = createDigest({vm: 'vm-0', storeReachedForMs});
+    runInput(state, {kind: 'peerMessageReceived', message}, 240);
+    const effects = runInput(state, {kind: 'timerDue'}, 250);
+    t.equal(listEffects(effects, 'writeMoveResult').length, writes);
+  }
+});
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -113,13 +113,20 @@
 }
 
 /**
- * Returns whether this VM writes the results of moves: it is the first by name,
- * not counting peers that are probably dead.
+ * Returns whether this VM writes the results of moves: it is the first by name of
+ * those that reach the store, or of all if none does, not counting peers that are
+ * probably dead.
  */
 function isResultWriter(state: DispatchState, nowMs: number): boolean {
+  const isReaching = state.isStoreReachable && state.isWatchingStore;
   for (const peer of state.peers.byVm.values()) {
-    if (peer.vm >= state.options.vm) continue;
-    if (isProbablyAlive(state.peers, peer, nowMs)) return false;
+    if (!isProbablyAlive(state.peers, peer, nowMs)) continue;
+    const isPeerReaching = Number.isFinite(peer.storeReachableSinceMs);
+    const isPeerFirst =
+      isPeerReaching === isReaching
+        ? peer.vm < state.options.vm
+        : isPeerReaching;
+    if (isPeerFirst) return false;
   }
   return true;
 }
