Moves: a completed move is not reverted after the store came back from a copy

What callers saw: nothing yet; by the code, all endpoints of a service could stop. A move was completed and its old endpoints stopped. The store then came back from an older copy, without the result. If the new version had been found bad after the completion, 'reverted' was written in place of 'completed', upon which the platform stops the endpoints of the new version as well.

Evidence: storeEra.test.ts, 'a completed move is not reverted by a later verdict', failed before ('reverted').

Why it works: what was completed is asked first.

--- a/packages/ryeworks-dispatch/src/__tests__/storeEra.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeEra.test.ts
@@ -299,6 +299,17 @@
   });
 }
 
+// Guards against the loss of all endpoints: those of the old version have stopped.
+t.test('a completed move is not reverted by a later verdict', async t => {
+  const state = createWatcher();
+  readOrders(state, 1, [createOrder({era: 1, revision: 9}, 'completed')], 100);
+  state.moves.get(names.ledger)!.isBad = true;
+  const orders = [createOrder({era: 2, revision: 9}, undefined)];
+  readOrders(state, 2, orders, 1000);
+  const results = listResults(runInput(state, {kind: 'timerDue'}, 1300));
+  t.match(results, [{phase: 'completed'}]);
+});
+
 t.test('an older order does not replace one that returns', async t => {
   const state = createWatcher();
   readOrders(state, 1, [createOrder({era: 1, revision: 9}, 'reverted')], 100);
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -101,8 +101,8 @@
 ): MovePhase | undefined {
   const {phase} = move.order;
   if (hasEnded(move.order)) return undefined;
-  if (move.isBad) return 'reverted';
   if (move.wasCompleted) return 'completed';
+  if (move.isBad) return 'reverted';
   const fraction = getElapsedFraction(move, nowMs);
   const hasAllRequests = getNewVersionShare(move, nowMs) >= 1;
   if (hasAllRequests && fraction >= minCompletionFraction) {
