Own interface: a refused resume does not end a request as not run

What callers saw: the connection of a dispatched call was cut and the endpoint refused the call that would resume its stream (503, or Ryeworks-Ran: not-run). The caller was told that the request had not run, the claim of its idempotency key was released, and the engine was told to stop; a retry then ran it a second time. A non-idempotent request was dispatched again at once. Besides, three resumes that fail at once were used up within milliseconds.

Cause: 'refused' proves that a call did not run; of a call that resumes a stream it proves nothing about the request, which was sent before.

Why it works: once a stream was resumed, a refusal counts as a cut, as a failure to connect did already; the second and later resumes wait 200 and 400 ms.

--- /dev/null
+++ b/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
@@ -0,0 +1,146 @@
+import {RouteClass} from '@ryeworks/types';
+import t from 'tap';
+import {
+  createSchedulerState,
+  Effect,
+  EndpointFailed,
+  handleInput,
+  Input,
+  SchedulerState,
+  startScheduler,
+} from '../index.js';
+import {createTestOptions} from './testOptions.js';
+
+const requestId = 'r1';
+/** Effects that end the caller's answer or the call to the endpoint. */
+const endKinds: readonly string[] = [
+  'answerError',
+  'completeAnswer',
+  'cancelDispatch',
+];
+
+/** A VM whose only request was dispatched to its only endpoint. */
+interface Dispatched {
+  readonly state: SchedulerState;
+  /** Passes an input; returns the effects that a test looks at. */
+  submit(input: Input, nowMs: number): Effect[];
+  /** Fails the call. */
+  fail(failure: EndpointFailed['failure'], nowMs: number): Effect[];
+}
+
+/** Starts a request on a route of a class at an endpoint. */
+function dispatchRequest(
+  routeClass: RouteClass,
+  canResume: boolean,
+  idempotencyKey?: string,
+): Dispatched {
+  const options = createTestOptions('vm-a');
+  const [service] = options.services;
+  const routes = [{method: 'POST', path: '/x', class: routeClass}] as const;
+  const state = createSchedulerState(
+    {...options, services: [{...service, routes}]},
+    0,
+  );
+  const limits = {
+    requestsPerSecond: 100,
+    tokensPerSecond: 10_000,
+    concurrency: 50,
+  };
+  const contents = {
+    plans: {
+      plans: [{plan: 'p', limits}],
+      customers: [{customer: 'c', plan: 'p', keyHashes: []}],
+    },
+    allowances: {
+      allowances: [
+        {plan: 'p', service: '*', engines: ['*'], versions: ['*'], tiers: [2]},
+      ],
+      currentVersions: {m: 'v1'},
+    },
+    endpoints: {
+      endpoints: [
+        {
+          endpoint: 'e1',
+          service: 'm',
+          kind: 'model',
+          version: 'v1',
+          availabilityZone: 'a',
+          address: 'http://e1',
+          engine: 'g1',
+          generation: 1,
+          state: 'live',
+          checksFencing: true,
+          canResume,
+        },
+      ],
+    },
+  } as const;
+  startScheduler(state, 0);
+  handleInput(state, {kind: 'newZoneDetected'}, 0);
+  for (const [name, content] of Object.entries(contents)) {
+    const contentJson = JSON.stringify(content);
+    const read = {kind: 'documentRead', version: 1, contentJson} as const;
+    handleInput(state, {...read, name: name as keyof typeof contents}, 0);
+  }
+  const submit = (input: Input, nowMs: number) =>
+    handleInput(state, input, nowMs).filter(
+      ({kind}) =>
+        kind === 'dispatch' || kind === 'resume' || endKinds.includes(kind),
+    );
+  const request = {
+    customer: 'c',
+    service: 'm',
+    route: 'POST /x',
+    promptTokens: 10,
+    maxTokens: 10,
+    prefixHash: 0,
+    fingerprint: 1,
+    attempt: 1,
+  };
+  const received = {...request, kind: 'requestReceived', requestId} as const;
+  t.match(submit({...received, idempotencyKey}, 1), [{kind: 'dispatch'}]);
+  return {
+    state,
+    submit,
+    fail: (failure, nowMs) =>
+      submit({kind: 'endpointFailed', requestId, failure}, nowMs),
+  };
+}
+
+/** Runs the timers until a time; returns the effects. */
+function runTimers({submit}: Dispatched, fromMs: number, untilMs: number) {
+  const effects: Effect[] = [];
+  for (let nowMs = fromMs; nowMs <= untilMs; nowMs += 50) {
+    effects.push(...submit({kind: 'timerDue'}, nowMs));
+  }
+  return effects;
+}
+
+// Guards against a second run of a request that was told it had not run.
+for (const failure of ['refused', 'notSent'] as const) {
+  t.test(`a resume that is ${failure} does not end the request`, async t => {
+    const dispatched = dispatchRequest('dispatchOnce', true, 'key');
+    t.match(dispatched.fail('cut', 100), [{kind: 'resume'}]);
+    const ended = dispatched.fail(failure, 110);
+    t.same(ended, [], 'neither ended nor resumed at once');
+    t.match(runTimers(dispatched, 120, 600), [{kind: 'resume'}]);
+    dispatched.submit({kind: 'endpointFirstToken', requestId}, 610);
+    const done = {kind: 'endpointDone', requestId, outputTokens: 1} as const;
+    t.match(dispatched.submit(done, 620), [{kind: 'completeAnswer'}]);
+  });
+
+  t.test(`a request whose resumes are all ${failure} may have run`, async t => {
+    const dispatched = dispatchRequest('nonIdempotent', true);
+    let effects = dispatched.fail('cut', 100);
+    let resumes = 0;
+    for (let nowMs = 150; nowMs < 3000; nowMs += 50) {
+      if (effects.some(({kind}) => kind === 'resume')) {
+        resumes += 1;
+        effects = dispatched.fail(failure, nowMs);
+      } else effects = dispatched.submit({kind: 'timerDue'}, nowMs);
+      if (effects.some(({kind}) => kind === 'answerError')) break;
+    }
+    t.equal(resumes, 3);
+    t.match(effects, [{error: 'outcomeUnknown', ran: 'unknown'}]);
+  });
+}
--- a/packages/ryeworks-scheduler/src/handleTimerDue.ts
+++ b/packages/ryeworks-scheduler/src/handleTimerDue.ts
@@ -16,7 +16,7 @@
 import {SchedulerState} from './schedulerState.js';
 import {expireGrantRequest} from './requests/askForGrant.js';
 import {expireClaim} from './requests/handleClaimAnswer.js';
-import {expireProgress} from './requests/handleEndpointEvents.js';
+import {expireProgress, resumeAgain} from './requests/handleEndpointEvents.js';
 import {expireRequest} from './requests/handleRequestReceived.js';
 import {startAttempt} from './requests/startAttempt.js';
 import {TimerPurpose} from './timerPurpose.js';
@@ -32,6 +32,7 @@
   grantRequestTimeout: expireGrantRequest,
   retryBackoff: startAttempt,
   progressTimeout: expireProgress,
+  resumeBackoff: resumeAgain,
   claimTimeout: expireClaim,
   claimCopyTimeout: expireClaimCopy,
   cellSweep: sweepCell,
--- a/packages/ryeworks-scheduler/src/requests/endRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/endRequest.ts
@@ -90,6 +90,7 @@
   timers.clear('grantRequestTimeout', requestId);
   timers.clear('retryBackoff', requestId);
   timers.clear('progressTimeout', requestId);
+  timers.clear('resumeBackoff', requestId);
   timers.clear('claimTimeout', requestId);
   releaseLimit(state, request.customer, request.tier);
 }
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -19,6 +19,11 @@
 const maxResumes = 3;
 /** Base delay before another attempt, in ms; doubled with each attempt. */
 const baseBackoffMs = 20;
+/**
+ * Delay before a stream whose resumed call failed as well is resumed again, in
+ * ms; doubled each time. What made the endpoint refuse may pass.
+ */
+const baseResumeDelayMs = 200;
 
 /** Whether a failed call may be retried, by failure and route class. */
 const mayRetry: Record<CallFailure, Record<RouteClass, boolean>> = {
@@ -104,6 +109,7 @@
   const endpoint = state.admission.endpoints.get(request.endpoint);
   if (endpoint?.canResume !== true) return undefined;
   if (request.resumes >= maxResumes) return undefined;
+  state.timers.clear('resumeBackoff', request.requestId);
   request.resumes += 1;
   recordProgress(state, request, nowMs);
   const {requestId} = request;
@@ -113,6 +119,39 @@
   ];
 }
 
+/**
+ * Resumes a stream whose connection was cut, at once or, if it was resumed
+ * before, after a delay. Returns undefined if that is not possible.
+ */
+function resumeCutStream(
+  state: SchedulerState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] | undefined {
+  const {requestId, resumes} = request;
+  if (resumes === 0) return resumeStream(state, request, 'cut', nowMs);
+  const endpoint = state.admission.endpoints.get(request.endpoint);
+  if (endpoint?.canResume !== true || resumes >= maxResumes) return undefined;
+  const delayMs = baseResumeDelayMs * 2 ** (resumes - 1);
+  state.timers.clear('progressTimeout', requestId);
+  state.timers.set('resumeBackoff', requestId, nowMs + delayMs);
+  return [];
+}
+
+/** Resumes a stream again whose last resumed call failed. */
+export function resumeAgain(
+  state: SchedulerState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = findDispatched(state, requestId);
+  if (request === undefined) return [];
+  return (
+    resumeStream(state, request, 'cut', nowMs) ??
+    endFailedRequest(state, request, callFailure.cut, nowMs)
+  );
+}
+
 /**
  * Returns whether a failed call reached its endpoint. A retry then counts
  * against the retry budget, since the failed call cost the endpoint work.
@@ -158,15 +197,32 @@
 
 /**
  * Classifies a failure with regard to the whole call. When a stream cannot be
- * resumed because no new connection can be made, the failure counts as `cut`
- * rather than `notSent`, since the request itself was sent earlier.
+ * resumed because no new connection can be made, or because the endpoint refuses
+ * the call that would resume it, the failure counts as `cut`, since the request
+ * itself was sent earlier and may still be running.
  */
 function classifyFailure(
   request: ActiveRequest,
   failure: CallFailure,
 ): CallFailure {
   const wasSent = request.resumes > 0;
-  return wasSent && failure === callFailure.notSent ? callFailure.cut : failure;
+  const provesNotRun =
+    failure === callFailure.notSent || failure === callFailure.refused;
+  return wasSent && provesNotRun ? callFailure.cut : failure;
+}
+
+/** Retries a request whose call failed, or ends it. */
+function endFailedRequest(
+  state: SchedulerState,
+  request: ActiveRequest,
+  failure: CallFailure,
+  nowMs: number,
+): Effect[] {
+  if (canRetry(state, request, failure)) {
+    return scheduleRetry(state, request, failure, nowMs);
+  }
+  const outcome = {...failureOutcomes[failure], isEndpointFault: true};
+  return endRequest(state, request, outcome, nowMs);
 }
 
 /** Resumes, retries or ends a request whose call failed. */
@@ -179,14 +235,10 @@
   if (request === undefined) return [];
   const failure = classifyFailure(request, input.failure);
   if (failure === callFailure.cut) {
-    const resumed = resumeStream(state, request, 'cut', nowMs);
+    const resumed = resumeCutStream(state, request, nowMs);
     if (resumed !== undefined) return resumed;
   }
-  if (canRetry(state, request, failure)) {
-    return scheduleRetry(state, request, failure, nowMs);
-  }
-  const outcome = {...failureOutcomes[failure], isEndpointFault: true};
-  return endRequest(state, request, outcome, nowMs);
+  return endFailedRequest(state, request, failure, nowMs);
 }
 
 /** Resumes, retries or ends a request whose call makes no progress. */
--- a/packages/ryeworks-scheduler/src/timerPurpose.ts
+++ b/packages/ryeworks-scheduler/src/timerPurpose.ts
@@ -7,6 +7,7 @@
   | 'grantRequestTimeout'
   | 'retryBackoff'
   | 'progressTimeout'
+  | 'resumeBackoff'
   | 'claimTimeout'
   | 'claimCopyTimeout'
   | 'cellSweep'
