Own interface: a stream goes on after its last event when a resume fails first

What callers saw: pieces of a streamed answer twice. The connection to the engine was cut, the first call that would resume the stream was refused or could not connect, and the next one received the stream from its start.

Cause: the client kept the partial answer, which knows the last event, only of a call that was cut. Of a resumed call that was refused or not sent it dropped it.

Evidence: endpointClient.test.ts, 'a stream goes on where it was after a refused resume', against a real HTTP server, failed before ('one', 'two', 'one', 'two', 'three').

Why it works: the partial answer of a stream that may be resumed again is kept. Any status but 500 to a resume counts as a refusal of the resume, since only 500 tells that the run itself failed.

--- a/packages/ryeworksd/src/endpoints/endpointClient.ts
+++ b/packages/ryeworksd/src/endpoints/endpointClient.ts
@@ -162,7 +162,11 @@
       if (!isCurrent()) return;
       if (response.statusCode >= 500 || response.statusCode === 429) {
         await response.body.dump();
-        const isRefused = response.headers['ryeworks-ran'] === 'not-run';
+        // Only 500 tells that the run failed: a stream that is resumed runs on
+        // when the endpoint refuses the call that would resume it.
+        const isRefused =
+          response.headers['ryeworks-ran'] === 'not-run' ||
+          (call.isResumed && response.statusCode !== 500);
         this.reportFailure(openRequest, call, isRefused ? 'refused' : 'failed');
         return;
       }
@@ -249,10 +253,12 @@
     failure: CallFailure,
   ): void {
     const {requestId} = openRequest;
-    // A call whose connection was cut is kept with its partial answer, so that
-    // it can be resumed.
-    if (failure !== 'cut') this.calls.delete(requestId);
-    else call.abort.abort();
+    // A call that may be resumed is kept with its partial answer, which tells
+    // after which event.
+    const wasNotResumed =
+      call.isResumed && (failure === 'notSent' || failure === 'refused');
+    if (failure === 'cut' || wasNotResumed) call.abort.abort();
+    else this.calls.delete(requestId);
     this.loop.submit({kind: 'endpointFailed', requestId, failure});
   }
 }
