Own interface: a stream that was taken over is resumed by its own ID

What callers saw: a retry took over the stream of a VM that had died. When that stream was cut or silent after that, the retry ended as 'outcome unknown' although the engine still ran the request.

Cause: the second resume used the ID of the retry, which the engine does not know.

Evidence: brokenCalls.test.ts, 'a stream that was taken over is resumed by its own ID', failed before (streamId r1).

Why it works: the request keeps the ID under which its endpoint knows the stream.

--- a/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
@@ -9,6 +9,7 @@
   SchedulerState,
   startScheduler,
 } from '../index.js';
+import {dispatchResume} from '../requests/dispatchRequest.js';
 import {createTestOptions} from './testOptions.js';
 
 const requestId = 'r1';
@@ -144,3 +145,13 @@
     t.match(effects, [{error: 'outcomeUnknown', ran: 'unknown'}]);
   });
 }
+
+// Guards against a stream that its engine does not know by the ID of the retry.
+t.test('a stream that was taken over is resumed by its own ID', async t => {
+  const dispatched = dispatchRequest('dispatchOnce', true);
+  const {state} = dispatched;
+  const endpoint = state.admission.endpoints.get('e1')!;
+  const request = state.requests.active.get(requestId)!;
+  dispatchResume(state, request, endpoint, 'first', 100);
+  t.match(runTimers(dispatched, 200, 3000), [{streamId: 'first'}]);
+});
--- a/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
@@ -30,6 +30,7 @@
   nowMs: number,
 ): Effect[] {
   markDispatched(state, request, endpoint, nowMs);
+  request.streamId = request.requestId;
   return [
     {
       kind: 'dispatch',
@@ -54,6 +55,7 @@
   nowMs: number,
 ): Effect[] {
   markDispatched(state, request, endpoint, nowMs);
+  request.streamId = streamId;
   request.resumes += 1;
   const {requestId} = request;
   return [
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -112,9 +112,9 @@
   state.timers.clear('resumeBackoff', request.requestId);
   request.resumes += 1;
   recordProgress(state, request, nowMs);
-  const {requestId} = request;
+  const {requestId, streamId} = request;
   return [
-    {kind: 'resume', requestId, endpoint, streamId: requestId},
+    {kind: 'resume', requestId, endpoint, streamId},
     createCount('request.resumed', {reason}),
   ];
 }
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -88,6 +88,7 @@
     avoid: [],
     version: '',
     endpoint: '',
+    streamId: input.requestId,
     dispatchedAtMs: 0,
     firstTokenAtMs: 0,
     lastProgressMs: 0,
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -66,6 +66,8 @@
   avoid: string[];
   version: string;
   endpoint: string;
+  /** ID by which the endpoint identifies the stream. */
+  streamId: string;
   dispatchedAtMs: number;
   /** When the first token arrived, in ms; 0 before. */
   firstTokenAtMs: number;
