Own interface: a silent call that nothing can replace is waited for

What callers saw: 'outcome unknown' two seconds after the last sign of progress, for a request that must not be sent again, although its endpoint was alive: a plain service that works on a call for longer shows no progress before its answer, and an endpoint may fall silent and go on. The call was canceled.

Cause: the progress timeout ended a request that it could neither resume nor retry.

Evidence: brokenCalls.test.ts, 'a silent dispatchOnce call is waited for' and the same of a nonIdempotent call, failed before (answerError after two seconds).

Why it works: such a call goes on until the deadline of its request, at which it is ended as unknown and counted as a fault of the endpoint if it was silent. The log event call_silent and the counter request.silent show each silence.

--- a/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
@@ -155,3 +155,21 @@
   dispatchResume(state, request, endpoint, 'first', 100);
   t.match(runTimers(dispatched, 200, 3000), [{streamId: 'first'}]);
 });
+
+// Guards against a call that is given up although nothing can replace it.
+for (const routeClass of ['dispatchOnce', 'nonIdempotent'] as const) {
+  t.test(`a silent ${routeClass} call is waited for`, async t => {
+    const dispatched = dispatchRequest(routeClass, false);
+    t.same(runTimers(dispatched, 100, 5000), []);
+    const done = {kind: 'endpointDone', requestId, outputTokens: 1} as const;
+    t.match(dispatched.submit(done, 5010), [{kind: 'completeAnswer'}]);
+  });
+}
+
+t.test('a silent call is given up at the deadline of its request', async t => {
+  const dispatched = dispatchRequest('dispatchOnce', false);
+  t.match(runTimers(dispatched, 100, 10_100), [
+    {kind: 'answerError', error: 'outcomeUnknown', ran: 'unknown'},
+    {kind: 'cancelDispatch'},
+  ]);
+});
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -1,5 +1,5 @@
-import {routeClass, RouteClass, runStatus} from '@ryeworks/types';
-import {createCount, Effect} from '../effect.js';
+import {routeClass, RouteClass} from '@ryeworks/types';
+import {createCount, createLog, Effect} from '../effect.js';
 import {
   CallFailure,
   callFailure,
@@ -241,7 +241,11 @@
   return endFailedRequest(state, request, failure, nowMs);
 }
 
-/** Resumes, retries or ends a request whose call makes no progress. */
+/**
+ * Resumes or retries a request whose call makes no progress. A call that can be
+ * neither is waited for until the deadline of its request: its endpoint may go on
+ * at any time, and to give the call up gains nothing.
+ */
 export function expireProgress(
   state: SchedulerState,
   requestId: string,
@@ -258,11 +262,12 @@
       ...scheduleRetry(state, request, callFailure.cut, nowMs),
     ];
   }
-  const outcome: EndOutcome = {
-    error: 'outcomeUnknown',
-    reason: 'silent',
-    ran: runStatus.unknown,
-    isEndpointFault: true,
-  };
-  return endRequest(state, request, outcome, nowMs);
+  const dueMs = nowMs + state.options.progressTimeoutMs;
+  state.timers.set('progressTimeout', requestId, dueMs);
+  const {endpoint, lastProgressMs} = request;
+  const silentMs = Math.round(nowMs - lastProgressMs);
+  return [
+    createLog('call_silent', {requestId, endpoint, silentMs}),
+    createCount('request.silent'),
+  ];
 }
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -155,5 +155,9 @@
   if (request === undefined) return [];
   const isDispatched = request.phase === 'dispatched';
   const error = isDispatched ? 'outcomeUnknown' : 'deadlineExceeded';
-  return endRequest(state, request, {error, reason: 'deadline'}, nowMs);
+  const silentMs = nowMs - request.lastProgressMs;
+  const isEndpointFault =
+    isDispatched && silentMs >= state.options.progressTimeoutMs;
+  const outcome = {error, reason: 'deadline', isEndpointFault} as const;
+  return endRequest(state, request, outcome, nowMs);
 }
