Own interface: after a pause, arrived data is read before timers run

What callers saw: answers ended as unknown, calls canceled and streams resumed all at once after a pause of the process or a long synchronous step, although the endpoints had gone on and their data lay in the sockets. In the same way peers were suspected and grant requests and claims sent to the next owner.

Cause: after the pause, the event loop runs timers before it reads sockets; a timer of the scheduler then finds no progress.

Why it works: a timer that comes 50 ms late or more runs after the next turn of the event loop has read the sockets.

--- a/packages/ryeworksd/src/core/schedulerLoop.ts
+++ b/packages/ryeworksd/src/core/schedulerLoop.ts
@@ -19,6 +19,10 @@
 
 /** Delay until the next timer input if the scheduler has no timer set, in ms. */
 const defaultTimerDelayMs = 1000;
+/**
+ * Lateness of a timer from which on the process stood still meanwhile, in ms.
+ */
+const pauseLatenessMs = 50;
 
 /**
  * The event loop around the scheduler: passes inputs to the scheduler one at a
@@ -27,6 +31,8 @@
 export class SchedulerLoop {
   private handlers: EffectHandlers | undefined;
   private timer: NodeJS.Timeout | undefined;
+  /** Runs the timers after the data that arrived during a pause was read. */
+  private lateTimer: NodeJS.Immediate | undefined;
   private isStopped = false;
 
   constructor(
@@ -53,6 +59,7 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.timer);
+    clearImmediate(this.lateTimer);
   }
 
   private runEffects(effects: readonly Effect[]): void {
@@ -69,7 +76,17 @@
     const nowMs = this.clock.readNowMs();
     const dueMs = getNextDueMs(this.state) ?? nowMs + defaultTimerDelayMs;
     const delayMs = Math.max(0, Math.ceil(dueMs - nowMs));
-    this.timer = setTimeout(() => this.submit({kind: 'timerDue'}), delayMs);
+    this.timer = setTimeout(() => this.runTimers(dueMs), delayMs);
+  }
+
+  /**
+   * Runs the timers that are due. After a pause of the process, data that has
+   * arrived is read first: otherwise, all endpoints and peers would seem silent.
+   */
+  private runTimers(dueMs: number): void {
+    const run = () => this.submit({kind: 'timerDue'});
+    if (this.clock.readNowMs() - dueMs < pauseLatenessMs) run();
+    else this.lateTimer = setImmediate(run);
   }
 }
 
