Scenarios: endpoints that fall silent for a while and go on

The harness knew endpoints whose open connections never deliver anything more; it now has endpoints that hold back what they send for a time and then go on ('pause ENDPOINT for DURATION').

--- a/packages/ryeworks-lab/src/harness/fakeEndpoint.ts
+++ b/packages/ryeworks-lab/src/harness/fakeEndpoint.ts
@@ -56,6 +56,10 @@
   isSilent = false;
   /** Whether new connections are refused. */
   isDown = false;
+  /** Whether the endpoint has fallen silent and will go on. */
+  private isPaused = false;
+  /** What the endpoint does not send before it goes on. */
+  private readonly held: (() => void)[] = [];
   /** Number of runs, by run key. */
   readonly runs = new Map<string, number>();
 
@@ -104,12 +108,33 @@
     const stream = this.streams.get(streamId);
     if (stream === undefined) return false;
     stream.listener = listener;
-    if (stream.emittedTokens > 0) listener.onFirstToken();
-    if (stream.isFailed) listener.onFailed();
-    else if (stream.isDone) listener.onDone(stream.emittedTokens);
+    const {emittedTokens, isDone, isFailed} = stream;
+    this.send(() => {
+      if (emittedTokens > 0) listener.onFirstToken();
+      if (isFailed) listener.onFailed();
+      else if (isDone) listener.onDone(emittedTokens);
+    });
     return true;
   }
 
+  /**
+   * Pauses what the endpoint sends. It accepts connections and works meanwhile,
+   * and then sends everything that it held back.
+   */
+  pause(durationMs: number): void {
+    this.isPaused = true;
+    this.events.schedule(durationMs, () => {
+      this.isPaused = false;
+      for (const send of this.held.splice(0)) send();
+    });
+  }
+
+  /** Sends something, after a pause if there is one. */
+  private send(sendNow: () => void): void {
+    if (this.isPaused) this.held.push(sendNow);
+    else sendNow();
+  }
+
   /** Cancels a call and removes its stream. */
   cancelCall(requestId: string): void {
     cancelSequence(this.model, requestId);
@@ -128,8 +153,12 @@
     stream: FakeStream,
     callListener: (listener: EndpointListener) => void,
   ): void {
-    if (this.isSilent || stream.listener === undefined) return;
-    callListener(stream.listener);
+    const {listener} = stream;
+    if (this.isSilent || listener === undefined) return;
+    this.send(() => {
+      // A connection that was replaced meanwhile receives nothing any more.
+      if (stream.listener === listener) callListener(listener);
+    });
   }
 
   private runSteps(): void {
--- a/packages/ryeworks-lab/src/scenarios/actions.ts
+++ b/packages/ryeworks-lab/src/scenarios/actions.ts
@@ -64,6 +64,8 @@
   unsilenceEndpoint: (harness, {endpoint}) => {
     harness.endpoints.get(endpoint!)!.isSilent = false;
   },
+  pauseEndpoint: (harness, {durationMs, endpoint}) =>
+    harness.endpoints.get(endpoint!)!.pause(durationMs!),
   crashEndpoint: (harness, {endpoint}) => {
     const target = harness.endpoints.get(endpoint!)!;
     target.isDown = true;
--- a/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
+++ b/packages/ryeworks-lab/src/scenarios/gen/scenarioParser.ts
@@ -372,48 +372,49 @@
   function peg$f17(atMs, action) {    return {kind: 'fault', atMs, action};  }
   function peg$f18(verb, vm) {    return {verb: `${verb}Vm`, vm};  }
   function peg$f19(vm, durationMs) {    return {verb: 'pauseVm', vm, durationMs};  }
-  function peg$f20(a, b) {    return {verb: 'cut', a, b};  }
-  function peg$f21() {    return {verb: 'heal'};  }
-  function peg$f22(rate) {    return {verb: 'loseMessages', rate};  }
-  function peg$f23(rate) {    return {verb: 'repeatMessages', rate};  }
-  function peg$f24() {    return {verb: 'platformDown'};  }
-  function peg$f25() {    return {verb: 'platformUp'};  }
-  function peg$f26(count) {    return {verb: 'platformLoses', count};  }
-  function peg$f27(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
-  function peg$f28(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
-  function peg$f29(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
-  function peg$f30(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
-  function peg$f31(endpoint, rate) {    return {verb: 'limitEndpoint', endpoint, rate};  }
-  function peg$f32(endpoint) {    return {verb: 'unlimitEndpoint', endpoint};  }
-  function peg$f33(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
-  function peg$f34(version) {    return {verb: 'startVersion', version};  }
-  function peg$f35(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
-  function peg$f36(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
-  function peg$f37(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
-  function peg$f38() {    return {verb: 'changePlans'};  }
-  function peg$f39() {    return {verb: 'invalidPlans'};  }
-  function peg$f40() {    return {verb: 'operatorsRace'};  }
-  function peg$f41(calls) {    return {afterCalls: calls};  }
-  function peg$f42(batch) {    return {fromBatch: batch};  }
-  function peg$f43(route) {    return {route};  }
-  function peg$f44() {    return {};  }
-  function peg$f45(metric, qualifiers, operator, value) {
+  function peg$f20(endpoint, durationMs) {    return {verb: 'pauseEndpoint', endpoint, durationMs};  }
+  function peg$f21(a, b) {    return {verb: 'cut', a, b};  }
+  function peg$f22() {    return {verb: 'heal'};  }
+  function peg$f23(rate) {    return {verb: 'loseMessages', rate};  }
+  function peg$f24(rate) {    return {verb: 'repeatMessages', rate};  }
+  function peg$f25() {    return {verb: 'platformDown'};  }
+  function peg$f26() {    return {verb: 'platformUp'};  }
+  function peg$f27(count) {    return {verb: 'platformLoses', count};  }
+  function peg$f28(endpoint, factor) {    return {verb: 'slowEndpoint', endpoint, factor};  }
+  function peg$f29(endpoint) {    return {verb: 'silenceEndpoint', endpoint};  }
+  function peg$f30(endpoint) {    return {verb: 'unsilenceEndpoint', endpoint};  }
+  function peg$f31(endpoint) {    return {verb: 'crashEndpoint', endpoint};  }
+  function peg$f32(endpoint, rate) {    return {verb: 'limitEndpoint', endpoint, rate};  }
+  function peg$f33(endpoint) {    return {verb: 'unlimitEndpoint', endpoint};  }
+  function peg$f34(endpoint) {    return {verb: 'leaveEndpoint', endpoint};  }
+  function peg$f35(version) {    return {verb: 'startVersion', version};  }
+  function peg$f36(version, rate, tail) {    return {verb: 'badVersion', version, failRate: rate, slowFactor: 1, ...tail};  }
+  function peg$f37(version, factor, tail) {    return {verb: 'badVersion', version, failRate: 0, slowFactor: factor, ...tail};  }
+  function peg$f38(version, durationMs) {    return {verb: 'startMove', version, durationMs};  }
+  function peg$f39() {    return {verb: 'changePlans'};  }
+  function peg$f40() {    return {verb: 'invalidPlans'};  }
+  function peg$f41() {    return {verb: 'operatorsRace'};  }
+  function peg$f42(calls) {    return {afterCalls: calls};  }
+  function peg$f43(batch) {    return {fromBatch: batch};  }
+  function peg$f44(route) {    return {route};  }
+  function peg$f45() {    return {};  }
+  function peg$f46(metric, qualifiers, operator, value) {
     return {kind: 'expect', metric, qualifiers: Object.assign({}, ...qualifiers), operator, value};
   }
-  function peg$f46(first, w) {    return w;  }
-  function peg$f47(first, rest) {    return [first, ...rest].join(' ');  }
-  function peg$f48(w) {    return w;  }
-  function peg$f49(tier) {    return {tier};  }
-  function peg$f50(version) {    return {version};  }
-  function peg$f51(endpoint) {    return {endpoint};  }
-  function peg$f52(sinceMs) {    return {sinceMs};  }
-  function peg$f53(untilMs) {    return {untilMs};  }
-  function peg$f54(value, unit) {
+  function peg$f47(first, w) {    return w;  }
+  function peg$f48(first, rest) {    return [first, ...rest].join(' ');  }
+  function peg$f49(w) {    return w;  }
+  function peg$f50(tier) {    return {tier};  }
+  function peg$f51(version) {    return {version};  }
+  function peg$f52(endpoint) {    return {endpoint};  }
+  function peg$f53(sinceMs) {    return {sinceMs};  }
+  function peg$f54(untilMs) {    return {untilMs};  }
+  function peg$f55(value, unit) {
     return value * {ms: 1, s: 1000, m: 60000}[unit];
   }
-  function peg$f55(digits) {    return Number(digits);  }
   function peg$f56(digits) {    return Number(digits);  }
-  function peg$f57(text) {    return text;  }
+  function peg$f57(digits) {    return Number(digits);  }
+  function peg$f58(text) {    return text;  }
   let peg$currPos = options.peg$currPos | 0;
   let peg$savedPos = peg$currPos;
   const peg$posDetailsCache = [{ line: 1, column: 1 }];
@@ -1623,12 +1624,12 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c30) {
-          s1 = peg$c30;
-          peg$currPos += 3;
+        if (input.substr(peg$currPos, 5) === peg$c28) {
+          s1 = peg$c28;
+          peg$currPos += 5;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e30); }
+          if (peg$silentFails === 0) { peg$fail(peg$e28); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
@@ -1637,17 +1638,17 @@
             if (s3 !== peg$FAILED) {
               s4 = peg$parse__();
               if (s4 !== peg$FAILED) {
-                if (input.substr(peg$currPos, 4) === peg$c14) {
-                  s5 = peg$c14;
-                  peg$currPos += 4;
+                if (input.substr(peg$currPos, 3) === peg$c29) {
+                  s5 = peg$c29;
+                  peg$currPos += 3;
                 } else {
                   s5 = peg$FAILED;
-                  if (peg$silentFails === 0) { peg$fail(peg$e14); }
+                  if (peg$silentFails === 0) { peg$fail(peg$e29); }
                 }
                 if (s5 !== peg$FAILED) {
                   s6 = peg$parse__();
                   if (s6 !== peg$FAILED) {
-                    s7 = peg$parseName();
+                    s7 = peg$parseDuration();
                     if (s7 !== peg$FAILED) {
                       peg$savedPos = s0;
                       s0 = peg$f20(s3, s7);
@@ -1681,58 +1682,34 @@
         }
         if (s0 === peg$FAILED) {
           s0 = peg$currPos;
-          if (input.substr(peg$currPos, 4) === peg$c31) {
-            s1 = peg$c31;
-            peg$currPos += 4;
+          if (input.substr(peg$currPos, 3) === peg$c30) {
+            s1 = peg$c30;
+            peg$currPos += 3;
           } else {
             s1 = peg$FAILED;
-            if (peg$silentFails === 0) { peg$fail(peg$e31); }
+            if (peg$silentFails === 0) { peg$fail(peg$e30); }
           }
           if (s1 !== peg$FAILED) {
-            peg$savedPos = s0;
-            s1 = peg$f21();
-          }
-          s0 = s1;
-          if (s0 === peg$FAILED) {
-            s0 = peg$currPos;
-            if (input.substr(peg$currPos, 4) === peg$c32) {
-              s1 = peg$c32;
-              peg$currPos += 4;
-            } else {
-              s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e32); }
-            }
-            if (s1 !== peg$FAILED) {
-              s2 = peg$parse__();
-              if (s2 !== peg$FAILED) {
-                s3 = peg$parseNumber();
-                if (s3 !== peg$FAILED) {
-                  s4 = peg$parse__();
-                  if (s4 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 2) === peg$c6) {
-                      s5 = peg$c6;
-                      peg$currPos += 2;
-                    } else {
-                      s5 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e6); }
-                    }
-                    if (s5 !== peg$FAILED) {
-                      s6 = peg$parse__();
-                      if (s6 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 8) === peg$c33) {
-                          s7 = peg$c33;
-                          peg$currPos += 8;
-                        } else {
-                          s7 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e33); }
-                        }
-                        if (s7 !== peg$FAILED) {
-                          peg$savedPos = s0;
-                          s0 = peg$f22(s3);
-                        } else {
-                          peg$currPos = s0;
-                          s0 = peg$FAILED;
-                        }
+            s2 = peg$parse__();
+            if (s2 !== peg$FAILED) {
+              s3 = peg$parseName();
+              if (s3 !== peg$FAILED) {
+                s4 = peg$parse__();
+                if (s4 !== peg$FAILED) {
+                  if (input.substr(peg$currPos, 4) === peg$c14) {
+                    s5 = peg$c14;
+                    peg$currPos += 4;
+                  } else {
+                    s5 = peg$FAILED;
+                    if (peg$silentFails === 0) { peg$fail(peg$e14); }
+                  }
+                  if (s5 !== peg$FAILED) {
+                    s6 = peg$parse__();
+                    if (s6 !== peg$FAILED) {
+                      s7 = peg$parseName();
+                      if (s7 !== peg$FAILED) {
+                        peg$savedPos = s0;
+                        s0 = peg$f21(s3, s7);
                       } else {
                         peg$currPos = s0;
                         s0 = peg$FAILED;
@@ -1757,14 +1734,32 @@
               peg$currPos = s0;
               s0 = peg$FAILED;
             }
+          } else {
+            peg$currPos = s0;
+            s0 = peg$FAILED;
+          }
+          if (s0 === peg$FAILED) {
+            s0 = peg$currPos;
+            if (input.substr(peg$currPos, 4) === peg$c31) {
+              s1 = peg$c31;
+              peg$currPos += 4;
+            } else {
+              s1 = peg$FAILED;
+              if (peg$silentFails === 0) { peg$fail(peg$e31); }
+            }
+            if (s1 !== peg$FAILED) {
+              peg$savedPos = s0;
+              s1 = peg$f22();
+            }
+            s0 = s1;
             if (s0 === peg$FAILED) {
               s0 = peg$currPos;
-              if (input.substr(peg$currPos, 6) === peg$c34) {
-                s1 = peg$c34;
-                peg$currPos += 6;
+              if (input.substr(peg$currPos, 4) === peg$c32) {
+                s1 = peg$c32;
+                peg$currPos += 4;
               } else {
                 s1 = peg$FAILED;
-                if (peg$silentFails === 0) { peg$fail(peg$e34); }
+                if (peg$silentFails === 0) { peg$fail(peg$e32); }
               }
               if (s1 !== peg$FAILED) {
                 s2 = peg$parse__();
@@ -1823,26 +1818,56 @@
               }
               if (s0 === peg$FAILED) {
                 s0 = peg$currPos;
-                if (input.substr(peg$currPos, 8) === peg$c35) {
-                  s1 = peg$c35;
-                  peg$currPos += 8;
+                if (input.substr(peg$currPos, 6) === peg$c34) {
+                  s1 = peg$c34;
+                  peg$currPos += 6;
                 } else {
                   s1 = peg$FAILED;
-                  if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                  if (peg$silentFails === 0) { peg$fail(peg$e34); }
                 }
                 if (s1 !== peg$FAILED) {
                   s2 = peg$parse__();
                   if (s2 !== peg$FAILED) {
-                    if (input.substr(peg$currPos, 4) === peg$c36) {
-                      s3 = peg$c36;
-                      peg$currPos += 4;
-                    } else {
-                      s3 = peg$FAILED;
-                      if (peg$silentFails === 0) { peg$fail(peg$e36); }
-                    }
+                    s3 = peg$parseNumber();
                     if (s3 !== peg$FAILED) {
-                      peg$savedPos = s0;
-                      s0 = peg$f24();
+                      s4 = peg$parse__();
+                      if (s4 !== peg$FAILED) {
+                        if (input.substr(peg$currPos, 2) === peg$c6) {
+                          s5 = peg$c6;
+                          peg$currPos += 2;
+                        } else {
+                          s5 = peg$FAILED;
+                          if (peg$silentFails === 0) { peg$fail(peg$e6); }
+                        }
+                        if (s5 !== peg$FAILED) {
+                          s6 = peg$parse__();
+                          if (s6 !== peg$FAILED) {
+                            if (input.substr(peg$currPos, 8) === peg$c33) {
+                              s7 = peg$c33;
+                              peg$currPos += 8;
+                            } else {
+                              s7 = peg$FAILED;
+                              if (peg$silentFails === 0) { peg$fail(peg$e33); }
+                            }
+                            if (s7 !== peg$FAILED) {
+                              peg$savedPos = s0;
+                              s0 = peg$f24(s3);
+                            } else {
+                              peg$currPos = s0;
+                              s0 = peg$FAILED;
+                            }
+                          } else {
+                            peg$currPos = s0;
+                            s0 = peg$FAILED;
+                          }
+                        } else {
+                          peg$currPos = s0;
+                          s0 = peg$FAILED;
+                        }
+                      } else {
+                        peg$currPos = s0;
+                        s0 = peg$FAILED;
+                      }
                     } else {
                       peg$currPos = s0;
                       s0 = peg$FAILED;
@@ -1867,12 +1892,12 @@
                   if (s1 !== peg$FAILED) {
                     s2 = peg$parse__();
                     if (s2 !== peg$FAILED) {
-                      if (input.substr(peg$currPos, 2) === peg$c37) {
-                        s3 = peg$c37;
-                        peg$currPos += 2;
+                      if (input.substr(peg$currPos, 4) === peg$c36) {
+                        s3 = peg$c36;
+                        peg$currPos += 4;
                       } else {
                         s3 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e37); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e36); }
                       }
                       if (s3 !== peg$FAILED) {
                         peg$savedPos = s0;
@@ -1901,46 +1926,16 @@
                     if (s1 !== peg$FAILED) {
                       s2 = peg$parse__();
                       if (s2 !== peg$FAILED) {
-                        if (input.substr(peg$currPos, 5) === peg$c38) {
-                          s3 = peg$c38;
-                          peg$currPos += 5;
+                        if (input.substr(peg$currPos, 2) === peg$c37) {
+                          s3 = peg$c37;
+                          peg$currPos += 2;
                         } else {
                           s3 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e38); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e37); }
                         }
                         if (s3 !== peg$FAILED) {
-                          s4 = peg$parse__();
-                          if (s4 !== peg$FAILED) {
-                            s5 = peg$parseInteger();
-                            if (s5 !== peg$FAILED) {
-                              s6 = peg$parse__();
-                              if (s6 !== peg$FAILED) {
-                                if (input.substr(peg$currPos, 7) === peg$c39) {
-                                  s7 = peg$c39;
-                                  peg$currPos += 7;
-                                } else {
-                                  s7 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e39); }
-                                }
-                                if (s7 !== peg$FAILED) {
-                                  peg$savedPos = s0;
-                                  s0 = peg$f26(s5);
-                                } else {
-                                  peg$currPos = s0;
-                                  s0 = peg$FAILED;
-                                }
-                              } else {
-                                peg$currPos = s0;
-                                s0 = peg$FAILED;
-                              }
-                            } else {
-                              peg$currPos = s0;
-                              s0 = peg$FAILED;
-                            }
-                          } else {
-                            peg$currPos = s0;
-                            s0 = peg$FAILED;
-                          }
+                          peg$savedPos = s0;
+                          s0 = peg$f26();
                         } else {
                           peg$currPos = s0;
                           s0 = peg$FAILED;
@@ -1955,34 +1950,40 @@
                     }
                     if (s0 === peg$FAILED) {
                       s0 = peg$currPos;
-                      if (input.substr(peg$currPos, 4) === peg$c40) {
-                        s1 = peg$c40;
-                        peg$currPos += 4;
+                      if (input.substr(peg$currPos, 8) === peg$c35) {
+                        s1 = peg$c35;
+                        peg$currPos += 8;
                       } else {
                         s1 = peg$FAILED;
-                        if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                        if (peg$silentFails === 0) { peg$fail(peg$e35); }
                       }
                       if (s1 !== peg$FAILED) {
                         s2 = peg$parse__();
                         if (s2 !== peg$FAILED) {
-                          s3 = peg$parseName();
+                          if (input.substr(peg$currPos, 5) === peg$c38) {
+                            s3 = peg$c38;
+                            peg$currPos += 5;
+                          } else {
+                            s3 = peg$FAILED;
+                            if (peg$silentFails === 0) { peg$fail(peg$e38); }
+                          }
                           if (s3 !== peg$FAILED) {
                             s4 = peg$parse__();
                             if (s4 !== peg$FAILED) {
-                              if (input.substr(peg$currPos, 2) === peg$c41) {
-                                s5 = peg$c41;
-                                peg$currPos += 2;
-                              } else {
-                                s5 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e41); }
-                              }
+                              s5 = peg$parseInteger();
                               if (s5 !== peg$FAILED) {
                                 s6 = peg$parse__();
                                 if (s6 !== peg$FAILED) {
-                                  s7 = peg$parseNumber();
+                                  if (input.substr(peg$currPos, 7) === peg$c39) {
+                                    s7 = peg$c39;
+                                    peg$currPos += 7;
+                                  } else {
+                                    s7 = peg$FAILED;
+                                    if (peg$silentFails === 0) { peg$fail(peg$e39); }
+                                  }
                                   if (s7 !== peg$FAILED) {
                                     peg$savedPos = s0;
-                                    s0 = peg$f27(s3, s7);
+                                    s0 = peg$f27(s5);
                                   } else {
                                     peg$currPos = s0;
                                     s0 = peg$FAILED;
@@ -2013,20 +2014,50 @@
                       }
                       if (s0 === peg$FAILED) {
                         s0 = peg$currPos;
-                        if (input.substr(peg$currPos, 7) === peg$c42) {
-                          s1 = peg$c42;
-                          peg$currPos += 7;
+                        if (input.substr(peg$currPos, 4) === peg$c40) {
+                          s1 = peg$c40;
+                          peg$currPos += 4;
                         } else {
                           s1 = peg$FAILED;
-                          if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                          if (peg$silentFails === 0) { peg$fail(peg$e40); }
                         }
                         if (s1 !== peg$FAILED) {
                           s2 = peg$parse__();
                           if (s2 !== peg$FAILED) {
                             s3 = peg$parseName();
                             if (s3 !== peg$FAILED) {
-                              peg$savedPos = s0;
-                              s0 = peg$f28(s3);
+                              s4 = peg$parse__();
+                              if (s4 !== peg$FAILED) {
+                                if (input.substr(peg$currPos, 2) === peg$c41) {
+                                  s5 = peg$c41;
+                                  peg$currPos += 2;
+                                } else {
+                                  s5 = peg$FAILED;
+                                  if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                }
+                                if (s5 !== peg$FAILED) {
+                                  s6 = peg$parse__();
+                                  if (s6 !== peg$FAILED) {
+                                    s7 = peg$parseNumber();
+                                    if (s7 !== peg$FAILED) {
+                                      peg$savedPos = s0;
+                                      s0 = peg$f28(s3, s7);
+                                    } else {
+                                      peg$currPos = s0;
+                                      s0 = peg$FAILED;
+                                    }
+                                  } else {
+                                    peg$currPos = s0;
+                                    s0 = peg$FAILED;
+                                  }
+                                } else {
+                                  peg$currPos = s0;
+                                  s0 = peg$FAILED;
+                                }
+                              } else {
+                                peg$currPos = s0;
+                                s0 = peg$FAILED;
+                              }
                             } else {
                               peg$currPos = s0;
                               s0 = peg$FAILED;
@@ -2041,12 +2072,12 @@
                         }
                         if (s0 === peg$FAILED) {
                           s0 = peg$currPos;
-                          if (input.substr(peg$currPos, 9) === peg$c43) {
-                            s1 = peg$c43;
-                            peg$currPos += 9;
+                          if (input.substr(peg$currPos, 7) === peg$c42) {
+                            s1 = peg$c42;
+                            peg$currPos += 7;
                           } else {
                             s1 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e43); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e42); }
                           }
                           if (s1 !== peg$FAILED) {
                             s2 = peg$parse__();
@@ -2069,12 +2100,12 @@
                           }
                           if (s0 === peg$FAILED) {
                             s0 = peg$currPos;
-                            if (input.substr(peg$currPos, 5) === peg$c44) {
-                              s1 = peg$c44;
-                              peg$currPos += 5;
+                            if (input.substr(peg$currPos, 9) === peg$c43) {
+                              s1 = peg$c43;
+                              peg$currPos += 9;
                             } else {
                               s1 = peg$FAILED;
-                              if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                              if (peg$silentFails === 0) { peg$fail(peg$e43); }
                             }
                             if (s1 !== peg$FAILED) {
                               s2 = peg$parse__();
@@ -2097,54 +2128,86 @@
                             }
                             if (s0 === peg$FAILED) {
                               s0 = peg$currPos;
-                              if (input.substr(peg$currPos, 5) === peg$c45) {
-                                s1 = peg$c45;
+                              if (input.substr(peg$currPos, 5) === peg$c44) {
+                                s1 = peg$c44;
                                 peg$currPos += 5;
                               } else {
                                 s1 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                if (peg$silentFails === 0) { peg$fail(peg$e44); }
                               }
                               if (s1 !== peg$FAILED) {
                                 s2 = peg$parse__();
                                 if (s2 !== peg$FAILED) {
                                   s3 = peg$parseName();
                                   if (s3 !== peg$FAILED) {
-                                    s4 = peg$parse__();
-                                    if (s4 !== peg$FAILED) {
-                                      if (input.substr(peg$currPos, 2) === peg$c15) {
-                                        s5 = peg$c15;
-                                        peg$currPos += 2;
-                                      } else {
-                                        s5 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e15); }
-                                      }
-                                      if (s5 !== peg$FAILED) {
-                                        s6 = peg$parse__();
-                                        if (s6 !== peg$FAILED) {
-                                          s7 = peg$parseNumber();
-                                          if (s7 !== peg$FAILED) {
-                                            s8 = peg$parse__();
-                                            if (s8 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 3) === peg$c3) {
-                                                s9 = peg$c3;
-                                                peg$currPos += 3;
-                                              } else {
-                                                s9 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e3); }
-                                              }
-                                              if (s9 !== peg$FAILED) {
-                                                s10 = peg$parse__();
-                                                if (s10 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 6) === peg$c17) {
-                                                    s11 = peg$c17;
-                                                    peg$currPos += 6;
-                                                  } else {
-                                                    s11 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e17); }
-                                                  }
-                                                  if (s11 !== peg$FAILED) {
-                                                    peg$savedPos = s0;
-                                                    s0 = peg$f31(s3, s7);
+                                    peg$savedPos = s0;
+                                    s0 = peg$f31(s3);
+                                  } else {
+                                    peg$currPos = s0;
+                                    s0 = peg$FAILED;
+                                  }
+                                } else {
+                                  peg$currPos = s0;
+                                  s0 = peg$FAILED;
+                                }
+                              } else {
+                                peg$currPos = s0;
+                                s0 = peg$FAILED;
+                              }
+                              if (s0 === peg$FAILED) {
+                                s0 = peg$currPos;
+                                if (input.substr(peg$currPos, 5) === peg$c45) {
+                                  s1 = peg$c45;
+                                  peg$currPos += 5;
+                                } else {
+                                  s1 = peg$FAILED;
+                                  if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                }
+                                if (s1 !== peg$FAILED) {
+                                  s2 = peg$parse__();
+                                  if (s2 !== peg$FAILED) {
+                                    s3 = peg$parseName();
+                                    if (s3 !== peg$FAILED) {
+                                      s4 = peg$parse__();
+                                      if (s4 !== peg$FAILED) {
+                                        if (input.substr(peg$currPos, 2) === peg$c15) {
+                                          s5 = peg$c15;
+                                          peg$currPos += 2;
+                                        } else {
+                                          s5 = peg$FAILED;
+                                          if (peg$silentFails === 0) { peg$fail(peg$e15); }
+                                        }
+                                        if (s5 !== peg$FAILED) {
+                                          s6 = peg$parse__();
+                                          if (s6 !== peg$FAILED) {
+                                            s7 = peg$parseNumber();
+                                            if (s7 !== peg$FAILED) {
+                                              s8 = peg$parse__();
+                                              if (s8 !== peg$FAILED) {
+                                                if (input.substr(peg$currPos, 3) === peg$c3) {
+                                                  s9 = peg$c3;
+                                                  peg$currPos += 3;
+                                                } else {
+                                                  s9 = peg$FAILED;
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e3); }
+                                                }
+                                                if (s9 !== peg$FAILED) {
+                                                  s10 = peg$parse__();
+                                                  if (s10 !== peg$FAILED) {
+                                                    if (input.substr(peg$currPos, 6) === peg$c17) {
+                                                      s11 = peg$c17;
+                                                      peg$currPos += 6;
+                                                    } else {
+                                                      s11 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e17); }
+                                                    }
+                                                    if (s11 !== peg$FAILED) {
+                                                      peg$savedPos = s0;
+                                                      s0 = peg$f32(s3, s7);
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
                                                   } else {
                                                     peg$currPos = s0;
                                                     s0 = peg$FAILED;
@@ -2185,46 +2248,14 @@
                                   peg$currPos = s0;
                                   s0 = peg$FAILED;
                                 }
-                              } else {
-                                peg$currPos = s0;
-                                s0 = peg$FAILED;
-                              }
-                              if (s0 === peg$FAILED) {
-                                s0 = peg$currPos;
-                                if (input.substr(peg$currPos, 7) === peg$c46) {
-                                  s1 = peg$c46;
-                                  peg$currPos += 7;
-                                } else {
-                                  s1 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e46); }
-                                }
-                                if (s1 !== peg$FAILED) {
-                                  s2 = peg$parse__();
-                                  if (s2 !== peg$FAILED) {
-                                    s3 = peg$parseName();
-                                    if (s3 !== peg$FAILED) {
-                                      peg$savedPos = s0;
-                                      s0 = peg$f32(s3);
-                                    } else {
-                                      peg$currPos = s0;
-                                      s0 = peg$FAILED;
-                                    }
-                                  } else {
-                                    peg$currPos = s0;
-                                    s0 = peg$FAILED;
-                                  }
-                                } else {
-                                  peg$currPos = s0;
-                                  s0 = peg$FAILED;
-                                }
                                 if (s0 === peg$FAILED) {
                                   s0 = peg$currPos;
-                                  if (input.substr(peg$currPos, 5) === peg$c47) {
-                                    s1 = peg$c47;
-                                    peg$currPos += 5;
+                                  if (input.substr(peg$currPos, 7) === peg$c46) {
+                                    s1 = peg$c46;
+                                    peg$currPos += 7;
                                   } else {
                                     s1 = peg$FAILED;
-                                    if (peg$silentFails === 0) { peg$fail(peg$e47); }
+                                    if (peg$silentFails === 0) { peg$fail(peg$e46); }
                                   }
                                   if (s1 !== peg$FAILED) {
                                     s2 = peg$parse__();
@@ -2247,38 +2278,20 @@
                                   }
                                   if (s0 === peg$FAILED) {
                                     s0 = peg$currPos;
-                                    if (input.substr(peg$currPos, 5) === peg$c25) {
-                                      s1 = peg$c25;
+                                    if (input.substr(peg$currPos, 5) === peg$c47) {
+                                      s1 = peg$c47;
                                       peg$currPos += 5;
                                     } else {
                                       s1 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e25); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e47); }
                                     }
                                     if (s1 !== peg$FAILED) {
                                       s2 = peg$parse__();
                                       if (s2 !== peg$FAILED) {
-                                        if (input.substr(peg$currPos, 7) === peg$c48) {
-                                          s3 = peg$c48;
-                                          peg$currPos += 7;
-                                        } else {
-                                          s3 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e48); }
-                                        }
+                                        s3 = peg$parseName();
                                         if (s3 !== peg$FAILED) {
-                                          s4 = peg$parse__();
-                                          if (s4 !== peg$FAILED) {
-                                            s5 = peg$parseName();
-                                            if (s5 !== peg$FAILED) {
-                                              peg$savedPos = s0;
-                                              s0 = peg$f34(s5);
-                                            } else {
-                                              peg$currPos = s0;
-                                              s0 = peg$FAILED;
-                                            }
-                                          } else {
-                                            peg$currPos = s0;
-                                            s0 = peg$FAILED;
-                                          }
+                                          peg$savedPos = s0;
+                                          s0 = peg$f34(s3);
                                         } else {
                                           peg$currPos = s0;
                                           s0 = peg$FAILED;
@@ -2293,48 +2306,30 @@
                                     }
                                     if (s0 === peg$FAILED) {
                                       s0 = peg$currPos;
-                                      if (input.substr(peg$currPos, 7) === peg$c48) {
-                                        s1 = peg$c48;
-                                        peg$currPos += 7;
+                                      if (input.substr(peg$currPos, 5) === peg$c25) {
+                                        s1 = peg$c25;
+                                        peg$currPos += 5;
                                       } else {
                                         s1 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e25); }
                                       }
                                       if (s1 !== peg$FAILED) {
                                         s2 = peg$parse__();
                                         if (s2 !== peg$FAILED) {
-                                          s3 = peg$parseName();
+                                          if (input.substr(peg$currPos, 7) === peg$c48) {
+                                            s3 = peg$c48;
+                                            peg$currPos += 7;
+                                          } else {
+                                            s3 = peg$FAILED;
+                                            if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                          }
                                           if (s3 !== peg$FAILED) {
                                             s4 = peg$parse__();
                                             if (s4 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 5) === peg$c49) {
-                                                s5 = peg$c49;
-                                                peg$currPos += 5;
-                                              } else {
-                                                s5 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e49); }
-                                              }
+                                              s5 = peg$parseName();
                                               if (s5 !== peg$FAILED) {
-                                                s6 = peg$parse__();
-                                                if (s6 !== peg$FAILED) {
-                                                  s7 = peg$parseNumber();
-                                                  if (s7 !== peg$FAILED) {
-                                                    s8 = peg$parseBadTail();
-                                                    if (s8 !== peg$FAILED) {
-                                                      peg$savedPos = s0;
-                                                      s0 = peg$f35(s3, s7, s8);
-                                                    } else {
-                                                      peg$currPos = s0;
-                                                      s0 = peg$FAILED;
-                                                    }
-                                                  } else {
-                                                    peg$currPos = s0;
-                                                    s0 = peg$FAILED;
-                                                  }
-                                                } else {
-                                                  peg$currPos = s0;
-                                                  s0 = peg$FAILED;
-                                                }
+                                                peg$savedPos = s0;
+                                                s0 = peg$f35(s5);
                                               } else {
                                                 peg$currPos = s0;
                                                 s0 = peg$FAILED;
@@ -2371,12 +2366,12 @@
                                             if (s3 !== peg$FAILED) {
                                               s4 = peg$parse__();
                                               if (s4 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 5) === peg$c50) {
-                                                  s5 = peg$c50;
+                                                if (input.substr(peg$currPos, 5) === peg$c49) {
+                                                  s5 = peg$c49;
                                                   peg$currPos += 5;
                                                 } else {
                                                   s5 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e50); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e49); }
                                                 }
                                                 if (s5 !== peg$FAILED) {
                                                   s6 = peg$parse__();
@@ -2421,48 +2416,36 @@
                                         }
                                         if (s0 === peg$FAILED) {
                                           s0 = peg$currPos;
-                                          if (input.substr(peg$currPos, 4) === peg$c51) {
-                                            s1 = peg$c51;
-                                            peg$currPos += 4;
+                                          if (input.substr(peg$currPos, 7) === peg$c48) {
+                                            s1 = peg$c48;
+                                            peg$currPos += 7;
                                           } else {
                                             s1 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e51); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                           }
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 2) === peg$c15) {
-                                                s3 = peg$c15;
-                                                peg$currPos += 2;
-                                              } else {
-                                                s3 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e15); }
-                                              }
+                                              s3 = peg$parseName();
                                               if (s3 !== peg$FAILED) {
                                                 s4 = peg$parse__();
                                                 if (s4 !== peg$FAILED) {
-                                                  s5 = peg$parseName();
+                                                  if (input.substr(peg$currPos, 5) === peg$c50) {
+                                                    s5 = peg$c50;
+                                                    peg$currPos += 5;
+                                                  } else {
+                                                    s5 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e50); }
+                                                  }
                                                   if (s5 !== peg$FAILED) {
                                                     s6 = peg$parse__();
                                                     if (s6 !== peg$FAILED) {
-                                                      if (input.substr(peg$currPos, 6) === peg$c52) {
-                                                        s7 = peg$c52;
-                                                        peg$currPos += 6;
-                                                      } else {
-                                                        s7 = peg$FAILED;
-                                                        if (peg$silentFails === 0) { peg$fail(peg$e52); }
-                                                      }
+                                                      s7 = peg$parseNumber();
                                                       if (s7 !== peg$FAILED) {
-                                                        s8 = peg$parse__();
+                                                        s8 = peg$parseBadTail();
                                                         if (s8 !== peg$FAILED) {
-                                                          s9 = peg$parseDuration();
-                                                          if (s9 !== peg$FAILED) {
-                                                            peg$savedPos = s0;
-                                                            s0 = peg$f37(s5, s9);
-                                                          } else {
-                                                            peg$currPos = s0;
-                                                            s0 = peg$FAILED;
-                                                          }
+                                                          peg$savedPos = s0;
+                                                          s0 = peg$f37(s3, s7, s8);
                                                         } else {
                                                           peg$currPos = s0;
                                                           s0 = peg$FAILED;
@@ -2497,26 +2480,68 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 6) === peg$c53) {
-                                              s1 = peg$c53;
-                                              peg$currPos += 6;
+                                            if (input.substr(peg$currPos, 4) === peg$c51) {
+                                              s1 = peg$c51;
+                                              peg$currPos += 4;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e53); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e51); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 5) === peg$c54) {
-                                                  s3 = peg$c54;
-                                                  peg$currPos += 5;
+                                                if (input.substr(peg$currPos, 2) === peg$c15) {
+                                                  s3 = peg$c15;
+                                                  peg$currPos += 2;
                                                 } else {
                                                   s3 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e54); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e15); }
                                                 }
                                                 if (s3 !== peg$FAILED) {
-                                                  peg$savedPos = s0;
-                                                  s0 = peg$f38();
+                                                  s4 = peg$parse__();
+                                                  if (s4 !== peg$FAILED) {
+                                                    s5 = peg$parseName();
+                                                    if (s5 !== peg$FAILED) {
+                                                      s6 = peg$parse__();
+                                                      if (s6 !== peg$FAILED) {
+                                                        if (input.substr(peg$currPos, 6) === peg$c52) {
+                                                          s7 = peg$c52;
+                                                          peg$currPos += 6;
+                                                        } else {
+                                                          s7 = peg$FAILED;
+                                                          if (peg$silentFails === 0) { peg$fail(peg$e52); }
+                                                        }
+                                                        if (s7 !== peg$FAILED) {
+                                                          s8 = peg$parse__();
+                                                          if (s8 !== peg$FAILED) {
+                                                            s9 = peg$parseDuration();
+                                                            if (s9 !== peg$FAILED) {
+                                                              peg$savedPos = s0;
+                                                              s0 = peg$f38(s5, s9);
+                                                            } else {
+                                                              peg$currPos = s0;
+                                                              s0 = peg$FAILED;
+                                                            }
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
                                                 } else {
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
@@ -2531,12 +2556,12 @@
                                             }
                                             if (s0 === peg$FAILED) {
                                               s0 = peg$currPos;
-                                              if (input.substr(peg$currPos, 7) === peg$c55) {
-                                                s1 = peg$c55;
-                                                peg$currPos += 7;
+                                              if (input.substr(peg$currPos, 6) === peg$c53) {
+                                                s1 = peg$c53;
+                                                peg$currPos += 6;
                                               } else {
                                                 s1 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e55); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e53); }
                                               }
                                               if (s1 !== peg$FAILED) {
                                                 s2 = peg$parse__();
@@ -2565,22 +2590,22 @@
                                               }
                                               if (s0 === peg$FAILED) {
                                                 s0 = peg$currPos;
-                                                if (input.substr(peg$currPos, 9) === peg$c56) {
-                                                  s1 = peg$c56;
-                                                  peg$currPos += 9;
+                                                if (input.substr(peg$currPos, 7) === peg$c55) {
+                                                  s1 = peg$c55;
+                                                  peg$currPos += 7;
                                                 } else {
                                                   s1 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e56); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e55); }
                                                 }
                                                 if (s1 !== peg$FAILED) {
                                                   s2 = peg$parse__();
                                                   if (s2 !== peg$FAILED) {
-                                                    if (input.substr(peg$currPos, 4) === peg$c57) {
-                                                      s3 = peg$c57;
-                                                      peg$currPos += 4;
+                                                    if (input.substr(peg$currPos, 5) === peg$c54) {
+                                                      s3 = peg$c54;
+                                                      peg$currPos += 5;
                                                     } else {
                                                       s3 = peg$FAILED;
-                                                      if (peg$silentFails === 0) { peg$fail(peg$e57); }
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e54); }
                                                     }
                                                     if (s3 !== peg$FAILED) {
                                                       peg$savedPos = s0;
@@ -2597,6 +2622,41 @@
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
                                                 }
+                                                if (s0 === peg$FAILED) {
+                                                  s0 = peg$currPos;
+                                                  if (input.substr(peg$currPos, 9) === peg$c56) {
+                                                    s1 = peg$c56;
+                                                    peg$currPos += 9;
+                                                  } else {
+                                                    s1 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e56); }
+                                                  }
+                                                  if (s1 !== peg$FAILED) {
+                                                    s2 = peg$parse__();
+                                                    if (s2 !== peg$FAILED) {
+                                                      if (input.substr(peg$currPos, 4) === peg$c57) {
+                                                        s3 = peg$c57;
+                                                        peg$currPos += 4;
+                                                      } else {
+                                                        s3 = peg$FAILED;
+                                                        if (peg$silentFails === 0) { peg$fail(peg$e57); }
+                                                      }
+                                                      if (s3 !== peg$FAILED) {
+                                                        peg$savedPos = s0;
+                                                        s0 = peg$f41();
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                }
                                               }
                                             }
                                           }
@@ -2652,7 +2712,7 @@
               }
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f41(s4);
+                s0 = peg$f42(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2704,7 +2764,7 @@
                 s6 = peg$parseInteger();
                 if (s6 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f42(s6);
+                  s0 = peg$f43(s6);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -2746,7 +2806,7 @@
               s4 = peg$parseText();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f43(s4);
+                s0 = peg$f44(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -2767,7 +2827,7 @@
           s0 = peg$currPos;
           s1 = '';
           peg$savedPos = s0;
-          s1 = peg$f44();
+          s1 = peg$f45();
           s0 = s1;
         }
       }
@@ -2808,7 +2868,7 @@
             }
             if (s8 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f45(s3, s4, s6, s8);
+              s0 = peg$f46(s3, s4, s6, s8);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -2845,7 +2905,7 @@
       s5 = peg$parseQualifiedWord();
       if (s5 !== peg$FAILED) {
         peg$savedPos = s3;
-        s3 = peg$f46(s1, s5);
+        s3 = peg$f47(s1, s5);
       } else {
         peg$currPos = s3;
         s3 = peg$FAILED;
@@ -2857,14 +2917,14 @@
         s5 = peg$parseQualifiedWord();
         if (s5 !== peg$FAILED) {
           peg$savedPos = s3;
-          s3 = peg$f46(s1, s5);
+          s3 = peg$f47(s1, s5);
         } else {
           peg$currPos = s3;
           s3 = peg$FAILED;
         }
       }
       peg$savedPos = s0;
-      s0 = peg$f47(s1, s2);
+      s0 = peg$f48(s1, s2);
     } else {
       peg$currPos = s0;
       s0 = peg$FAILED;
@@ -3041,7 +3101,7 @@
               s6 = peg$parseWord();
               if (s6 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f48(s6);
+                s0 = peg$f49(s6);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -3089,7 +3149,7 @@
           s4 = peg$parseInteger();
           if (s4 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f49(s4);
+            s0 = peg$f50(s4);
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -3123,7 +3183,7 @@
             s4 = peg$parseName();
             if (s4 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f50(s4);
+              s0 = peg$f51(s4);
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -3157,7 +3217,7 @@
               s4 = peg$parseName();
               if (s4 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f51(s4);
+                s0 = peg$f52(s4);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -3191,7 +3251,7 @@
                 s4 = peg$parseDuration();
                 if (s4 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f52(s4);
+                  s0 = peg$f53(s4);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -3225,7 +3285,7 @@
                   s4 = peg$parseDuration();
                   if (s4 !== peg$FAILED) {
                     peg$savedPos = s0;
-                    s0 = peg$f53(s4);
+                    s0 = peg$f54(s4);
                   } else {
                     peg$currPos = s0;
                     s0 = peg$FAILED;
@@ -3318,7 +3378,7 @@
         }
         if (s3 !== peg$FAILED) {
           peg$savedPos = s0;
-          s0 = peg$f54(s1, s2);
+          s0 = peg$f55(s1, s2);
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -3375,7 +3435,7 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f55(s1);
+      s1 = peg$f56(s1);
     }
     s0 = s1;
     peg$silentFails--;
@@ -3475,7 +3535,7 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f56(s1);
+      s1 = peg$f57(s1);
     }
     s0 = s1;
     peg$silentFails--;
@@ -3529,7 +3589,7 @@
       }
       if (s3 !== peg$FAILED) {
         peg$savedPos = s0;
-        s0 = peg$f57(s2);
+        s0 = peg$f58(s2);
       } else {
         peg$currPos = s0;
         s0 = peg$FAILED;
--- a/packages/ryeworks-lab/src/scenarios/scenario.peggy
+++ b/packages/ryeworks-lab/src/scenarios/scenario.peggy
@@ -45,6 +45,7 @@
 Action
   = verb:("kill" / "stop" / "start" / "resume") __ "vm" __ vm:Name { return {verb: `${verb}Vm`, vm}; }
   / "pause" __ "vm" __ vm:Name __ "for" __ durationMs:Duration { return {verb: 'pauseVm', vm, durationMs}; }
+  / "pause" __ endpoint:Name __ "for" __ durationMs:Duration { return {verb: 'pauseEndpoint', endpoint, durationMs}; }
   / "cut" __ a:Name __ "from" __ b:Name { return {verb: 'cut', a, b}; }
   / "heal" { return {verb: 'heal'}; }
   / "lose" __ rate:Number __ "of" __ "messages" { return {verb: 'loseMessages', rate}; }
