Own interface: a stop waits until slow callers have their answers

What callers saw: an answer that broke off. A caller that reads slowly had received 3.9 of 25.2 MB when the VM stopped; the VM then closed its connection. A caller that still sent its body when the VM stopped was refused as not run, but the process did not end until it was killed: that connection stayed open.

Cause: an answer counted as done once it had ended. Closing the server closes idle connections, and to Node.js a connection is idle once its answer has ended, whatever is left in its send buffer (closeIdleConnections).

Evidence: gracefulStop.test.ts, with real processes, failed before ('the process ends on its own', 'the answer is complete').

Why it works: a reply is open until all of it was sent or its caller is gone, and a stop waits for the open replies, at most the stop timeout as before. From the stop on, each connection is closed after its reply.

--- a/packages/ryeworksd/src/callers/createCallerServer.ts
+++ b/packages/ryeworksd/src/callers/createCallerServer.ts
@@ -12,6 +12,7 @@
 import {addStatusRoute} from './addStatusRoute.js';
 import {CallHeaders, readCallHeaders} from './readCallHeaders.js';
 import {CompletionRequest, readCompletion} from './readCompletion.js';
+import {OpenReplies} from './openReplies.js';
 import {createErrorBody, createErrorHeaders, ReplySink} from './replySink.js';
 
 /** Path of chat completions, both on this server and on model engines. */
@@ -30,6 +31,7 @@
   readonly metrics: Metrics;
   readonly answers: AnswerRegistry;
   readonly openRequests: OpenRequests;
+  readonly openReplies: OpenReplies;
   readonly peerServer: PeerServer;
 }
 
@@ -221,6 +223,10 @@
     genReqId: createRequestId,
     requestTimeout: 30_000,
   });
+  server.addHook('onRequest', (_request, reply, done) => {
+    context.openReplies.add(reply.raw);
+    done();
+  });
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
     '*',
--- a/packages/ryeworksd/src/createEntryProcess.ts
+++ b/packages/ryeworksd/src/createEntryProcess.ts
@@ -15,6 +15,7 @@
 import {createCallerServer} from './callers/createCallerServer.js';
 import {SchedulerLoop} from './core/schedulerLoop.js';
 import {createEffectHandlers} from './createEffectHandlers.js';
+import {OpenReplies} from './callers/openReplies.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
 import {LoadPoller} from './endpoints/loadPoller.js';
 import {createPeerServer, PeerServer} from './peers/createPeerServer.js';
@@ -40,6 +41,7 @@
   loop: SchedulerLoop;
   answers: AnswerRegistry;
   openRequests: OpenRequests;
+  openReplies: OpenReplies;
   endpointClient: EndpointClient;
   peerClient: PeerClient;
   platformWatcher: PlatformWatcher;
@@ -113,6 +115,7 @@
       return new AnswerRegistry(settings.answerCacheBytes, cacheDurationMs);
     }).singleton(),
     openRequests: asValue(new Map()),
+    openReplies: asValue(new OpenReplies()),
     endpointClient: asFunction(
       ({loop, clock, openRequests}: Components) =>
         new EndpointClient(loop, clock, openRequests),
@@ -133,7 +136,15 @@
       return createPeerServer({peerKey, loop, answers});
     }).singleton(),
     callerServer: asFunction(
-      ({clock, loop, metrics, answers, openRequests, peerServer}: Components) =>
+      ({
+        clock,
+        loop,
+        metrics,
+        answers,
+        openRequests,
+        openReplies,
+        peerServer,
+      }: Components) =>
         createCallerServer({
           settings,
           clock,
@@ -141,6 +152,7 @@
           metrics,
           answers,
           openRequests,
+          openReplies,
           peerServer,
         }),
     ).singleton(),
@@ -159,15 +171,17 @@
 }
 
 /**
- * Waits until a stopping VM has completed its requests and answers, but not
- * longer than the stop timeout.
+ * Waits until a stopping VM has completed its requests and answers and sent all
+ * replies, but not longer than the stop timeout. An answer that has ended may not
+ * have been sent yet, as its caller reads slowly; to close the server cuts it.
  */
 async function waitUntilDrained(components: Components): Promise<void> {
-  const {answers, clock, loop, settings} = components;
+  const {answers, clock, loop, openReplies, settings} = components;
   const startedMs = clock.readNowMs();
   for (;;) {
     const elapsedMs = clock.readNowMs() - startedMs;
-    const isDone = isDrained(loop.state) && answers.countOpen() === 0;
+    const openCount = answers.countOpen() + openReplies.count();
+    const isDone = isDrained(loop.state) && openCount === 0;
     if (isDone && elapsedMs >= minDrainMs) return;
     if (elapsedMs >= settings.stopTimeoutMs) return;
     await new Promise(resolve => setTimeout(resolve, drainPollMs));
@@ -207,6 +221,7 @@
   return {
     stop: async () => {
       loop.submit({kind: 'stopRequested'});
+      components.openReplies.startStopping();
       await waitUntilDrained(components);
       await disposables.dispose();
       logger.info('stopped');
