Peers: a VM that lost the store follows it through its peers

What callers saw: a VM that could not reach the store, but its peers, kept to the endpoints and move orders that it had last read. Its calls went to endpoints that were gone or drained, and during a move to the old version, where they were cut when the other VMs completed the move.

Cause: only VMs that do not watch the store fetched the views of their peers. In a small fleet all watch it.

Evidence: storeWatching.test.ts, 'a watching VM that lost the store asks its peers', failed before (no fetch, the view not applied).

Why it works: a VM that has lost the store since it last reached it takes newer views from peers; when it reaches the store again, its watches go on from its own position. A VM that never reached the store still waits for its first list.

--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -119,6 +119,24 @@
   t.equal(listEffects(runDigestTimer(state, 20), 'setStoreWatch').length, 0);
 });
 
+// Guards against calls to endpoints that are gone, and orders that are not known,
+// on a VM that only cannot reach the store.
+t.test('a watching VM that lost the store asks its peers', async t => {
+  const state = createReadyState([modelEndpoint]);
+  for (const isReachable of [true, false]) {
+    runInput(state, {kind: 'storeReachabilityChanged', isReachable}, 10);
+  }
+  t.equal(sendRevision(state, 5, 'zone-a', 20), 1);
+  const other = createEndpoint('m2', names.model);
+  const peer = createReadyState([other]);
+  runInput(peer, {kind: 'storeEraRead', era: 1}, 5);
+  runInput(peer, createPositionRead(1, 7), 10);
+  runInput(state, createStoreView(peer), 30);
+  t.ok(state.endpoints.byId.has('m2'));
+  runInput(state, {kind: 'storeReachabilityChanged', isReachable: true}, 500);
+  t.equal(sendRevision(state, 9, 'zone-a', 1000), 0, 'it reads the store');
+});
+
 t.test('store views are fetched from the local zone first', async t => {
   const state = createReadyState([modelEndpoint]);
   sendFleetDigests(state, 'a', 10);
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -139,16 +139,27 @@
   return [];
 }
 
+/**
+ * Returns whether this VM learns of changes by its own watches of the store: it
+ * watches the store and has not lost it since.
+ */
+function isFollowingStore(state: DispatchState): boolean {
+  const {isStoreReachable, isWatchingStore, storeLostAtMs} = state;
+  return (
+    isWatchingStore && (isStoreReachable || !Number.isFinite(storeLostAtMs))
+  );
+}
+
 /**
  * Fetches the store view of a digest's sender if it is newer, from peers in the
- * local zone first and only one at a time. VMs that watch the store never fetch.
+ * local zone first and only one at a time. VMs that follow the store never fetch.
  */
 export function fetchStoreView(
   state: DispatchState,
   digest: Digest,
   nowMs: number,
 ): Effect[] {
-  if (state.isWatchingStore || !isDigestLater(state, digest)) return [];
+  if (isFollowingStore(state) || !isDigestLater(state, digest)) return [];
   state.laterPositionSeenAtMs ??= nowMs;
   const isInLocalZone =
     digest.availabilityZone === state.options.availabilityZone;
@@ -192,7 +203,7 @@
 
 /**
  * Applies the parts of a peer's store view that are not outdated, unless this VM
- * watches the store.
+ * follows the store itself.
  */
 export function handleStoreViewRead(
   state: DispatchState,
@@ -201,7 +212,7 @@
 ): Effect[] {
   const {endpoints, ordersPosition, position} = view;
   const {hasAny, hasEndpoints, hasOrders} = findLaterParts(state, view);
-  if (state.isWatchingStore || !hasAny) return [];
+  if (isFollowingStore(state) || !hasAny) return [];
   state.laterPositionSeenAtMs = undefined;
   const ordersRevision = ordersPosition.revision;
   const fields = {...position, ordersRevision, endpoints: endpoints.length};
