--- a/packages/ryeworksd/src/core/schedulerLoop.ts
+++ b/packages/ryeworksd/src/core/schedulerLoop.ts
@@ -7,7 +7,7 @@
   SchedulerState,
   startScheduler,
 } from '@ryeworks/scheduler';
-import {Clock} from '@ryeworks/utils';
+import {Clock, startIoTimer} from '@ryeworks/utils';
 
 /** Handles the effects of one kind. */
 export type EffectHandler<K extends Effect['kind']> = (
@@ -19,10 +19,6 @@
 
 /** Delay until the next timer input if the scheduler has no timer set, in ms. */
 const defaultTimerDelayMs = 1000;
-/**
- * Lateness of a timer from which on the process stood still meanwhile, in ms.
- */
-const pauseLatenessMs = 50;
 
 /**
  * The event loop around the scheduler: passes inputs to the scheduler one at a
@@ -30,9 +26,8 @@
  */
 export class SchedulerLoop {
   private handlers: EffectHandlers | undefined;
-  private timer: NodeJS.Timeout | undefined;
-  /** Runs the timers after the data that arrived during a pause was read. */
-  private lateTimer: NodeJS.Immediate | undefined;
+  private cancelTimer = () => {};
+  private timerDueMs = Number.POSITIVE_INFINITY;
   private isStopped = false;
 
   constructor(
@@ -58,8 +53,7 @@
   /** Stops the timers. Later inputs are ignored. */
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.timer);
-    clearImmediate(this.lateTimer);
+    this.cancelTimer();
   }
 
   private runEffects(effects: readonly Effect[]): void {
@@ -72,21 +66,17 @@
   }
 
   private scheduleTimer(): void {
-    clearTimeout(this.timer);
+    if (this.isStopped) return;
     const nowMs = this.clock.readNowMs();
     const dueMs = getNextDueMs(this.state) ?? nowMs + defaultTimerDelayMs;
+    if (dueMs === this.timerDueMs) return;
+    this.cancelTimer();
+    this.timerDueMs = dueMs;
     const delayMs = Math.max(0, Math.ceil(dueMs - nowMs));
-    this.timer = setTimeout(() => this.runTimers(dueMs), delayMs);
-  }
-
-  /**
-   * Runs the timers that are due. After a pause of the process, data that has
-   * arrived is read first: otherwise, all endpoints and peers would seem silent.
-   */
-  private runTimers(dueMs: number): void {
-    const run = () => this.submit({kind: 'timerDue'});
-    if (this.clock.readNowMs() - dueMs < pauseLatenessMs) run();
-    else this.lateTimer = setImmediate(run);
+    this.cancelTimer = startIoTimer(() => {
+      this.timerDueMs = Number.POSITIVE_INFINITY;
+      this.submit({kind: 'timerDue'});
+    }, delayMs);
   }
 }
 
