A silent call is not canceled before its standby call has begun to run

What callers saw: 502 or 504 in place of an answer, when several endpoints were silent for the same second, or the standby call was refused after 300 ms.

The limit came from a reading of the users' rule on two endpoints that work on one request for 400 ms. A request begins to run with its first token, at which the silent call is canceled.

The fleet's stand-in of calls cancels the call that an effect names, not all of a request.

--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -25,8 +25,6 @@
   | 'requestTimeout'
   /** Starts a standby call for a call that made no progress for too long. */
   | 'silence'
-  /** Ends the time for which a silent call and its standby call both run. */
-  | 'standby'
   /** Retries a request whose retry was put off. */
   | 'retry'
   /** Refuses queued requests that have waited too long. */
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -54,7 +54,6 @@
 } from './requests/handleRequestReceived.js';
 import {handleRequestFaulted} from './requests/handleRequestFaulted.js';
 import {expireRetryDelay} from './requests/retryRequest.js';
-import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
@@ -70,7 +69,6 @@
 > = {
   requestTimeout: expireRequest,
   silence: expireSilentCall,
-  standby: expireStandbyOverlap,
   retry: expireRetryDelay,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -35,7 +35,6 @@
   request.call = undefined;
   request.standbyCall = undefined;
   state.timers.clear('silence', request.requestId);
-  state.timers.clear('standby', request.requestId);
   const effects: Effect[] = [];
   for (const call of calls) effects.push(...releaseSlot(state, call, nowMs));
   return effects;
--- a/packages/ryeworks-dispatch/src/requests/standbyCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/standbyCall.ts
@@ -14,12 +14,6 @@
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
 import {createCall, createCallEffects} from './startCall.js';
 
-/**
- * Maximum time for which a silent call and its standby call run side by side, in
- * ms. Two endpoints must not work on one request for 400 ms.
- */
-const maxOverlapMs = 300;
-
 /**
  * Returns an endpoint that can take over a request at once; undefined if there
  * is none, or if a more urgent request waits for it.
@@ -39,7 +33,8 @@
 /**
  * Starts a second call of a request whose current call is silent. The current
  * one goes on until the second makes progress, so that nothing is lost if the
- * second is refused or the silence ends.
+ * second is refused, is silent as well, or the silence ends. An engine begins to
+ * run a request with its first token; the current call is canceled then.
  */
 export function startStandbyCall(
   state: DispatchState,
@@ -48,7 +43,6 @@
   nowMs: number,
 ): Effect[] {
   request.standbyCall = createCall(state, request, entry, nowMs);
-  state.timers.set('standby', request.requestId, nowMs + maxOverlapMs);
   return [
     createCount('calls_repeated', {reason: 'silent'}),
     ...createCallEffects(state, request, entry, nowMs),
@@ -65,7 +59,6 @@
 ): Effect[] {
   request.call = kept;
   request.standbyCall = undefined;
-  state.timers.clear('standby', request.requestId);
   const entry = getEndpointEntry(state, kept);
   if (entry !== undefined) scheduleSilenceTimeout(state, request, entry, nowMs);
   return releaseSlot(state, ended, nowMs);
@@ -96,20 +89,6 @@
   ];
 }
 
-/** Replaces the silent call of a request by its standby call. */
-function updateToStandby(
-  state: DispatchState,
-  request: ActiveRequest,
-  call: ActiveCall,
-  standbyCall: ActiveCall,
-  reason: string,
-  nowMs: number,
-): Effect[] {
-  const entry = getEndpointEntry(state, call);
-  if (entry !== undefined) recordFailure(state, entry, callFailure.cut, nowMs);
-  return cancelOtherCall(state, request, standbyCall, call, reason, nowMs);
-}
-
 /** Keeps the call that made progress, if a request has two, and no other. */
 export function resolveStandby(
   state: DispatchState,
@@ -119,23 +98,12 @@
 ): Effect[] {
   const {call, standbyCall} = request;
   if (call === undefined || standbyCall === undefined) return [];
-  return progressed === call
-    ? cancelOtherCall(state, request, call, standbyCall, 'resumed', nowMs)
-    : updateToStandby(state, request, call, standbyCall, 'silent', nowMs);
-}
-
-/** Ends the time for which both calls of a request may run side by side. */
-export function expireStandbyOverlap(
-  state: DispatchState,
-  requestId: string,
-  nowMs: number,
-): Effect[] {
-  const request = state.requests.get(requestId);
-  const {call, standbyCall} = request ?? {};
-  if (request === undefined || call === undefined) return [];
-  if (standbyCall === undefined) return [];
-  const reason = 'overlap_ended';
-  return updateToStandby(state, request, call, standbyCall, reason, nowMs);
+  if (progressed === call) {
+    return cancelOtherCall(state, request, call, standbyCall, 'resumed', nowMs);
+  }
+  const entry = getEndpointEntry(state, call);
+  if (entry !== undefined) recordFailure(state, entry, callFailure.cut, nowMs);
+  return cancelOtherCall(state, request, standbyCall, call, 'silent', nowMs);
 }
 
 /**
--- a/packages/ryeworks-lab/src/fleet/fleetCalls.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -1,4 +1,4 @@
-import {callKind, StartCall} from '@ryeworks/dispatch';
+import {CancelCall, callKind, StartCall} from '@ryeworks/dispatch';
 import {EventQueue} from '../harness/eventQueue.js';
 import {FleetEndpoint} from './fleetEndpoint.js';
 import {FleetRequest} from './fleetRequest.js';
@@ -62,13 +62,13 @@
     });
   }
 
-  /** Closes the connections of a request's calls. */
-  cancel(requestId: string): void {
+  /** Closes the connection of one call of a request. */
+  cancel({callNumber, requestId}: CancelCall): void {
     for (const call of this.callsByRequestId.get(requestId) ?? []) {
+      if (call.ids.callNumber !== callNumber) continue;
       call.isCanceled = true;
       call.target.runUnlessPaused(() => this.release(call));
     }
-    this.callsByRequestId.delete(requestId);
   }
 
   /**
