A silent call at an endpoint that is gone gets a standby call, too

What callers saw: a request whose endpoint had left the store's list and then fell silent got no answer until its time limit.

Cause: the silence timeout was dropped when the endpoint was no longer listed. Evidence: silentCalls.test.ts, 'a silent call at a removed endpoint gets a standby call', failed before (no call was started, before and after a later event).

--- a/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
@@ -228,3 +228,21 @@
   const calls = listEffects(effects, 'startCall');
   t.match(calls, [{requestId}], 'it goes on once the budget allows it');
 });
+
+// Guards against a request that waits until its time limit for an endpoint that
+// the store no longer lists.
+t.test('a silent call at a removed endpoint gets a standby call', async t => {
+  for (const progressAtMs of [undefined, 400]) {
+    const state = createReadyState(models);
+    const {first, requestId} = startStream(state);
+    const id = state.requests.get(requestId)!.call!.endpointId;
+    runInput(state, {kind: 'endpointRemoved', id}, 200);
+    if (progressAtMs !== undefined) {
+      const progress = {kind: 'callProgressed', ...first, events: 2} as const;
+      runInput(state, progress, progressAtMs);
+    }
+    const silentSinceMs = progressAtMs ?? 100;
+    const effects = runTimers(state, silentSinceMs + silenceMs + 1);
+    t.match(listEffects(effects, 'startCall'), [{requestId}]);
+  }
+});
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -3,7 +3,6 @@
 import {callFailure} from '../input.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {consumeRetry, findRetryObstacle} from './findRetryObstacle.js';
-import {getEndpointEntry} from './findCall.js';
 import {getSilenceTimeoutMs} from './silenceTimeout.js';
 import {pickStandbyEndpoint, startStandbyCall} from './standbyCall.js';
 
@@ -48,9 +47,8 @@
   const request = state.requests.get(requestId);
   const call = request?.call;
   if (request === undefined || call === undefined) return [];
-  const entry = getEndpointEntry(state, call);
-  if (entry === undefined || request.standbyCall !== undefined) return [];
-  const timeoutMs = getSilenceTimeoutMs(state, request, call, entry);
+  if (request.standbyCall !== undefined) return [];
+  const timeoutMs = getSilenceTimeoutMs(state, request, call);
   const silentSinceMs = call.isPaused ? nowMs : call.lastProgressAtMs;
   const dueMs = silentSinceMs + timeoutMs;
   if (dueMs > nowMs) {
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -63,11 +63,11 @@
   if (call.hasFirstEvent) return effects;
   call.hasFirstEvent = true;
   if (request.firstEventAtMs === 0) request.firstEventAtMs = nowMs;
+  scheduleSilenceTimeout(state, request, nowMs);
   if (entry === undefined) return effects;
   const elapsedMs = nowMs - call.startedAtMs;
   recordSlowFirstEvent(state, request, entry, elapsedMs);
   recordFirstEvent(entry, elapsedMs, request.promptTokens);
-  scheduleSilenceTimeout(state, request, entry, nowMs);
   const labels = {tier: `${request.tier}`};
   return [
     ...effects,
--- a/packages/ryeworks-dispatch/src/requests/silenceTimeout.ts
+++ b/packages/ryeworks-dispatch/src/requests/silenceTimeout.ts
@@ -1,11 +1,12 @@
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
-import {EndpointEntry, listEndpoints} from '../endpoints/endpointTable.js';
+import {listEndpoints} from '../endpoints/endpointTable.js';
 import {
   estimateFirstEventMs,
   getMeanFirstEventMs,
 } from '../endpoints/latency.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {getEndpointEntry} from './findCall.js';
 
 /**
  * Silence timeout of a stream before its first event, relative to the latency
@@ -34,14 +35,14 @@
   state: DispatchState,
   request: ActiveRequest,
   call: ActiveCall,
-  entry: EndpointEntry,
 ): number {
   const {route} = request;
+  const entry = getEndpointEntry(state, call);
   if (route.kind !== callKind.stream) {
     return Math.max(minSilenceTimeoutMs, route.latencyTargetMs * plainFactor);
   }
   if (call.hasFirstEvent) {
-    const gapMs = entry.eventGapMs * gapFactor;
+    const gapMs = (entry?.eventGapMs ?? 0) * gapFactor;
     return Math.max(
       minSilenceTimeoutMs,
       route.maxGapMs * maxGapFraction,
@@ -50,11 +51,10 @@
   }
   const entries = listEndpoints(state.endpoints, request.service);
   const serviceMs = getMeanFirstEventMs(entries);
-  const expectedMs = estimateFirstEventMs(
-    entry,
-    serviceMs,
-    request.promptTokens,
-  );
+  const expectedMs =
+    entry === undefined
+      ? 0
+      : estimateFirstEventMs(entry, serviceMs, request.promptTokens);
   const firstEventMs = expectedMs * firstEventFactor;
   const targetMs = route.latencyTargetMs * latencyTargetFraction;
   return Math.max(minSilenceTimeoutMs, targetMs, firstEventMs);
@@ -67,11 +67,10 @@
 export function scheduleSilenceTimeout(
   state: DispatchState,
   request: ActiveRequest,
-  entry: EndpointEntry,
   nowMs: number,
 ): void {
   const {call} = request;
   if (!request.isRetryable || call === undefined) return;
-  const dueMs = nowMs + getSilenceTimeoutMs(state, request, call, entry);
+  const dueMs = nowMs + getSilenceTimeoutMs(state, request, call);
   state.timers.set('silence', request.requestId, dueMs);
 }
--- a/packages/ryeworks-dispatch/src/requests/standbyCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/standbyCall.ts
@@ -59,8 +59,7 @@
 ): Effect[] {
   request.call = kept;
   request.standbyCall = undefined;
-  const entry = getEndpointEntry(state, kept);
-  if (entry !== undefined) scheduleSilenceTimeout(state, request, entry, nowMs);
+  scheduleSilenceTimeout(state, request, nowMs);
   return releaseSlot(state, ended, nowMs);
 }
 
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -38,7 +38,7 @@
 ): Effect[] {
   request.phase = 'calling';
   request.call = createCall(state, request, entry, nowMs);
-  scheduleSilenceTimeout(state, request, entry, nowMs);
+  scheduleSilenceTimeout(state, request, nowMs);
   const labels = {tier: `${request.tier}`};
   const valueMs = Math.round(nowMs - request.receivedAtMs);
   return [
