--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -42,6 +42,7 @@
   expireRequest,
   handleCallDone,
   handleCallerGone,
+  handleCallPaused,
   handleCallProgressed,
   handleCallSent,
 } from './requests/handleCallEvents.js';
@@ -52,7 +53,7 @@
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
 import {handleRequestInterrupted} from './requests/handleRequestInterrupted.js';
-import {expireStandbyOverlap} from './requests/standbyCall.js';
+import {expireRetryDelay} from './requests/retryRequest.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
@@ -68,7 +69,7 @@
 > = {
   requestTimeout: expireRequest,
   silence: expireSilentCall,
-  standby: expireStandbyOverlap,
+  retry: expireRetryDelay,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
   digest: sendDigest,
@@ -161,6 +162,7 @@
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
+  callPaused: handleCallPaused,
   callDone: handleCallDone,
   callFailed: handleCallFailed,
   desiredStateRead: handleDesiredStateRead,
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -35,7 +35,6 @@
   request.call = undefined;
   request.standbyCall = undefined;
   state.timers.clear('silence', request.requestId);
-  state.timers.clear('standby', request.requestId);
   const effects: Effect[] = [];
   for (const call of calls) effects.push(...releaseSlot(state, call, nowMs));
   return effects;
@@ -73,6 +72,7 @@
   const durationMs = Math.round(nowMs - request.receivedAtMs);
   state.requests.delete(requestId);
   state.timers.clear('requestTimeout', requestId);
+  state.timers.clear('retry', requestId);
   removeWaiting(getQueue(state, request.service), request);
   if (possibleRuns === 0) {
     refundUnits(state.usageByCustomer, request.customer, request.units, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -24,6 +24,7 @@
     hasFirstEvent: false,
     lastProgressAtMs: nowMs,
     events: 0,
+    isPaused: false,
     isSilenceLogged: false,
   };
 }
@@ -37,7 +38,7 @@
 ): Effect[] {
   request.phase = 'calling';
   request.call = createCall(state, request, entry, nowMs);
-  scheduleSilenceTimeout(state, request, entry, nowMs);
+  scheduleSilenceTimeout(state, request, nowMs);
   const labels = {tier: `${request.tier}`};
   const valueMs = Math.round(nowMs - request.receivedAtMs);
   return [
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -1,5 +1,5 @@
-import {routeClass, RouteClass, runStatus} from '@ryeworks/types';
-import {createCount, Effect} from '../effect.js';
+import {routeClass, RouteClass} from '@ryeworks/types';
+import {createCount, createLog, Effect} from '../effect.js';
 import {
   CallFailure,
   callFailure,
@@ -19,6 +19,11 @@
 const maxResumes = 3;
 /** Base delay before another attempt, in ms; doubled with each attempt. */
 const baseBackoffMs = 20;
+/**
+ * Delay before a stream whose resumed call failed as well is resumed again, in
+ * ms; doubled each time. What made the endpoint refuse may pass.
+ */
+const baseResumeDelayMs = 200;
 
 /** Whether a failed call may be retried, by failure and route class. */
 const mayRetry: Record<CallFailure, Record<RouteClass, boolean>> = {
@@ -104,15 +109,49 @@
   const endpoint = state.admission.endpoints.get(request.endpoint);
   if (endpoint?.canResume !== true) return undefined;
   if (request.resumes >= maxResumes) return undefined;
+  state.timers.clear('resumeBackoff', request.requestId);
   request.resumes += 1;
   recordProgress(state, request, nowMs);
-  const {requestId} = request;
+  const {requestId, streamId} = request;
   return [
-    {kind: 'resume', requestId, endpoint, streamId: requestId},
+    {kind: 'resume', requestId, endpoint, streamId},
     createCount('request.resumed', {reason}),
   ];
 }
 
+/**
+ * Resumes a stream whose connection was cut, at once or, if it was resumed
+ * before, after a delay. Returns undefined if that is not possible.
+ */
+function resumeCutStream(
+  state: SchedulerState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] | undefined {
+  const {requestId, resumes} = request;
+  if (resumes === 0) return resumeStream(state, request, 'cut', nowMs);
+  const endpoint = state.admission.endpoints.get(request.endpoint);
+  if (endpoint?.canResume !== true || resumes >= maxResumes) return undefined;
+  const delayMs = baseResumeDelayMs * 2 ** (resumes - 1);
+  state.timers.clear('progressTimeout', requestId);
+  state.timers.set('resumeBackoff', requestId, nowMs + delayMs);
+  return [];
+}
+
+/** Resumes a stream again whose last resumed call failed. */
+export function resumeAgain(
+  state: SchedulerState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = findDispatched(state, requestId);
+  if (request === undefined) return [];
+  return (
+    resumeStream(state, request, 'cut', nowMs) ??
+    endFailedRequest(state, request, callFailure.cut, nowMs)
+  );
+}
+
 /**
  * Returns whether a failed call reached its endpoint. A retry then counts
  * against the retry budget, since the failed call cost the endpoint work.
@@ -158,15 +197,32 @@
 
 /**
  * Classifies a failure with regard to the whole call. When a stream cannot be
- * resumed because no new connection can be made, the failure counts as `cut`
- * rather than `notSent`, since the request itself was sent earlier.
+ * resumed because no new connection can be made, or because the endpoint refuses
+ * the call that would resume it, the failure counts as `cut`, since the request
+ * itself was sent earlier and may still be running.
  */
 function classifyFailure(
   request: ActiveRequest,
   failure: CallFailure,
 ): CallFailure {
   const wasSent = request.resumes > 0;
-  return wasSent && failure === callFailure.notSent ? callFailure.cut : failure;
+  const provesNotRun =
+    failure === callFailure.notSent || failure === callFailure.refused;
+  return wasSent && provesNotRun ? callFailure.cut : failure;
+}
+
+/** Retries a request whose call failed, or ends it. */
+function endFailedRequest(
+  state: SchedulerState,
+  request: ActiveRequest,
+  failure: CallFailure,
+  nowMs: number,
+): Effect[] {
+  if (canRetry(state, request, failure)) {
+    return scheduleRetry(state, request, failure, nowMs);
+  }
+  const outcome = {...failureOutcomes[failure], isEndpointFault: true};
+  return endRequest(state, request, outcome, nowMs);
 }
 
 /** Resumes, retries or ends a request whose call failed. */
@@ -179,17 +235,17 @@
   if (request === undefined) return [];
   const failure = classifyFailure(request, input.failure);
   if (failure === callFailure.cut) {
-    const resumed = resumeStream(state, request, 'cut', nowMs);
+    const resumed = resumeCutStream(state, request, nowMs);
     if (resumed !== undefined) return resumed;
   }
-  if (canRetry(state, request, failure)) {
-    return scheduleRetry(state, request, failure, nowMs);
-  }
-  const outcome = {...failureOutcomes[failure], isEndpointFault: true};
-  return endRequest(state, request, outcome, nowMs);
+  return endFailedRequest(state, request, failure, nowMs);
 }
 
-/** Resumes, retries or ends a request whose call makes no progress. */
+/**
+ * Resumes or retries a request whose call makes no progress. A call that can be
+ * neither is waited for until the deadline of its request: its endpoint may go on
+ * at any time, and to give the call up gains nothing.
+ */
 export function expireProgress(
   state: SchedulerState,
   requestId: string,
@@ -206,11 +262,12 @@
       ...scheduleRetry(state, request, callFailure.cut, nowMs),
     ];
   }
-  const outcome: EndOutcome = {
-    error: 'outcomeUnknown',
-    reason: 'silent',
-    ran: runStatus.unknown,
-    isEndpointFault: true,
-  };
-  return endRequest(state, request, outcome, nowMs);
+  const dueMs = nowMs + state.options.progressTimeoutMs;
+  state.timers.set('progressTimeout', requestId, dueMs);
+  const {endpoint, lastProgressMs} = request;
+  const silentMs = Math.round(nowMs - lastProgressMs);
+  return [
+    createLog('call_silent', {requestId, endpoint, silentMs}),
+    createCount('request.silent'),
+  ];
 }
