Callers: refusals before the core are logged and counted

A 413 or 431 of the gateway left no log line and no metric. They are request_unreadable and requests_refused now. Before: callerConnections.test.ts, the third check of 'a caller that reads at once gets its 413' and its three siblings (counter 0 in place of 1).

--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -62,7 +62,10 @@
    * ended without a complete answer, for a reason that the core does not know.
    */
   readonly reportUnanswered: (cause: string, attemptId: string) => void;
-  /** Called with the reason when a request cannot be read. */
+  /**
+   * Called when a request is refused before it was read to its end: the reason,
+   * and the ID of the caller's attempt or the error.
+   */
   readonly reportUnreadable: (reason: string, detail: string) => void;
   /** Called with an error of the gateway itself. */
   readonly reportFault: (error: unknown) => void;
@@ -295,6 +298,7 @@
       emptyBody,
       response,
     );
+    this.options.reportUnreadable(error, requestInfo.attemptId);
     // An error in the rest of its body is no other request.
     this.unreadable.add(request.socket);
     void openRequest.refuseUnread(error, maxDiscardMs);
