Answers: a failure that is not there does not leave its caller waiting

The handler that forwards an endpoint's failure did nothing if none was held; the core has forgotten the request by then, so that its caller would have waited without a time limit. No way in which this can happen is known.

--- a/packages/ryeworks-gateway/src/callers/createAnswerHandlers.ts
+++ b/packages/ryeworks-gateway/src/callers/createAnswerHandlers.ts
@@ -39,8 +39,10 @@
     },
     forwardFailure: ({requestId}) => {
       const openRequest = openRequests.get(requestId);
-      if (openRequest?.heldFailure === undefined) return;
-      openRequest.sendAnswer(openRequest.heldFailure);
+      if (openRequest === undefined) return;
+      const {heldFailure} = openRequest;
+      if (heldFailure === undefined) openRequest.sendError('outcomeUnknown', 0);
+      else openRequest.sendAnswer(heldFailure);
     },
     abortResponse: ({reason, requestId}) => {
       const openRequest = openRequests.get(requestId);
