Dispatch loop: an error in a timer's handler stops the process gracefully

Since errors in the core are caught, one in a timer's handler would have left a process behind that has lost the effects of other timers that were due, and perhaps a periodic task such as the digests, for good. It is handed to the process as an error that nothing catches. A request that the core has forgotten is told at the end that its outcome is unknown; it was told that it had not run.

Before: dispatchLoop.test.ts, 'an error in a timer is left to the process' found no such hand-over (the test does not compile without it).

--- a/packages/ryeworks-gateway/src/__tests__/dispatchLoop.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/dispatchLoop.test.ts
@@ -1,6 +1,7 @@
 import {createDispatchState} from '@ryeworks/dispatch';
 import {systemClock} from '@ryeworks/utils';
 import t, {Test} from 'tap';
+import {createFaultHandler} from '../core/createFaultHandler.js';
 import {DispatchLoop, EffectHandlers, Fault} from '../core/dispatchLoop.js';
 
 /** Creates a loop whose faults are collected. */
@@ -55,3 +56,16 @@
   t.ok(handled.includes('log'), 'the loop goes on');
   t.end();
 });
+
+// Guards against a process that lives on without its periodic tasks.
+t.test('an error in a timer is left to the process', t => {
+  const errors: unknown[] = [];
+  const handleFault = createFaultHandler(
+    {openRequests: new Map()} as never,
+    e => errors.push(e),
+  );
+  const error = new Error('refused');
+  handleFault({error, source: 'timerDue', requestId: undefined});
+  t.same(errors, [error]);
+  t.end();
+});
--- a/packages/ryeworks-gateway/src/core/createFaultHandler.ts
+++ b/packages/ryeworks-gateway/src/core/createFaultHandler.ts
@@ -31,13 +31,21 @@
 /**
  * Creates the handler of the errors that the core or the handler of an effect
  * throws. It reports them and ends the request that they belong to, if any; all
- * other requests go on.
+ * other requests go on. An error in a timer's handler is handed to the process:
+ * the effects of other timers are lost, and a periodic task may have ended.
+ *
+ * @param stopProcess hands an error to the process, which then stops gracefully
  */
 export function createFaultHandler(
   context: FaultContext,
+  stopProcess: (error: unknown) => void,
 ): (fault: Fault) => void {
   const {loop, openRequests, state} = context;
   return ({error, requestId, source}) => {
+    if (source === 'timerDue') {
+      stopProcess(error);
+      return;
+    }
     const openRequest = openRequests.get(requestId ?? '');
     const attemptId = openRequest?.requestInfo.attemptId;
     reportFault(context, error, source, attemptId);
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -213,6 +213,13 @@
   };
 }
 
+/** Leaves an error to the process, which stops gracefully. */
+function stopProcess(error: unknown): void {
+  setImmediate(() => {
+    throw error;
+  });
+}
+
 /** Waits for a number of ms. */
 function sleep(delayMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, delayMs));
@@ -249,9 +256,13 @@
  */
 function endOpenRequests({loop, openRequests, state}: Components): void {
   for (const [requestId, openRequest] of [...openRequests]) {
+    if (state.earlyRequests.has(requestId)) {
+      openRequest.sendError('notReady', 0);
+      continue;
+    }
     if (!state.requests.has(requestId)) {
-      // It waits for the VM to become ready, or its answer is being sent.
-      if (!openRequest.hasStarted) openRequest.sendError('notReady', 0);
+      // Its answer is being sent, or a fault has made the core forget it.
+      if (!openRequest.hasStarted) openRequest.sendError('outcomeUnknown', 0);
       continue;
     }
     const reason = 'stopped';
@@ -273,7 +284,10 @@
   await peerSocket.listen(peerListen);
   disposables.add(() => peerSocket.close());
   disposables.add(() => components.endpointClient.close());
-  loop.start(createEffectHandlers(components), createFaultHandler(components));
+  loop.start(
+    createEffectHandlers(components),
+    createFaultHandler(components, stopProcess),
+  );
   disposables.add(() => loop.stop());
   for (const address of seedPeers) {
     loop.submit({kind: 'seedListed', address});
