--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -52,8 +52,8 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
-import {handleRequestFaulted} from './requests/handleRequestFaulted.js';
 import {expireRetryDelay} from './requests/retryRequest.js';
+import {handleRequestInterrupted} from './requests/handleRequestInterrupted.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
@@ -158,7 +158,7 @@
 const inputHandlers: {[K in Input['kind']]: InputHandler<K>} = {
   requestReceived: handleRequestReceived,
   callerGone: handleCallerGone,
-  requestFaulted: handleRequestFaulted,
+  requestInterrupted: handleRequestInterrupted,
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -1,6 +1,7 @@
 import {CallerBounds} from '@ryeworks/dispatch';
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
 import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
@@ -8,6 +9,12 @@
 import {CallerConnections} from './callerConnections.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
+import {
+  formatUnreadableAnswer,
+  getUnreadableRefusal,
+  isDisconnect,
+  ReadError,
+} from './unreadableRequest.js';
 
 /**
  * Maximum header size that the HTTP parser accepts, in bytes. The limit of the
@@ -31,12 +38,32 @@
  */
 const maxDiscardMs = 5000;
 
+/**
+ * Why a request has ended without a complete answer, in addition to the causes
+ * that the core reports.
+ */
+const unansweredCause = {
+  /** The caller left before its request was complete. */
+  requestUnfinished: 'request_unfinished',
+  /** The caller left before it had read an answer that was ended. */
+  answerUnread: 'answer_unread',
+  /** The process has ended. */
+  stopped: 'process_ended',
+} as const;
+
 /** Dependencies of a caller server. */
 export interface CallerServerOptions {
   readonly clock: Clock;
   readonly loop: DispatchLoop;
   readonly wire: WireFormat;
   readonly openRequests: OpenRequests;
+  /**
+   * Called with the cause and the ID of the caller's attempt when a request has
+   * ended without a complete answer, for a reason that the core does not know.
+   */
+  readonly reportUnanswered: (cause: string, attemptId: string) => void;
+  /** Called with the reason when a request cannot be read. */
+  readonly reportUnreadable: (reason: string, detail: string) => void;
   /** Called with an error of the gateway itself. */
   readonly reportFault: (error: unknown) => void;
 }
@@ -57,7 +84,10 @@
   private readonly server: Server;
   private readonly connections = new CallerConnections();
   private nextRequestNumber = 1;
+  /** Connections on which nothing can be read any more. */
+  private readonly unreadable = new WeakSet<Socket>();
   private isStopping = false;
+  private isClosed = false;
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = createServer(
@@ -75,6 +105,9 @@
       },
     );
     this.server.on('connection', socket => this.connections.add(socket));
+    this.server.on('clientError', (error: ReadError, socket) =>
+      this.handleReadError(error, socket as Socket),
+    );
     this.applyBounds(defaultBounds);
   }
 
@@ -114,6 +147,7 @@
 
   /** Stops listening and closes every connection. */
   close(): Promise<void> {
+    this.isClosed = true;
     return new Promise(resolve => {
       this.server.close(() => resolve());
       this.server.closeAllConnections();
@@ -135,7 +169,7 @@
     response.sendDate = false;
     const requestId = `${this.nextRequestNumber++}`;
     this.connections.addRequest(request.socket, response, () =>
-      this.handleAnswerEnd(requestId, response),
+      this.handleAnswerEnd(requestId, request, response),
     );
     if (countHeaderBytes(request) > maxHeaderBytes) {
       this.refuse(request, response, 'headersTooLarge');
@@ -145,8 +179,7 @@
     try {
       body = await readBody(request, maxBodyBytes);
     } catch {
-      // The caller disconnected before its request was complete, so no answer
-      // can be sent.
+      // No answer can be sent; `handleAnswerEnd` reports it.
       return;
     }
     if (body === undefined) {
@@ -156,10 +189,60 @@
     this.submitRequest(requestId, request, response, body, receivedAtMs);
   }
 
-  private handleAnswerEnd(requestId: string, response: ServerResponse): void {
-    const {loop, openRequests} = this.options;
-    if (!openRequests.delete(requestId) || response.writableFinished) return;
-    loop.submit({kind: 'callerGone', requestId});
+  /**
+   * Refuses a request that cannot be read and closes its connection. Requests
+   * that were read before it on the same connection are completed first.
+   */
+  private handleReadError(error: ReadError, socket: Socket): void {
+    if (!socket.writable || isDisconnect(error)) {
+      socket.destroy();
+      return;
+    }
+    if (this.unreadable.has(socket)) return;
+    this.unreadable.add(socket);
+    const refusal = getUnreadableRefusal(error);
+    const {code, message} = error;
+    this.options.reportUnreadable(refusal.reason, code ?? message);
+    if (this.hasOpenRequest(socket)) return;
+    socket.write(formatUnreadableAnswer(refusal));
+    socket.destroySoon();
+  }
+
+  private hasOpenRequest(socket: Socket): boolean {
+    for (const {request} of this.options.openRequests.values()) {
+      if (request.socket === socket) return true;
+    }
+    return false;
+  }
+
+  private handleAnswerEnd(
+    requestId: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {loop, openRequests, reportUnanswered, wire} = this.options;
+    const openRequest = openRequests.get(requestId);
+    openRequests.delete(requestId);
+    const {socket} = request;
+    if (this.unreadable.has(socket) && !this.hasOpenRequest(socket)) {
+      socket.destroySoon();
+    }
+    if (response.writableFinished || openRequest?.isAborted) return;
+    const isRefused = openRequest === undefined && response.headersSent;
+    if (isRefused) return;
+    const {attemptId} = wire.readRequestInfo(
+      request.url ?? '/',
+      request.headers,
+    );
+    if (this.isClosed) {
+      reportUnanswered(unansweredCause.stopped, attemptId);
+    } else if (response.writableEnded) {
+      reportUnanswered(unansweredCause.answerUnread, attemptId);
+    } else if (openRequest === undefined) {
+      reportUnanswered(unansweredCause.requestUnfinished, attemptId);
+    } else {
+      loop.submit({kind: 'callerGone', requestId});
+    }
   }
 
   private submitRequest(
@@ -212,6 +295,8 @@
       emptyBody,
       response,
     );
+    // An error in the rest of its body is no other request.
+    this.unreadable.add(request.socket);
     void openRequest.refuseUnread(error, maxDiscardMs);
   }
 }
