--- a/packages/ryeworks-standins/src/proxy/faultProxy.ts
+++ b/packages/ryeworks-standins/src/proxy/faultProxy.ts
@@ -33,6 +33,8 @@
   readonly upstream: Socket;
   /** Whether it permanently transfers no data, though both ends stay open. */
   isSilent: boolean;
+  /** Whether data was lost, so that it can only end with a reset. */
+  hasLostData: boolean;
 }
 
 /** Address on which a proxy listens and the target it forwards to. */
@@ -131,7 +133,8 @@
   close(): void {
     this.server.close();
     for (const {client, upstream} of this.connections) {
-      client.destroy();
+      // Without a reset, an answer that is cut here might look complete.
+      client.resetAndDestroy();
       upstream.destroy();
     }
   }
@@ -142,7 +145,8 @@
       return;
     }
     const upstream = connect(this.route.targetPort, this.route.targetHost);
-    const connection = {client, upstream, isSilent: false};
+    const flags = {isSilent: false, hasLostData: false};
+    const connection = {client, upstream, ...flags};
     this.connections.add(connection);
     this.passBytes(connection, client, upstream, 'dropsRequests');
     this.passBytes(connection, upstream, client, 'dropsAnswers');
@@ -161,7 +165,10 @@
     from.on('data', chunk => {
       const isDropped =
         connection.isSilent || faults.isBlackholed || faults[dropFault];
-      if (isDropped) return;
+      if (isDropped) {
+        connection.hasLostData = true;
+        return;
+      }
       const heldMs = this.pause.getLeftMs();
       const passedBytes = heldMs > 0 && !isHolding ? chunk.length >> 1 : 0;
       isHolding = heldMs > 0;
@@ -172,12 +179,15 @@
       const rest = chunk.subarray(passedBytes);
       queue.run(Math.max(heldMs, faults.delayMs), () => to.write(rest));
     });
-    from.on('error', () => to.destroy());
+    from.on('error', () => (connection.hasLostData = true));
     from.on('close', () => {
       this.connections.delete(connection);
       if (connection.isSilent) return;
       const delayMs = Math.max(this.pause.getLeftMs(), faults.delayMs);
-      queue.run(delayMs, () => to.destroy());
+      queue.run(delayMs, () => {
+        if (connection.hasLostData) to.resetAndDestroy();
+        else to.destroySoon();
+      });
     });
   }
 }
