--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -21,10 +21,11 @@
   readonly isResumable: boolean;
 }
 
-/** Cancels the call of a request. */
+/** Cancels one call of a request. */
 export interface CancelCall {
   readonly kind: 'cancelCall';
   readonly requestId: string;
+  readonly callNumber: number;
 }
 
 /** Answers the caller with an error that this VM generates. */
@@ -32,6 +33,8 @@
   readonly kind: 'answerError';
   readonly requestId: string;
   readonly error: ErrorKind;
+  /** Why the request ends, for logs and counters. */
+  readonly reason: string;
   /** Time after which the caller should retry, in ms; 0 sends no such hint. */
   readonly retryAfterMs: number;
 }
@@ -46,6 +49,8 @@
 export interface AbortResponse {
   readonly kind: 'abortResponse';
   readonly requestId: string;
+  /** Why the request ends, for logs and counters. */
+  readonly reason: string;
 }
 
 /** Sends a message to a peer; delivery is not guaranteed. */
@@ -125,6 +130,8 @@
   requests_received: ['tier'],
   requests_refused: ['reason', 'tier'],
   requests_ended: ['outcome', 'tier'],
+  requests_unanswered: ['cause'],
+  internal_errors: ['source'],
   calls_started: ['tier'],
   calls_failed: ['failure'],
   calls_repeated: ['reason'],
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -42,17 +42,19 @@
   expireRequest,
   handleCallDone,
   handleCallerGone,
+  handleCallPaused,
   handleCallProgressed,
   handleCallSent,
 } from './requests/handleCallEvents.js';
-import {
-  expireSilentCall,
-  handleCallFailed,
-} from './requests/handleCallFailed.js';
+import {expireSilentCall} from './requests/expireSilentCall.js';
+import {handleCallFailed} from './requests/handleCallFailed.js';
 import {
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
+import {handleRequestFaulted} from './requests/handleRequestFaulted.js';
+import {expireRetryDelay} from './requests/retryRequest.js';
+import {expireStandbyOverlap} from './requests/standbyCall.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
@@ -68,6 +70,8 @@
 > = {
   requestTimeout: expireRequest,
   silence: expireSilentCall,
+  standby: expireStandbyOverlap,
+  retry: expireRetryDelay,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
   digest: sendDigest,
@@ -156,9 +160,11 @@
 const inputHandlers: {[K in Input['kind']]: InputHandler<K>} = {
   requestReceived: handleRequestReceived,
   callerGone: handleCallerGone,
+  requestFaulted: handleRequestFaulted,
   callSent: handleCallSent,
   callAnswered: handleCallAnswered,
   callProgressed: handleCallProgressed,
+  callPaused: handleCallPaused,
   callDone: handleCallDone,
   callFailed: handleCallFailed,
   desiredStateRead: handleDesiredStateRead,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -36,6 +36,14 @@
   readonly requestId: string;
 }
 
+/** A fault of this VM has interrupted the handling of a request. */
+export interface RequestFaulted {
+  readonly kind: 'requestFaulted';
+  readonly requestId: string;
+  /** Whether the last call of the request was started. */
+  readonly isCallStarted: boolean;
+}
+
 /** Identifies the call of a request that an event refers to. */
 interface CallEvent {
   readonly requestId: string;
@@ -63,6 +71,15 @@
   readonly events: number;
 }
 
+/**
+ * The response is no longer read, because the caller reads more slowly, or is
+ * read again.
+ */
+export interface CallPaused extends CallEvent {
+  readonly kind: 'callPaused';
+  readonly isPaused: boolean;
+}
+
 /** The complete response arrived and was forwarded to the caller. */
 export interface CallDone extends CallEvent {
   readonly kind: 'callDone';
@@ -222,9 +239,11 @@
 export type Input =
   | RequestReceived
   | CallerGone
+  | RequestFaulted
   | CallSent
   | CallAnswered
   | CallProgressed
+  | CallPaused
   | CallDone
   | CallFailed
   | DesiredStateRead
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,6 +1,6 @@
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
-import {Effect} from '../effect.js';
+import {createCount, Effect} from '../effect.js';
 import {
   EndpointEntry,
   recordUnanswered,
@@ -9,13 +9,20 @@
 } from '../endpoints/endpointTable.js';
 import {recordEventGap, recordFirstEvent} from '../endpoints/latency.js';
 import {recordZoneResponse} from '../endpoints/zoneCooldown.js';
-import {CallDone, CallerGone, CallProgressed, CallSent} from '../input.js';
+import {
+  CallDone,
+  CallerGone,
+  CallPaused,
+  CallProgressed,
+  CallSent,
+} from '../input.js';
 import {recordMoveEvidence} from '../moves/recordMoveEvidence.js';
-import {ActiveRequest} from './activeRequest.js';
-import {failRequest, finishRequest} from './endRequest.js';
-import {findRequestByCall, getEndpointEntry} from './findRequestByCall.js';
+import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {cancelCalls, failRequest, finishRequest} from './endRequest.js';
+import {findCall, getEndpointEntry, listCalls} from './findCall.js';
 import {notRunRetryAfterMs} from './handleCallFailed.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
+import {resolveStandby} from './standbyCall.js';
 
 /**
  * Multiple of the endpoint's mean time to the first event above which a first
@@ -28,7 +35,7 @@
   state: DispatchState,
   input: CallSent,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
+  const request = findCall(state, input)?.request;
   if (request === undefined) return [];
   request.possibleRuns += 1;
   request.sentCalls += 1;
@@ -41,29 +48,47 @@
   input: CallProgressed,
   nowMs: number,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
-  if (request === undefined) return [];
-  request.lastProgressAtMs = nowMs;
-  request.events = input.events;
-  const entry = getEndpointEntry(state, request);
+  const found = findCall(state, input);
+  if (found === undefined) return [];
+  const {call, request} = found;
+  const effects = resolveStandby(state, request, call, nowMs);
+  call.lastProgressAtMs = nowMs;
+  call.events = input.events;
+  call.isSilenceLogged = false;
+  const entry = getEndpointEntry(state, call);
   if (entry !== undefined) {
     const {availabilityZone} = entry.endpoint;
     recordZoneResponse(state.lastZoneResponses, availabilityZone, nowMs);
   }
-  if (request.hasFirstEvent) return [];
-  request.hasFirstEvent = true;
+  if (call.hasFirstEvent) return effects;
+  call.hasFirstEvent = true;
   if (request.firstEventAtMs === 0) request.firstEventAtMs = nowMs;
-  if (entry === undefined) return [];
-  const elapsedMs = nowMs - request.callStartedAtMs;
+  if (entry === undefined) return effects;
+  const elapsedMs = nowMs - call.startedAtMs;
   recordSlowFirstEvent(state, request, entry, elapsedMs);
   recordFirstEvent(entry, elapsedMs, request.promptTokens);
   scheduleSilenceTimeout(state, request, entry, nowMs);
   const labels = {tier: `${request.tier}`};
   return [
+    ...effects,
     {kind: 'observe', name: 'first_event_ms', labels, valueMs: elapsedMs},
   ];
 }
 
+/** Records that a response is not read, or that it is read again. */
+export function handleCallPaused(
+  state: DispatchState,
+  input: CallPaused,
+  nowMs: number,
+): Effect[] {
+  const call = findCall(state, input)?.call;
+  if (call === undefined) return [];
+  call.isPaused = input.isPaused;
+  // The endpoint could not make progress meanwhile.
+  call.lastProgressAtMs = nowMs;
+  return [];
+}
+
 /**
  * Records a slow answer for the endpoint's version if the first event of a call
  * was late.
@@ -90,9 +115,11 @@
   input: CallDone,
   nowMs: number,
 ): Effect[] {
-  const request = findRequestByCall(state, input);
-  if (request === undefined) return [];
-  const entry = getEndpointEntry(state, request);
+  const found = findCall(state, input);
+  if (found === undefined) return [];
+  const {call, request} = found;
+  const effects = resolveStandby(state, request, call, nowMs);
+  const entry = getEndpointEntry(state, call);
   if (entry !== undefined) {
     recordOutcome(entry, true);
     const {service, version} = entry.endpoint;
@@ -102,10 +129,13 @@
       isFailed: false,
       isSlow: false,
     });
-    recordStreamEventGap(request, entry);
+    recordStreamEventGap(request, call, entry);
   }
   const reason = `${input.status}`;
-  return finishRequest(state, request, {outcome: 'done', reason}, nowMs);
+  return [
+    ...effects,
+    ...finishRequest(state, request, {outcome: 'done', reason}, nowMs),
+  ];
 }
 
 /**
@@ -114,11 +144,12 @@
  */
 function recordStreamEventGap(
   request: ActiveRequest,
+  call: ActiveCall,
   entry: EndpointEntry,
 ): void {
-  if (request.route.kind !== callKind.stream || request.events < 2) return;
-  const spanMs = request.lastProgressAtMs - request.callStartedAtMs;
-  recordEventGap(entry, spanMs / request.events);
+  if (request.route.kind !== callKind.stream || call.events < 2) return;
+  const spanMs = call.lastProgressAtMs - call.startedAtMs;
+  recordEventGap(entry, spanMs / call.events);
 }
 
 /** Ends a request whose caller closed the connection. */
@@ -130,10 +161,10 @@
   state.earlyRequests.delete(input.requestId);
   const request = state.requests.get(input.requestId);
   if (request === undefined) return [];
-  const {requestId} = input;
   const reason = request.phase;
   return [
-    {kind: 'cancelCall', requestId},
+    ...cancelCalls(request),
+    createCount('requests_unanswered', {cause: 'caller_gone'}),
     ...finishRequest(state, request, {outcome: 'callerGone', reason}, nowMs),
   ];
 }
@@ -146,9 +177,11 @@
 ): Effect[] {
   const request = state.requests.get(requestId);
   if (request === undefined) return [];
-  const entry = getEndpointEntry(state, request);
-  if (entry !== undefined && !request.hasFirstEvent) {
-    recordUnanswered(entry, toleratedCuts, nowMs);
+  for (const call of listCalls(request)) {
+    const entry = getEndpointEntry(state, call);
+    if (entry !== undefined && !call.hasFirstEvent) {
+      recordUnanswered(entry, toleratedCuts, nowMs);
+    }
   }
   if (request.possibleRuns > 0) {
     return failRequest(state, request, 'endpointTimeout', 'timeout', 0, nowMs);
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -35,6 +35,8 @@
  * sends more is not going to answer.
  */
 const maxInterimResponses = 16;
+/** Lowest HTTP status of an answer; Node sends no lower one to a caller. */
+const minAnswerStatus = 200;
 /** Lowest HTTP status that reports a failure of the endpoint. */
 const minFailureStatus = 500;
 /** HTTP statuses from which a caller concludes that a request did not run. */
@@ -48,6 +50,8 @@
   readonly submit: (input: Input) => void;
   /** Monotonic time, in ms. */
   readonly readNowMs: () => number;
+  /** Whether another call of the same request is in progress. */
+  readonly hasRival: () => boolean;
   /** Called once, when the call has completed, failed or been canceled. */
   readonly handleFinished: () => void;
 }
@@ -120,6 +124,7 @@
       this.fail(this.isSent ? 'cut' : 'notSent', error.code ?? error.message),
     );
     call.on('information', () => this.countInterimResponse());
+    call.on('upgrade', () => this.fail('cut', 'upgraded'));
     call.on('response', response => this.handleResponse(response));
     call.end(openRequest.body.length > 0 ? openRequest.body : undefined);
   }
@@ -166,8 +171,10 @@
     }
     // An unverified answer is not forwarded. Neither is a status from which the
     // caller would conclude that the request did not run, because the endpoint
-    // did not state that.
-    if (answerClass === 'unverified' || notRunStatuses.has(status)) {
+    // did not state that, nor a status that is none.
+    const isForwardable =
+      status >= minAnswerStatus && !notRunStatuses.has(status);
+    if (answerClass === 'unverified' || !isForwardable) {
       this.fail('cut', `${answerClass}_${status}`);
       return;
     }
@@ -182,11 +189,23 @@
   }
 
   private handleData(chunk: Buffer): void {
+    this.reportRivalProgress();
     if (this.isFinished) return;
     if (this.mode === 'held') this.holdChunk(chunk);
     else if (this.mode === 'events') this.forwardEvents(chunk);
     else this.forwardBytes(chunk);
-    if (!this.isFinished) this.reportProgress();
+    if (!this.isFinished && !this.isFailure()) this.reportProgress();
+  }
+
+  /**
+   * Reports progress before the answer is forwarded if the request has another
+   * call, so that the core cancels one of the two: only one may forward. A
+   * failure of the endpoint is not progress.
+   */
+  private reportRivalProgress(): void {
+    if (this.isFinished || this.isFailure()) return;
+    if (!this.options.hasRival()) return;
+    this.submitEvent({kind: 'callProgressed', events: this.events});
   }
 
   /** Reports the first data at once, and later data at limited intervals. */
@@ -215,10 +234,11 @@
 
   /** Forwards what is left of an answer that was received completely. */
   private forwardAnswer(): void {
+    this.reportRivalProgress();
     if (this.isFinished) return;
     const {openRequest} = this.options;
     const {status} = this.head!;
-    if (this.mode === 'held' && status >= minFailureStatus) {
+    if (this.isFailure()) {
       openRequest.heldFailure = this.createHeldAnswer();
       this.fail('failed', `${status}`);
       return;
@@ -244,6 +264,7 @@
       | {kind: 'callSent'}
       | {kind: 'callAnswered'; limitStatement: LimitStatement}
       | {kind: 'callProgressed'; events: number}
+      | {kind: 'callPaused'; isPaused: boolean}
       | {kind: 'callDone'; status: number},
   ): void {
     const {callNumber, requestId} = this.options.effect;
@@ -266,6 +287,11 @@
     });
   }
 
+  /** Returns whether the answer reports a failure of the endpoint. */
+  private isFailure(): boolean {
+    return this.head !== undefined && this.head.status >= minFailureStatus;
+  }
+
   /**
    * Returns whether only the end of the connection marks the answer's end; false
    * before an answer.
@@ -301,7 +327,7 @@
   private holdChunk(chunk: Buffer): void {
     this.held.push(chunk);
     this.heldBytes += chunk.length;
-    const isFailure = this.head!.status >= minFailureStatus;
+    const isFailure = this.isFailure();
     if (isFailure && this.heldBytes > maxFailureBytes) {
       this.fail('cut', 'failure_too_large');
     }
@@ -359,6 +385,11 @@
     const {openRequest} = this.options;
     if (openRequest.write(bytes)) return;
     this.response?.pause();
-    openRequest.waitForDrain(() => this.response?.resume());
+    this.submitEvent({kind: 'callPaused', isPaused: true});
+    openRequest.waitForDrain(() => {
+      if (this.isFinished) return;
+      this.response?.resume();
+      this.submitEvent({kind: 'callPaused', isPaused: false});
+    });
   }
 }
--- a/packages/ryeworksd/src/core/schedulerLoop.ts
+++ b/packages/ryeworksd/src/core/schedulerLoop.ts
@@ -7,7 +7,7 @@
   SchedulerState,
   startScheduler,
 } from '@ryeworks/scheduler';
-import {Clock} from '@ryeworks/utils';
+import {Clock, startIoTimer} from '@ryeworks/utils';
 
 /** Handles the effects of one kind. */
 export type EffectHandler<K extends Effect['kind']> = (
@@ -26,7 +26,8 @@
  */
 export class SchedulerLoop {
   private handlers: EffectHandlers | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimer = () => {};
+  private timerDueMs = Number.POSITIVE_INFINITY;
   private isStopped = false;
 
   constructor(
@@ -52,7 +53,7 @@
   /** Stops the timers. Later inputs are ignored. */
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.timer);
+    this.cancelTimer();
   }
 
   private runEffects(effects: readonly Effect[]): void {
@@ -65,11 +66,17 @@
   }
 
   private scheduleTimer(): void {
-    clearTimeout(this.timer);
+    if (this.isStopped) return;
     const nowMs = this.clock.readNowMs();
     const dueMs = getNextDueMs(this.state) ?? nowMs + defaultTimerDelayMs;
+    if (dueMs === this.timerDueMs) return;
+    this.cancelTimer();
+    this.timerDueMs = dueMs;
     const delayMs = Math.max(0, Math.ceil(dueMs - nowMs));
-    this.timer = setTimeout(() => this.submit({kind: 'timerDue'}), delayMs);
+    this.cancelTimer = startIoTimer(() => {
+      this.timerDueMs = Number.POSITIVE_INFINITY;
+      this.submit({kind: 'timerDue'});
+    }, delayMs);
   }
 }
 
