--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -252,7 +252,7 @@
     } = {
       sendPeer: sent => this.sendMessage(vm, sent),
       startCall: call => this.startCall(vm, call),
-      cancelCall: ({requestId}) => this.calls.cancel(requestId),
+      cancelCall: call => this.calls.cancel(call),
       answerError: answer => this.recordRefusal(answer),
       abortResponse: ({requestId}) => {
         this.requests.get(requestId)!.outcome = 'cut';
--- a/packages/ryeworks-lab/src/fleet/fleetCalls.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -1,4 +1,4 @@
-import {callKind, StartCall} from '@ryeworks/dispatch';
+import {callKind, CancelCall, StartCall} from '@ryeworks/dispatch';
 import {EventQueue} from '../harness/eventQueue.js';
 import {FleetEndpoint} from './fleetEndpoint.js';
 import {FleetRequest} from './fleetRequest.js';
@@ -62,13 +62,13 @@
     });
   }
 
-  /** Closes the connections of a request's calls. */
-  cancel(requestId: string): void {
+  /** Closes the connection of one call of a request. */
+  cancel({callNumber, requestId}: CancelCall): void {
     for (const call of this.callsByRequestId.get(requestId) ?? []) {
+      if (call.ids.callNumber !== callNumber) continue;
       call.isCanceled = true;
       call.target.runUnlessPaused(() => this.release(call));
     }
-    this.callsByRequestId.delete(requestId);
   }
 
   /**
@@ -127,8 +127,10 @@
       this.finish(call);
       return;
     }
-    request.events = Math.max(request.events, event);
     vm.submit({kind: 'callProgressed', ...ids, events: event});
+    // The input may have canceled this call, if another one was in progress.
+    if (call.isCanceled) return;
+    request.events = Math.max(request.events, event);
     this.schedule(call, eventGapMs, () => this.sendEvents(call, event + 1));
   }
 
