--- a/packages/ryeworks-lab/src/fleet/fleetCalls.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -1,4 +1,4 @@
-import {CancelCall, callKind, StartCall} from '@ryeworks/dispatch';
+import {callKind, CancelCall, StartCall} from '@ryeworks/dispatch';
 import {EventQueue} from '../harness/eventQueue.js';
 import {FleetEndpoint} from './fleetEndpoint.js';
 import {FleetRequest} from './fleetRequest.js';
@@ -127,8 +127,10 @@
       this.finish(call);
       return;
     }
-    request.events = Math.max(request.events, event);
     vm.submit({kind: 'callProgressed', ...ids, events: event});
+    // The input may have canceled this call, if another one was in progress.
+    if (call.isCanceled) return;
+    request.events = Math.max(request.events, event);
     this.schedule(call, eventGapMs, () => this.sendEvents(call, event + 1));
   }
 
