Own interface: a refusal after a call that may have run does not say not run

What callers saw: 'Ryeworks-Ran: not-run' for an idempotent request whose first call was cut, failed or silent, and whose retry no endpoint could take.

Cause: the run status of a refusal depended on the kind of error alone.

Evidence: brokenCalls.test.ts, 'a request is not told not run after a call that may have', failed before (noEndpoint, not-run).

Why it works: the request remembers that a call of it may have run; refusals are then answered with 'unknown'.

--- a/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
@@ -173,3 +173,11 @@
     {kind: 'cancelDispatch'},
   ]);
 });
+
+// Guards against a request that runs although its caller was told otherwise.
+t.test('a request is not told not run after a call that may have', async t => {
+  const dispatched = dispatchRequest('idempotent', false);
+  t.same(dispatched.fail('cut', 100), []);
+  const effects = runTimers(dispatched, 150, 500);
+  t.match(effects, [{error: 'noEndpoint', ran: 'unknown'}]);
+});
--- a/packages/ryeworks-scheduler/src/requests/endRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/endRequest.ts
@@ -114,7 +114,7 @@
 /**
  * Returns the proven run status of a request that ends with an error. Until
  * every zone has answered its claim, an earlier attempt with the same key may
- * have run.
+ * have run, and so may an earlier call.
  */
 function getProvenRunStatus(
   request: ActiveRequest,
@@ -125,7 +125,9 @@
     !request.isFirstAttempt &&
     request.phase === requestPhase.claiming &&
     error !== 'keyReused';
-  return isClaimPending ? runStatus.unknown : errorAnswers[error].ran;
+  const {ran} = errorAnswers[error];
+  const isDoubtful = request.mayHaveRun && ran === runStatus.notRun;
+  return isClaimPending || isDoubtful ? runStatus.unknown : ran;
 }
 
 /**
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -181,6 +181,7 @@
 ): Effect[] {
   const {random, requests, timers} = state;
   if (hasReachedEndpoint(failure)) requests.retryBudget -= 1;
+  if (!isProvenNotRun(failure)) request.mayHaveRun = true;
   const effects: Effect[] = [
     createCount('request.retried', {reason: failure}),
     ...recordObservation(state, request, false, 0, nowMs),
@@ -195,6 +196,11 @@
   return effects;
 }
 
+/** Returns whether a failure of a call shows that the call did not run. */
+function isProvenNotRun(failure: CallFailure): boolean {
+  return failure === callFailure.notSent || failure === callFailure.refused;
+}
+
 /**
  * Classifies a failure with regard to the whole call. When a stream cannot be
  * resumed because no new connection can be made, or because the endpoint refuses
@@ -206,9 +212,7 @@
   failure: CallFailure,
 ): CallFailure {
   const wasSent = request.resumes > 0;
-  const provesNotRun =
-    failure === callFailure.notSent || failure === callFailure.refused;
-  return wasSent && provesNotRun ? callFailure.cut : failure;
+  return wasSent && isProvenNotRun(failure) ? callFailure.cut : failure;
 }
 
 /** Retries a request whose call failed, or ends it. */
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -92,6 +92,7 @@
     dispatchedAtMs: 0,
     firstTokenAtMs: 0,
     lastProgressMs: 0,
+    mayHaveRun: false,
     resumes: 0,
   };
 }
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -72,6 +72,8 @@
   /** When the first token arrived, in ms; 0 before. */
   firstTokenAtMs: number;
   lastProgressMs: number;
+  /** Whether an earlier call, which failed, may have run. */
+  mayHaveRun: boolean;
   /** Number of times that the stream was resumed. */
   resumes: number;
 }
