Own interface: a silent call goes on until another endpoint is granted

What callers saw: a refusal (overloaded, or no endpoint) for an idempotent request whose call had made no progress for two seconds, although its endpoint went on.

Cause: the call was canceled first; only then did the request ask for another endpoint, which could be refused.

Evidence: brokenCalls.test.ts, 'a silent call goes on until another endpoint is granted' and 'a silent call that goes on ends the wait for another', failed before (refused; the answer of the first call was dropped).

Why it works: the call goes on while the request asks for a grant. Progress of the call ends the wait, and the grant request is withdrawn; a refusal goes back to waiting for the call; with a grant, the call is canceled and the next one starts.

--- a/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/brokenCalls.test.ts
@@ -1,4 +1,4 @@
-import {RouteClass} from '@ryeworks/types';
+import {Endpoint, RouteClass} from '@ryeworks/types';
 import t from 'tap';
 import {
   createSchedulerState,
@@ -9,6 +9,7 @@
   SchedulerState,
   startScheduler,
 } from '../index.js';
+import {applyMemberUpdate} from '../membership/applyMemberUpdate.js';
 import {dispatchResume} from '../requests/dispatchRequest.js';
 import {createTestOptions} from './testOptions.js';
 
@@ -20,6 +21,40 @@
   'cancelDispatch',
 ];
 
+/** Creates a live endpoint. */
+function createEndpoint(endpoint: string, canResume: boolean): Endpoint {
+  return {
+    endpoint,
+    service: 'm',
+    kind: 'model',
+    version: 'v1',
+    availabilityZone: 'a',
+    address: `http://${endpoint}`,
+    engine: 'g1',
+    generation: 1,
+    state: 'live',
+    checksFencing: true,
+    canResume,
+  };
+}
+
+/** Adds an endpoint that cannot resume streams beside the first one. */
+function addEndpoint({state}: Dispatched, endpoint: string, nowMs: number) {
+  const endpoints = ['e1', endpoint].map(name => createEndpoint(name, false));
+  const contentJson = JSON.stringify({endpoints});
+  const read = {kind: 'documentRead', name: 'endpoints'} as const;
+  handleInput(state, {...read, version: 2, contentJson}, nowMs);
+}
+
+/** Adds VMs that do not answer, one of which owns the cell of the endpoints. */
+function addOwners(state: SchedulerState, nowMs: number) {
+  for (let index = 0; index < 20; index++) {
+    const vm = `other-${index}`;
+    const member = {vm, address: vm, availabilityZone: 'a', incarnation: 1};
+    applyMemberUpdate(state, {...member, status: 'alive'}, nowMs);
+  }
+}
+
 /** A VM whose only request was dispatched to its only endpoint. */
 interface Dispatched {
   readonly state: SchedulerState;
@@ -58,23 +93,7 @@
       ],
       currentVersions: {m: 'v1'},
     },
-    endpoints: {
-      endpoints: [
-        {
-          endpoint: 'e1',
-          service: 'm',
-          kind: 'model',
-          version: 'v1',
-          availabilityZone: 'a',
-          address: 'http://e1',
-          engine: 'g1',
-          generation: 1,
-          state: 'live',
-          checksFencing: true,
-          canResume,
-        },
-      ],
-    },
+    endpoints: {endpoints: [createEndpoint('e1', canResume)]},
   } as const;
   startScheduler(state, 0);
   handleInput(state, {kind: 'newZoneDetected'}, 0);
@@ -174,10 +193,43 @@
   ]);
 });
 
+// Guards against a request that ends with a refusal although its call goes on.
+t.test('a silent call goes on until another endpoint is granted', async t => {
+  const refused = dispatchRequest('idempotent', false);
+  t.same(runTimers(refused, 100, 5000), [], 'nothing else takes it');
+  const done = {kind: 'endpointDone', requestId, outputTokens: 1} as const;
+  t.match(refused.submit(done, 5010), [{kind: 'completeAnswer'}]);
+
+  const retried = dispatchRequest('idempotent', false);
+  addEndpoint(retried, 'e2', 1500);
+  t.match(runTimers(retried, 1600, 2500), [
+    {kind: 'cancelDispatch'},
+    {kind: 'dispatch', endpoint: {endpoint: 'e2'}},
+  ]);
+  t.match(retried.submit(done, 2600), [{kind: 'completeAnswer'}]);
+});
+
+t.test('a silent call that goes on ends the wait for another', async t => {
+  const dispatched = dispatchRequest('idempotent', false);
+  const {state, submit} = dispatched;
+  runTimers(dispatched, 100, 1900);
+  // Another VM owns the cell and does not answer.
+  const request = state.requests.active.get(requestId)!;
+  addEndpoint(dispatched, 'e2', 1950);
+  addOwners(state, 1950);
+  runTimers(dispatched, 2000, 2050);
+  t.equal(request.phase, 'awaitingGrant');
+  submit({kind: 'endpointFirstToken', requestId}, 2060);
+  t.equal(request.phase, 'dispatched');
+  const done = {kind: 'endpointDone', requestId, outputTokens: 1} as const;
+  t.match(submit(done, 2070), [{kind: 'completeAnswer'}]);
+});
+
 // Guards against a request that runs although its caller was told otherwise.
 t.test('a request is not told not run after a call that may have', async t => {
   const dispatched = dispatchRequest('idempotent', false);
   t.same(dispatched.fail('cut', 100), []);
-  const effects = runTimers(dispatched, 150, 500);
-  t.match(effects, [{error: 'noEndpoint', ran: 'unknown'}]);
+  t.match(runTimers(dispatched, 150, 500), [
+    {error: 'noEndpoint', ran: 'unknown'},
+  ]);
 });
--- a/packages/ryeworks-scheduler/src/requests/askForGrant.ts
+++ b/packages/ryeworks-scheduler/src/requests/askForGrant.ts
@@ -7,8 +7,9 @@
 import {getServiceVersions} from '../moves/decideVersion.js';
 import {SchedulerState} from '../schedulerState.js';
 import {GrantAsk} from '../peerMessage.js';
-import {EndOutcome, endRequest} from './endRequest.js';
+import {EndOutcome} from './endRequest.js';
 import {ActiveRequest} from './requestsState.js';
+import {endRefusedRequest} from './silentCall.js';
 
 /** Largest traffic share of a move at which its requests prefer one cell. */
 const maxCanaryShare = 0.05;
@@ -122,7 +123,7 @@
   const effects = askNextCell(state, request, nowMs);
   if (effects !== undefined) return effects;
   const outcome: EndOutcome = {error: 'noEndpoint', reason: 'no_cell'};
-  return endRequest(state, request, outcome, nowMs);
+  return endRefusedRequest(state, request, outcome, nowMs);
 }
 
 /** Sends the current grant request to the owner of the current rank. */
--- a/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/dispatchRequest.ts
@@ -29,12 +29,15 @@
   endpoint: Endpoint,
   nowMs: number,
 ): Effect[] {
+  const {hasSilentCall, requestId} = request;
   markDispatched(state, request, endpoint, nowMs);
-  request.streamId = request.requestId;
+  request.streamId = requestId;
+  request.hasSilentCall = false;
   return [
+    ...(hasSilentCall ? [{kind: 'cancelDispatch', requestId} as const] : []),
     {
       kind: 'dispatch',
-      requestId: request.requestId,
+      requestId,
       endpoint,
       deadlineInMs: Math.round(request.deadlineMs - nowMs),
     },
--- a/packages/ryeworks-scheduler/src/requests/dispatchToLeastLoaded.ts
+++ b/packages/ryeworks-scheduler/src/requests/dispatchToLeastLoaded.ts
@@ -3,8 +3,8 @@
 import {Effect} from '../effect.js';
 import {SchedulerState} from '../schedulerState.js';
 import {dispatchRequest} from './dispatchRequest.js';
-import {endRequest} from './endRequest.js';
 import {ActiveRequest} from './requestsState.js';
+import {endRefusedRequest} from './silentCall.js';
 
 /** Number of endpoints compared for each request. */
 const sampleSize = 2;
@@ -36,7 +36,7 @@
   sampled.sort((a, b) => getReportedLoad(state, a) - getReportedLoad(state, b));
   if (sampled.length === 0) {
     const outcome = {error: 'noEndpoint' as const, reason: 'no_endpoint'};
-    return endRequest(state, request, outcome, nowMs);
+    return endRefusedRequest(state, request, outcome, nowMs);
   }
   return dispatchRequest(state, request, sampled[0], nowMs);
 }
--- a/packages/ryeworks-scheduler/src/requests/endRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/endRequest.ts
@@ -9,7 +9,7 @@
 import {SchedulerState} from '../schedulerState.js';
 import {GrantEnd} from '../peerMessage.js';
 import {updateClaims} from './updateClaims.js';
-import {ActiveRequest, requestPhase} from './requestsState.js';
+import {ActiveRequest, hasCall, requestPhase} from './requestsState.js';
 
 /** How a request ended. */
 export type EndOutcome =
@@ -71,7 +71,7 @@
 
 /** Counts the prompt tokens of a dispatched request as wasted prefill. */
 function countWastedPrefill(request: ActiveRequest): Effect[] {
-  if (request.phase !== 'dispatched') return [];
+  if (!hasCall(request)) return [];
   return [
     createCount(
       'prefill.wasted_tokens',
@@ -141,7 +141,7 @@
   nowMs: number,
 ): Effect[] {
   const {requestId} = request;
-  const isDispatched = request.phase === 'dispatched';
+  const isDispatched = hasCall(request);
   const errorAnswer = errorAnswers[outcome.error];
   const ran = outcome.ran ?? getProvenRunStatus(request, outcome.error);
   const retryAfterMs = errorAnswer.retryAfter
--- a/packages/ryeworks-scheduler/src/requests/handleCallerGone.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleCallerGone.ts
@@ -2,6 +2,7 @@
 import {CallerGone} from '../input.js';
 import {SchedulerState} from '../schedulerState.js';
 import {endRequest} from './endRequest.js';
+import {hasCall} from './requestsState.js';
 
 /**
  * Ends a request whose caller closed the connection. A dispatched request with
@@ -15,8 +16,7 @@
 ): Effect[] {
   const request = state.requests.active.get(input.requestId);
   if (request === undefined) return [];
-  const isDispatched = request.phase === 'dispatched';
-  if (isDispatched && request.claimKey !== '') return [];
+  if (hasCall(request) && request.claimKey !== '') return [];
   const outcome = {error: 'callerGone' as const, reason: 'caller_gone'};
   return endRequest(state, request, outcome, nowMs);
 }
--- a/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleEndpointEvents.ts
@@ -1,5 +1,5 @@
 import {routeClass, RouteClass} from '@ryeworks/types';
-import {createCount, createLog, Effect} from '../effect.js';
+import {createCount, Effect} from '../effect.js';
 import {
   CallFailure,
   callFailure,
@@ -11,7 +11,9 @@
 import {recordObservation} from '../moves/recordObservation.js';
 import {SchedulerState} from '../schedulerState.js';
 import {EndOutcome, endRequest, returnGrant} from './endRequest.js';
-import {ActiveRequest} from './requestsState.js';
+import {ActiveRequest, hasCall} from './requestsState.js';
+import {endSilence, waitForCall} from './silentCall.js';
+import {startAttempt} from './startAttempt.js';
 
 /** Maximum number of attempts of one request, including the first. */
 const maxAttempts = 4;
@@ -43,6 +45,15 @@
   streamUnknown: {error: 'outcomeUnknown', reason: 'stream_unknown'},
 };
 
+/** Finds a request by ID; undefined unless a call of it is in progress. */
+function findCalled(
+  state: SchedulerState,
+  requestId: string,
+): ActiveRequest | undefined {
+  const request = state.requests.active.get(requestId);
+  return request !== undefined && hasCall(request) ? request : undefined;
+}
+
 /** Finds a request by ID; undefined unless it is dispatched. */
 function findDispatched(
   state: SchedulerState,
@@ -69,11 +80,11 @@
   input: EndpointFirstToken,
   nowMs: number,
 ): Effect[] {
-  const request = findDispatched(state, input.requestId);
+  const request = findCalled(state, input.requestId);
   if (request === undefined) return [];
   if (request.firstTokenAtMs === 0) request.firstTokenAtMs = nowMs;
   recordProgress(state, request, nowMs);
-  return [];
+  return endSilence(state, request, nowMs);
 }
 
 /** Records the arrival of more of an answer. */
@@ -82,9 +93,10 @@
   input: EndpointProgress,
   nowMs: number,
 ): Effect[] {
-  const request = findDispatched(state, input.requestId);
-  if (request !== undefined) recordProgress(state, request, nowMs);
-  return [];
+  const request = findCalled(state, input.requestId);
+  if (request === undefined) return [];
+  recordProgress(state, request, nowMs);
+  return endSilence(state, request, nowMs);
 }
 
 /** Ends a request whose answer is complete. */
@@ -93,10 +105,13 @@
   input: EndpointDone,
   nowMs: number,
 ): Effect[] {
-  const request = findDispatched(state, input.requestId);
+  const request = findCalled(state, input.requestId);
   if (request === undefined) return [];
   const {outputTokens} = input;
-  return endRequest(state, request, {done: true, outputTokens}, nowMs);
+  return [
+    ...endSilence(state, request, nowMs),
+    ...endRequest(state, request, {done: true, outputTokens}, nowMs),
+  ];
 }
 
 /** Resumes a stream on its endpoint; undefined if that is not possible. */
@@ -235,8 +250,12 @@
   input: EndpointFailed,
   nowMs: number,
 ): Effect[] {
-  const request = findDispatched(state, input.requestId);
+  const request = findCalled(state, input.requestId);
   if (request === undefined) return [];
+  if (request.hasSilentCall) {
+    request.hasSilentCall = false;
+    return [];
+  }
   const failure = classifyFailure(request, input.failure);
   if (failure === callFailure.cut) {
     const resumed = resumeCutStream(state, request, nowMs);
@@ -245,10 +264,32 @@
   return endFailedRequest(state, request, failure, nowMs);
 }
 
+/**
+ * Asks for another endpoint for a request whose call makes no progress. The call
+ * goes on until the other endpoint is granted, so that nothing is lost if none is
+ * or if the silence ends.
+ */
+function retrySilentCall(
+  state: SchedulerState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  state.requests.retryBudget -= 1;
+  const effects: Effect[] = [
+    createCount('request.retried', {reason: 'silent'}),
+    ...recordObservation(state, request, false, 0, nowMs),
+    ...returnGrant(state, request, 'failed', 0, nowMs),
+  ];
+  request.hasSilentCall = true;
+  request.mayHaveRun = true;
+  request.avoid = [...request.avoid, request.endpoint];
+  effects.push(...startAttempt(state, request.requestId, nowMs));
+  return effects;
+}
+
 /**
  * Resumes or retries a request whose call makes no progress. A call that can be
- * neither is waited for until the deadline of its request: its endpoint may go on
- * at any time, and to give the call up gains nothing.
+ * neither is waited for until the deadline of its request.
  */
 export function expireProgress(
   state: SchedulerState,
@@ -261,17 +302,7 @@
   if (resumed !== undefined) return resumed;
   const isIdempotent = request.routeClass === routeClass.idempotent;
   if (isIdempotent && canRetry(state, request, callFailure.cut)) {
-    return [
-      {kind: 'cancelDispatch', requestId},
-      ...scheduleRetry(state, request, callFailure.cut, nowMs),
-    ];
+    return retrySilentCall(state, request, nowMs);
   }
-  const dueMs = nowMs + state.options.progressTimeoutMs;
-  state.timers.set('progressTimeout', requestId, dueMs);
-  const {endpoint, lastProgressMs} = request;
-  const silentMs = Math.round(nowMs - lastProgressMs);
-  return [
-    createLog('call_silent', {requestId, endpoint, silentMs}),
-    createCount('request.silent'),
-  ];
+  return waitForCall(state, request, nowMs);
 }
--- a/packages/ryeworks-scheduler/src/requests/handleGrants.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleGrants.ts
@@ -6,9 +6,10 @@
 import {GrantOffer, GrantQueued, GrantRefusal} from '../peerMessage.js';
 import {askNextCell} from './askForGrant.js';
 import {dispatchRequest} from './dispatchRequest.js';
-import {EndOutcome, endRequest, returnGrant} from './endRequest.js';
+import {EndOutcome, returnGrant} from './endRequest.js';
 import {expireRequest} from './handleRequestReceived.js';
 import {ActiveRequest} from './requestsState.js';
+import {endRefusedRequest} from './silentCall.js';
 import {startAttempt} from './startAttempt.js';
 
 /** Time after which a queued grant request is sent again, in ms. */
@@ -123,5 +124,5 @@
   const {reason, retryAfterMs} = message;
   const error = reason === 'wouldWait' ? 'overloaded' : reason;
   const outcome: EndOutcome = {error, reason, retryAfterMs};
-  return endRequest(state, request, outcome, nowMs);
+  return endRefusedRequest(state, request, outcome, nowMs);
 }
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -16,7 +16,7 @@
 import {SchedulerState} from '../schedulerState.js';
 import {endRequest} from './endRequest.js';
 import {findRoute} from './findRoute.js';
-import {ActiveRequest, maxRetryBudget} from './requestsState.js';
+import {ActiveRequest, hasCall, maxRetryBudget} from './requestsState.js';
 import {startAttempt} from './startAttempt.js';
 import {startClaim} from './startClaim.js';
 
@@ -92,6 +92,7 @@
     dispatchedAtMs: 0,
     firstTokenAtMs: 0,
     lastProgressMs: 0,
+    hasSilentCall: false,
     mayHaveRun: false,
     resumes: 0,
   };
@@ -154,7 +155,7 @@
 ): Effect[] {
   const request = state.requests.active.get(requestId);
   if (request === undefined) return [];
-  const isDispatched = request.phase === 'dispatched';
+  const isDispatched = hasCall(request);
   const error = isDispatched ? 'outcomeUnknown' : 'deadlineExceeded';
   const silentMs = nowMs - request.lastProgressMs;
   const isEndpointFault =
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -72,12 +72,22 @@
   /** When the first token arrived, in ms; 0 before. */
   firstTokenAtMs: number;
   lastProgressMs: number;
+  /**
+   * Whether a call that makes no progress goes on while the request awaits a
+   * grant for another one.
+   */
+  hasSilentCall: boolean;
   /** Whether an earlier call, which failed, may have run. */
   mayHaveRun: boolean;
   /** Number of times that the stream was resumed. */
   resumes: number;
 }
 
+/** Returns whether a call of a request is in progress at an endpoint. */
+export function hasCall({hasSilentCall, phase}: ActiveRequest): boolean {
+  return phase === requestPhase.dispatched || hasSilentCall;
+}
+
 /** Requests in progress and the retry budget. */
 export interface RequestsState {
   readonly active: Map<string, ActiveRequest>;
