Moves: a completed version is called as long as there is no other

What callers saw: after a completed move, one crash of an endpoint that cut four or five calls marked the new version as bad. The old endpoints had stopped, so that every request to the service was refused, on every VM, until the next order.

Cause: the verdict on a new version takes it out of use at any time, also when it is all that is left. A bad version can only be withdrawn while its move is under way.

--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -1,5 +1,6 @@
 import {DispatchState} from '../dispatchState.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {movePhase} from './moveOrder.js';
 import {MoveState} from './moveTable.js';
 
 /** One step of a move. */
@@ -92,7 +93,8 @@
  * the old versions otherwise, or the others if there are none. Once all requests
  * are routed to the new version, this includes those that arrived earlier: the
  * endpoints of the old versions stop without draining when the move completes.
- * A version that was detected as bad serves no requests.
+ * A version that was detected as bad serves no requests, unless its move was
+ * completed: the old endpoints have stopped, and it can no longer be withdrawn.
  */
 export function listAllowedEndpoints(
   state: DispatchState,
@@ -106,6 +108,9 @@
   const {toVersion} = move.order;
   const isNew = (entry: EndpointEntry) => entry.endpoint.version === toVersion;
   const oldEntries = entries.filter(entry => !isNew(entry));
+  const isOnlyVersion =
+    oldEntries.length === 0 && move.order.phase === movePhase.completed;
+  if (isOnlyVersion) return entries;
   if (move.isBad) return oldEntries;
   const newEntries = entries.filter(isNew);
   const isNewPreferred = isTrial || getNewVersionShare(move, nowMs) >= 1;
