Proofs: silent calls that are kept, and begun answers that are retried later

The mutation of "a request reported as not run has not run" found nothing to change: moved the end of a silent call to the deadline of its request.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -22,9 +22,9 @@
   },
   {
     promise: 'a request reported as "not run" has not run',
-    file: `${scheduler}/requests/handleEndpointEvents.js`,
-    from: /reason: 'silent',\s+ran: runStatus\.unknown/,
-    to: "reason: 'silent', ran: 'not-run'",
+    file: `${scheduler}/requests/handleRequestReceived.js`,
+    from: /isDispatched \? 'outcomeUnknown' : 'deadlineExceeded'/,
+    to: "'deadlineExceeded'",
     scenario: 'silent-endpoint',
   },
   {
@@ -142,4 +142,25 @@
     to: 'return false;',
     test: `${dispatch}/__tests__/storeEra.test.js`,
   },
+  {
+    promise: 'a silent call is kept until another one goes on with the answer',
+    file: `${dispatch}/requests/standbyCall.js`,
+    from: /\.\.\.createCallEffects\(state, request, entry, nowMs\),/,
+    to: '...createCallEffects(state, request, entry, nowMs), ...resolveStandby(state, request, request.standbyCall, nowMs),',
+    scenario: 'endpoint-falls-silent',
+  },
+  {
+    promise: 'an answer that has begun outlasts refusals and a used-up budget',
+    file: `${dispatch}/requests/retryRequest.js`,
+    from: /return passingObstacles\.has\(obstacle\);/,
+    to: 'return false;',
+    test: `${dispatch}/__tests__/silentCalls.test.js`,
+  },
+  {
+    promise: 'a silent call that nothing can replace is waited for',
+    file: `${scheduler}/requests/handleEndpointEvents.js`,
+    from: /const \{ endpoint, lastProgressMs \} = request;\s+const silentMs/,
+    to: "return endRequest(state, request, { error: 'outcomeUnknown', reason: 'silent' }, nowMs); const silentMs",
+    scenario: 'endpoint-pauses',
+  },
 ];
