--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -52,8 +52,8 @@
   expireEarlyRequest,
   handleRequestReceived,
 } from './requests/handleRequestReceived.js';
-import {handleRequestInterrupted} from './requests/handleRequestInterrupted.js';
 import {expireRetryDelay} from './requests/retryRequest.js';
+import {handleRequestInterrupted} from './requests/handleRequestInterrupted.js';
 import {announceVm, handleStoreEraRead} from './store/updateStoreEra.js';
 
 /** Handles inputs of one kind and returns the resulting effects. */
