A begun answer that cannot be resumed is not joined with another endpoint's

Callers of a plain idempotent route with an answer over 256 KB got the first part of one endpoint's answer and then the whole answer of another one, if the first was cut or silent after it had begun to be forwarded (MIXED). If the second answer was small enough to be held, its head could not be sent any more (ERR_HTTP_HEADERS_SENT): the error was thrown in a socket's handler, caught by nothing, so that the VM stopped, and the request waited for its time limit. The same with a resumed stream if the second endpoint answered with a 4xx.

Cause: the call forwards its answer whether or not another call's has begun, and the core retries and starts standby calls for every idempotent route.

Now a call whose answer cannot go on with the begun one fails before it reports progress, so that a silent first call is kept, and a cut one ends as broken.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -181,6 +181,13 @@
     const isStream = effect.isStream && status < 300;
     if (!isStream) this.mode = 'held';
     else this.mode = effect.isResumable ? 'events' : 'bytes';
+    // Part of an earlier call's answer was forwarded, which only a stream that
+    // is resumed after its last event can complete.
+    const isContinuable = this.mode === 'events' || this.isFailure();
+    if (openRequest.hasStarted && !isContinuable) {
+      this.fail('cut', `not_resumable_${status}`);
+      return;
+    }
     response.on('data', (chunk: Buffer) => this.handleData(chunk));
     response.on('end', () => this.handleEnd());
     response.on('close', () => {
