Two silent calls do not keep a third endpoint from their request

What callers saw: on a route that allows three attempts, a request whose standby call was silent, too, waited for its time limit although a third endpoint was free.

Cause: a request had one standby call at most, and no silence timeout while it had one. A request now has a list of calls; the silence of the last one starts another, within the route's attempts and the retry budget. The tests of the core read the list in place of the field.

--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -146,13 +146,11 @@
         retryAfterMs = answer.retryAfterMs;
       }
       const oldest = [...state.requests.values()].find(
-        ({call}) => call !== undefined && nowMs - call.startedAtMs >= 400,
+        ({calls}) => calls.length > 0 && nowMs - calls[0].startedAtMs >= 400,
       );
-      if (oldest?.call === undefined) continue;
-      const call = {
-        requestId: oldest.requestId,
-        callNumber: oldest.call.callNumber,
-      };
+      if (oldest === undefined) continue;
+      const [{callNumber}] = oldest.calls;
+      const call = {requestId: oldest.requestId, callNumber};
       runInput(state, {kind: 'callDone', ...call, status: 200}, nowMs);
     }
     t.ok(refusedAtMs >= 0, 'some requests are refused on arrival');
--- a/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
@@ -195,7 +195,7 @@
   const {requestId} = startCutStream(state);
   let refusals = 0;
   for (let nowMs = 120; nowMs < 3000; nowMs += 20) {
-    const call = state.requests.get(requestId)?.call;
+    const call = state.requests.get(requestId)?.calls[0];
     if (call === undefined) {
       runTimers(state, nowMs);
       continue;
@@ -221,7 +221,7 @@
   while (budget.consumeRetry(options.retryBounds, 1, true, 0));
   const {requestId} = startCutStream(state);
   t.ok(state.requests.has(requestId));
-  t.equal(state.requests.get(requestId)?.call, undefined);
+  t.same(state.requests.get(requestId)?.calls, []);
   const retryBounds = {...options.retryBounds, allowance: 500};
   state.options = {...options, retryBounds};
   const effects = runTimers(state, 1000);
@@ -235,7 +235,7 @@
   for (const progressAtMs of [undefined, 400]) {
     const state = createReadyState(models);
     const {first, requestId} = startStream(state);
-    const id = state.requests.get(requestId)!.call!.endpointId;
+    const id = state.requests.get(requestId)!.calls[0].endpointId;
     runInput(state, {kind: 'endpointRemoved', id}, 200);
     if (progressAtMs !== undefined) {
       const progress = {kind: 'callProgressed', ...first, events: 2} as const;
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -49,10 +49,11 @@
   phase: RequestPhase;
   /** Number of calls that were started; the last one has this number. */
   callsStarted: number;
-  /** The current call; undefined while waiting. */
-  call: ActiveCall | undefined;
-  /** The call that takes over from the current one, which is silent, if any. */
-  standbyCall: ActiveCall | undefined;
+  /**
+   * The calls that have not ended, in the order of their start. A later one is a
+   * standby call, made because all before it are silent.
+   */
+  calls: ActiveCall[];
   /** Number of calls that were sent and may have run. */
   possibleRuns: number;
   /** Number of calls that were sent to an endpoint. */
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -5,7 +5,7 @@
 import {createCount, createLog, Effect} from '../effect.js';
 import {refundUnits} from '../limits/customerUsage.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
-import {getEndpointEntry, listCalls} from './findCall.js';
+import {getEndpointEntry} from './findCall.js';
 
 /** Outcome of a request, for logs and counters. */
 export interface RequestOutcome {
@@ -31,9 +31,8 @@
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
-  const calls = listCalls(request);
-  request.call = undefined;
-  request.standbyCall = undefined;
+  const {calls} = request;
+  request.calls = [];
   state.timers.clear('silence', request.requestId);
   const effects: Effect[] = [];
   for (const call of calls) effects.push(...releaseSlot(state, call, nowMs));
@@ -44,7 +43,7 @@
 export function cancelCalls(request: ActiveRequest): Effect[] {
   const {requestId} = request;
   const effects: Effect[] = [];
-  for (const {callNumber} of listCalls(request)) {
+  for (const {callNumber} of request.calls) {
     effects.push({kind: 'cancelCall', requestId, callNumber});
   }
   return effects;
@@ -67,7 +66,7 @@
   nowMs: number,
 ): Effect[] {
   const {requestId, attemptId, possibleRuns, sentCalls} = request;
-  const endpointId = request.call?.endpointId ?? '';
+  const endpointId = request.calls[0]?.endpointId ?? '';
   const tier = `${request.tier}`;
   const durationMs = Math.round(nowMs - request.receivedAtMs);
   state.requests.delete(requestId);
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -4,7 +4,8 @@
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {consumeRetry, findRetryObstacle} from './findRetryObstacle.js';
 import {getSilenceTimeoutMs} from './silenceTimeout.js';
-import {pickStandbyEndpoint, startStandbyCall} from './standbyCall.js';
+import {pickStandbyEndpoint} from './standbyCall.js';
+import {startStandbyCall} from './startCall.js';
 
 /**
  * Time between two searches for an endpoint that can take over from a silent
@@ -35,7 +36,7 @@
 }
 
 /**
- * Starts a standby call for a call that has been silent for too long, or
+ * Starts a standby call if the last call has been silent for too long, or
  * searches again later if no endpoint can take the request now. The silent call
  * goes on meanwhile: a sound endpoint may be silent for a while.
  */
@@ -45,9 +46,8 @@
   nowMs: number,
 ): Effect[] {
   const request = state.requests.get(requestId);
-  const call = request?.call;
+  const call = request?.calls.at(-1);
   if (request === undefined || call === undefined) return [];
-  if (request.standbyCall !== undefined) return [];
   const timeoutMs = getSilenceTimeoutMs(state, request, call);
   const silentSinceMs = call.isPaused ? nowMs : call.lastProgressAtMs;
   const dueMs = silentSinceMs + timeoutMs;
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -19,7 +19,7 @@
 import {recordMoveEvidence} from '../moves/recordMoveEvidence.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {cancelCalls, failRequest, finishRequest} from './endRequest.js';
-import {findCall, getEndpointEntry, listCalls} from './findCall.js';
+import {findCall, getEndpointEntry} from './findCall.js';
 import {notRunRetryAfterMs} from './handleCallFailed.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
 import {resolveStandby} from './standbyCall.js';
@@ -177,7 +177,7 @@
 ): Effect[] {
   const request = state.requests.get(requestId);
   if (request === undefined) return [];
-  for (const call of listCalls(request)) {
+  for (const call of request.calls) {
     const entry = getEndpointEntry(state, call);
     if (entry !== undefined && !call.hasFirstEvent) {
       recordUnanswered(entry, toleratedCuts, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -107,8 +107,7 @@
   const effects: Effect[] = [createCount('calls_failed', {failure})];
   const keepEffects = releaseFailedCall(state, request, call, nowMs);
   if (keepEffects !== undefined) {
-    const keptCall = `call_${request.call?.callNumber}`;
-    effects.push(createFailureLog(found, input, keptCall, nowMs));
+    effects.push(createFailureLog(found, input, 'other_call', nowMs));
     effects.push(...keepEffects);
     return effects;
   }
--- a/packages/ryeworks-dispatch/src/requests/silenceTimeout.ts
+++ b/packages/ryeworks-dispatch/src/requests/silenceTimeout.ts
@@ -61,15 +61,15 @@
 }
 
 /**
- * Schedules the silence timeout of the current call of a request if the request
- * may be retried.
+ * Schedules the silence timeout of the last call of a request if the request may
+ * be retried.
  */
 export function scheduleSilenceTimeout(
   state: DispatchState,
   request: ActiveRequest,
   nowMs: number,
 ): void {
-  const {call} = request;
+  const call = request.calls.at(-1);
   if (!request.isRetryable || call === undefined) return;
   const dueMs = nowMs + getSilenceTimeoutMs(state, request, call);
   state.timers.set('silence', request.requestId, dueMs);
--- a/packages/ryeworks-dispatch/src/requests/standbyCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/standbyCall.ts
@@ -4,7 +4,7 @@
 } from '../admission/pickEndpoint.js';
 import {isAhead} from '../admission/waitingQueue.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
-import {createCount, createLog, Effect} from '../effect.js';
+import {createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {recordFailure} from '../endpoints/recordFailure.js';
 import {callFailure} from '../input.js';
@@ -12,7 +12,6 @@
 import {releaseSlot} from './endRequest.js';
 import {getEndpointEntry} from './findCall.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
-import {createCall, createCallEffects} from './startCall.js';
 
 /**
  * Returns an endpoint that can take over a request at once; undefined if there
@@ -30,50 +29,20 @@
   return pickEndpoint(state, request, snapshot, nowMs);
 }
 
-/**
- * Starts a second call of a request whose current call is silent. The current
- * one goes on until the second makes progress, so that nothing is lost if the
- * second is refused, is silent as well, or the silence ends. An engine begins to
- * run a request with its first token; the current call is canceled then.
- */
-export function startStandbyCall(
-  state: DispatchState,
-  request: ActiveRequest,
-  entry: EndpointEntry,
-  nowMs: number,
-): Effect[] {
-  request.standbyCall = createCall(state, request, entry, nowMs);
-  return [
-    createCount('calls_repeated', {reason: 'silent'}),
-    ...createCallEffects(state, request, entry, nowMs),
-  ];
-}
-
-/** Ends one of the two calls of a request; the other one is its current call. */
-function endOtherCall(
-  state: DispatchState,
-  request: ActiveRequest,
-  kept: ActiveCall,
-  ended: ActiveCall,
-  nowMs: number,
-): Effect[] {
-  request.call = kept;
-  request.standbyCall = undefined;
-  scheduleSilenceTimeout(state, request, nowMs);
-  return releaseSlot(state, ended, nowMs);
-}
-
-/** Cancels one of the two calls of a request in favor of the other one. */
-function cancelOtherCall(
+/** Cancels a call of a request in favor of the one that made progress. */
+function cancelCall(
   state: DispatchState,
-  request: ActiveRequest,
-  kept: ActiveCall,
+  {attemptId, requestId}: ActiveRequest,
   canceled: ActiveCall,
-  reason: string,
+  kept: ActiveCall,
   nowMs: number,
 ): Effect[] {
-  const {requestId, attemptId} = request;
   const {callNumber, endpointId} = canceled;
+  const wasSilent = callNumber < kept.callNumber;
+  const entry = getEndpointEntry(state, canceled);
+  if (entry !== undefined && wasSilent) {
+    recordFailure(state, entry, callFailure.cut, nowMs);
+  }
   return [
     {kind: 'cancelCall', requestId, callNumber},
     createLog('call_superseded', {
@@ -82,32 +51,33 @@
       call: callNumber,
       keptEndpoint: kept.endpointId,
       keptCall: kept.callNumber,
-      reason,
+      reason: wasSilent ? 'silent' : 'resumed',
     }),
-    ...endOtherCall(state, request, kept, canceled, nowMs),
+    ...releaseSlot(state, canceled, nowMs),
   ];
 }
 
-/** Keeps the call that made progress, if a request has two, and no other. */
+/** Keeps the call of a request that made progress, and no other. */
 export function resolveStandby(
   state: DispatchState,
   request: ActiveRequest,
   progressed: ActiveCall,
   nowMs: number,
 ): Effect[] {
-  const {call, standbyCall} = request;
-  if (call === undefined || standbyCall === undefined) return [];
-  if (progressed === call) {
-    return cancelOtherCall(state, request, call, standbyCall, 'resumed', nowMs);
+  if (request.calls.length === 1) return [];
+  const canceled = request.calls.filter(call => call !== progressed);
+  request.calls = [progressed];
+  scheduleSilenceTimeout(state, request, nowMs);
+  const effects: Effect[] = [];
+  for (const call of canceled) {
+    effects.push(...cancelCall(state, request, call, progressed, nowMs));
   }
-  const entry = getEndpointEntry(state, call);
-  if (entry !== undefined) recordFailure(state, entry, callFailure.cut, nowMs);
-  return cancelOtherCall(state, request, standbyCall, call, 'silent', nowMs);
+  return effects;
 }
 
 /**
- * Keeps the other call if one of the two calls of a request failed. Returns
- * undefined if the request had only this call.
+ * Ends a failed call of a request that goes on with its other calls. Returns
+ * undefined if it has no other.
  */
 export function releaseFailedCall(
   state: DispatchState,
@@ -115,8 +85,8 @@
   failed: ActiveCall,
   nowMs: number,
 ): Effect[] | undefined {
-  const {call, standbyCall} = request;
-  if (call === undefined || standbyCall === undefined) return undefined;
-  const kept = failed === call ? standbyCall : call;
-  return endOtherCall(state, request, kept, failed, nowMs);
+  if (request.calls.length === 1) return undefined;
+  request.calls = request.calls.filter(call => call !== failed);
+  scheduleSilenceTimeout(state, request, nowMs);
+  return releaseSlot(state, failed, nowMs);
 }
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -4,20 +4,20 @@
 import {createCount, createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {consumePermit} from '../rateLimits/permits.js';
-import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {ActiveRequest} from './activeRequest.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
 
 /** Takes a slot of an endpoint for a new call of a request. */
-export function createCall(
+function addCall(
   state: DispatchState,
   request: ActiveRequest,
   entry: EndpointEntry,
   nowMs: number,
-): ActiveCall {
+): void {
   consumePermit(state, entry, nowMs);
   entry.inFlight += 1;
   request.callsStarted += 1;
-  return {
+  request.calls.push({
     callNumber: request.callsStarted,
     endpointId: entry.endpoint.id,
     startedAtMs: nowMs,
@@ -26,10 +26,30 @@
     events: 0,
     isPaused: false,
     isSilenceLogged: false,
-  };
+  });
+  scheduleSilenceTimeout(state, request, nowMs);
+}
+
+/**
+ * Starts a call of a request beside its silent ones. Those go on until one call
+ * makes progress, so that nothing is lost if the new one is refused, is silent as
+ * well, or the silence ends. An engine begins to run a request with its first
+ * token; the others are canceled then.
+ */
+export function startStandbyCall(
+  state: DispatchState,
+  request: ActiveRequest,
+  entry: EndpointEntry,
+  nowMs: number,
+): Effect[] {
+  addCall(state, request, entry, nowMs);
+  return [
+    createCount('calls_repeated', {reason: 'silent'}),
+    ...createCallEffects(state, request, entry, nowMs),
+  ];
 }
 
-/** Starts the current call of a request at an endpoint. */
+/** Starts the first call of a request, or its next one after a failure. */
 export function startCall(
   state: DispatchState,
   request: ActiveRequest,
@@ -37,8 +57,7 @@
   nowMs: number,
 ): Effect[] {
   request.phase = 'calling';
-  request.call = createCall(state, request, entry, nowMs);
-  scheduleSilenceTimeout(state, request, nowMs);
+  addCall(state, request, entry, nowMs);
   const labels = {tier: `${request.tier}`};
   const valueMs = Math.round(nowMs - request.receivedAtMs);
   return [
@@ -48,7 +67,7 @@
 }
 
 /** Returns the effects that send the last call of a request and report it. */
-export function createCallEffects(
+function createCallEffects(
   state: DispatchState,
   request: ActiveRequest,
   entry: EndpointEntry,
