A request avoids an endpoint for a while, not for good

What callers saw: with two endpoints, a request that one had broken off and the other had refused waited for its time limit, although both would have taken it a moment later.

Cause: an endpoint whose call had failed was avoided until the request ended. Evidence: waitingRetries.test.ts, 'a begun answer is sent again to an endpoint that refused it' and 'an endpoint that refused a standby call is asked again', failed and pass.

--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -10,6 +10,7 @@
 import {isLargeFleet} from '../peers/relayDigests.js';
 import {hasPermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
+import {isAvoided} from '../requests/avoidedEndpoints.js';
 
 /**
  * Calls that an endpoint may receive in addition to its slots, by distance of
@@ -162,7 +163,7 @@
   const candidates: Candidate[] = [];
   for (const entry of allowed) {
     if (!isUsable(entry, nowMs)) continue;
-    if (request.avoidedEndpoints.has(entry.endpoint.id)) continue;
+    if (isAvoided(request, entry.endpoint.id, nowMs)) continue;
     if (!hasPermit(state, entry, request.rank, nowMs)) continue;
     const cost = estimateCost(state, entry, request, firstEventMs, nowMs);
     if (cost !== undefined) candidates.push({entry, cost});
--- a/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
@@ -8,6 +8,7 @@
 import {listAllowedEndpoints} from '../moves/decideTrial.js';
 import {PermitAnswer, PermitAsk} from '../peers/peerMessage.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
+import {isAvoided} from '../requests/avoidedEndpoints.js';
 import {failRequest} from '../requests/endRequest.js';
 import {decideAsk} from './decidePermits.js';
 import {createLimitReport} from './limitReports.js';
@@ -59,7 +60,7 @@
   for (const entry of allowed) {
     const {limit} = entry;
     if (limit === undefined || !isUsable(entry, nowMs)) continue;
-    if (request.avoidedEndpoints.has(entry.endpoint.id)) continue;
+    if (isAvoided(request, entry.endpoint.id, nowMs)) continue;
     if (!hasCapacity(state, entry, request, nowMs)) continue;
     limited.push({entry, limit});
   }
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -66,6 +66,6 @@
   nextPermitAskAtMs: number;
   /** Endpoint of the last ask for a permit; empty if none. */
   askedEndpointId: string;
-  /** Ids of the endpoints that a retry avoids. */
-  readonly avoidedEndpoints: Set<string>;
+  /** Until when its next calls avoid an endpoint, in ms, by endpoint id. */
+  readonly avoidedUntilMs: Map<string, number>;
 }
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -59,7 +59,6 @@
   if (obstacle !== undefined) {
     return reportSilence(request, call, timeoutMs, obstacle, nowMs);
   }
-  request.avoidedEndpoints.add(call.endpointId);
   const standby = pickStandbyEndpoint(state, request, nowMs);
   if (standby === undefined || !consumeRetry(state, request, nowMs)) {
     state.timers.set('silence', requestId, nowMs + searchPeriodMs);
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -3,6 +3,7 @@
 import {recordFailure} from '../endpoints/recordFailure.js';
 import {CallFailed, callFailure, CallFailure} from '../input.js';
 import {ActiveRequest} from './activeRequest.js';
+import {markAvoided} from './avoidedEndpoints.js';
 import {breakRequest, failRequest, finishRequest} from './endRequest.js';
 import {findCall, FoundCall, getEndpointEntry} from './findCall.js';
 import {
@@ -103,7 +104,7 @@
   if (entry !== undefined) recordFailure(state, entry, failure, nowMs);
   const wasSent = failure !== callFailure.notSent;
   if (wasSent && provesNotRun[failure]) request.possibleRuns -= 1;
-  request.avoidedEndpoints.add(call.endpointId);
+  markAvoided(request, call.endpointId, nowMs);
   const effects: Effect[] = [createCount('calls_failed', {failure})];
   const keepEffects = releaseFailedCall(state, request, call, nowMs);
   if (keepEffects !== undefined) {
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -177,7 +177,7 @@
     permitAsks: 0,
     nextPermitAskAtMs: 0,
     askedEndpointId: '',
-    avoidedEndpoints: new Set(),
+    avoidedUntilMs: new Map(),
   };
 }
 
--- a/packages/ryeworks-dispatch/src/requests/retryRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/retryRequest.ts
@@ -48,10 +48,7 @@
   return releaseCalls(state, request, nowMs);
 }
 
-/**
- * Retries a request whose retry was put off, once the budget allows it. Endpoints
- * that refused it before may take it now.
- */
+/** Retries a request whose retry was put off, once the budget allows it. */
 export function expireRetryDelay(
   state: DispatchState,
   requestId: string,
@@ -62,6 +59,5 @@
   if (!consumeRetry(state, request, nowMs)) {
     return scheduleRetry(state, request, nowMs);
   }
-  request.avoidedEndpoints.clear();
   return retryRequest(state, request, nowMs);
 }
--- a/packages/ryeworks-dispatch/src/requests/standbyCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/standbyCall.ts
@@ -9,6 +9,7 @@
 import {recordFailure} from '../endpoints/recordFailure.js';
 import {callFailure} from '../input.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {markAvoided} from './avoidedEndpoints.js';
 import {releaseSlot} from './endRequest.js';
 import {getEndpointEntry} from './findCall.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
@@ -32,17 +33,19 @@
 /** Cancels a call of a request in favor of the one that made progress. */
 function cancelCall(
   state: DispatchState,
-  {attemptId, requestId}: ActiveRequest,
+  request: ActiveRequest,
   canceled: ActiveCall,
   kept: ActiveCall,
   nowMs: number,
 ): Effect[] {
+  const {attemptId, requestId} = request;
   const {callNumber, endpointId} = canceled;
   const wasSilent = callNumber < kept.callNumber;
   const entry = getEndpointEntry(state, canceled);
   if (entry !== undefined && wasSilent) {
     recordFailure(state, entry, callFailure.cut, nowMs);
   }
+  if (wasSilent) markAvoided(request, endpointId, nowMs);
   return [
     {kind: 'cancelCall', requestId, callNumber},
     createLog('call_superseded', {
