Connections: one whose end was requested is not reset

Processes whose tests had ended did not exit and used a whole core (soak.test.ts and unansweredRequests.test.ts beside other work; no time limit of the test runner ends that). Node cannot reset a connection while its end is being sent (EINVAL), marks it as closing all the same, and at its exit waits for it in a loop (Environment::CleanupHandles, seen with a debugger in both processes). The fault proxy of the stand-ins resets the other side of a broken connection, which Node may just have ended by itself. The gateway could do the same with an unframed answer that it aborts just after its caller has ended the connection; not seen. Both use resetSocket now, which closes such a connection without a reset.

--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -1,4 +1,5 @@
 import {errorAnswers, ErrorKind} from '@ryeworks/types';
+import {resetSocket} from '@ryeworks/utils';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestInfo} from '../deploymentInterfaces.js';
 import {dropBody} from './readBody.js';
@@ -141,7 +142,7 @@
     this.isAborted = true;
     // If the end of the connection marks the end of the answer, only a reset
     // shows that the answer was aborted.
-    if (this.isUnframed) this.request.socket.resetAndDestroy();
+    if (this.isUnframed) resetSocket(this.request.socket);
     else this.response.destroy();
   }
 }
--- a/packages/ryeworks-standins/src/proxy/faultProxy.ts
+++ b/packages/ryeworks-standins/src/proxy/faultProxy.ts
@@ -1,4 +1,4 @@
-import {systemClock} from '@ryeworks/utils';
+import {resetSocket, systemClock} from '@ryeworks/utils';
 import {WorkPause} from '../pause/workPause.js';
 import {AddressInfo, connect, createServer, Server, Socket} from 'node:net';
 
@@ -118,7 +118,7 @@
 
   /** Resets the open connections; new connections are not affected. */
   resetOpenConnections(): void {
-    for (const {client} of this.connections) client.resetAndDestroy();
+    for (const {client} of this.connections) resetSocket(client);
   }
 
   /**
@@ -134,14 +134,14 @@
     this.server.close();
     for (const {client, upstream} of this.connections) {
       // Without a reset, an answer that is cut here might look complete.
-      client.resetAndDestroy();
+      resetSocket(client);
       upstream.destroy();
     }
   }
 
   private handleConnection(client: Socket): void {
     if (this.faults.isCut) {
-      client.resetAndDestroy();
+      resetSocket(client);
       return;
     }
     const upstream = connect(this.route.targetPort, this.route.targetHost);
@@ -185,7 +185,7 @@
       if (connection.isSilent) return;
       const delayMs = Math.max(this.pause.getLeftMs(), faults.delayMs);
       queue.run(delayMs, () => {
-        if (connection.hasLostData) to.resetAndDestroy();
+        if (connection.hasLostData) resetSocket(to);
         else to.destroySoon();
       });
     });
