--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -170,15 +170,14 @@
     isTrial: decideTrial(state, service, nowMs),
     phase: 'waiting',
     callsStarted: 0,
-    call: undefined,
-    standbyCall: undefined,
+    calls: [],
     possibleRuns: 0,
     sentCalls: 0,
     firstEventAtMs: 0,
     permitAsks: 0,
     nextPermitAskAtMs: 0,
     askedEndpointId: '',
-    avoidedEndpoints: new Set(),
+    avoidedUntilMs: new Map(),
   };
 }
 
