--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -144,9 +144,14 @@
   },
   {
     promise: 'a silent call is kept until another one goes on with the answer',
-    file: `${dispatch}/requests/standbyCall.js`,
-    from: /\.\.\.createCallEffects\(state, request, entry, nowMs\),/,
-    to: '...createCallEffects(state, request, entry, nowMs), ...resolveStandby(state, request, request.standbyCall, nowMs),',
+    file: `${dispatch}/requests/expireSilentCall.js`,
+    from: /\.\.\.startStandbyCall\(state, request, standby, nowMs\),/,
+    to: '...startStandbyCall(state, request, standby, nowMs), ...resolveStandby(state, request, request.calls.at(-1), nowMs),',
+    also: {
+      file: `${dispatch}/requests/expireSilentCall.js`,
+      from: /import \{ pickStandbyEndpoint \}/,
+      to: 'import { pickStandbyEndpoint, resolveStandby }',
+    },
     scenario: 'endpoint-falls-silent',
   },
   {
@@ -159,8 +164,8 @@
   {
     promise: 'a silent call that nothing can replace is waited for',
     file: `${scheduler}/requests/handleEndpointEvents.js`,
-    from: /const \{ endpoint, lastProgressMs \} = request;\s+const silentMs/,
-    to: "return endRequest(state, request, { error: 'outcomeUnknown', reason: 'silent' }, nowMs); const silentMs",
+    from: /return waitForCall\(state, request, nowMs\);/,
+    to: "return endRequest(state, request, { error: 'outcomeUnknown', reason: 'silent' }, nowMs);",
     scenario: 'endpoint-pauses',
   },
 ];
