Claims: log an unknown or silent claim and a failed attach; print the log of a failed retry

A retry was told outcomeUnknown and no log said which owner caused it or how far its sync was; an answer that could not be attached to was dropped without a log line. claim_unknown, claim_silent, attach_failed and peer_stream_failed tell now. The test prints when its retries start and, if one fails, the log lines of all VMs; its checks are unchanged.

--- a/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/processFaults.test.ts
@@ -10,6 +10,7 @@
 import {RetriedCall, runRetryingLoad} from '../load/runRetryingLoad.js';
 import {countFailureReasons} from '../report/countFailureReasons.js';
 import {findBrokenPromises} from '../report/findBrokenPromises.js';
+import {readLogLines} from '../report/readLogLines.js';
 
 const seed = 11;
 const plan: DeploymentPlan = {
@@ -148,6 +149,7 @@
     const runs = await deployment.readRuns();
     return runs.has(`key:${call.key}`);
   });
+  t.comment(`retries start at ${new Date().toISOString()}`);
   const retries = await Promise.all(
     deployment.vms.map((vm, index) =>
       makeCall(vm.callerUrl, {
@@ -164,9 +166,15 @@
       `the retry got a complete answer: ${retry.error}`,
     );
   }
-  t.equal((await first).isComplete, true);
+  const firstResult = await first;
+  t.equal(firstResult.isComplete, true);
   const runs = await deployment.readRuns();
   t.equal(runs.get(`key:${call.key}`), 1, 'the call ran once');
+  if ([firstResult, ...retries].every(result => result.isComplete)) return;
+  t.comment(`first attempt: ${firstResult.error} ${firstResult.totalMs} ms`);
+  for (const line of await readLogLines(deployment.logDirectory)) {
+    t.comment(line);
+  }
 });
 
 t.test('a leaving endpoint gets no new requests', async t => {
--- a/packages/ryeworks-scheduler/src/claims/handleClaims.ts
+++ b/packages/ryeworks-scheduler/src/claims/handleClaims.ts
@@ -1,4 +1,4 @@
-import {createCount, Effect} from '../effect.js';
+import {createCount, createLog, Effect} from '../effect.js';
 import {getOwnerCandidates, rankOwners} from '../membership/membershipState.js';
 import {createSendPeer} from '../membership/createSendPeer.js';
 import {SchedulerState} from '../schedulerState.js';
@@ -89,6 +89,12 @@
     return [
       createSendPeer(state, from, unknown),
       createCount('claim.unknown', {reason: 'owner_incomplete'}),
+      createLog('claim_unknown', {
+        requestId,
+        askedBy: from,
+        incompleteForMs: Math.round(nowMs - claims.completeSinceMs),
+        syncedFrom: [...claims.syncedFrom].join(),
+      }),
     ];
   }
   const claim: Claim = existing ?? {
--- a/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
@@ -1,4 +1,4 @@
-import {createCount, Effect} from '../effect.js';
+import {createCount, createLog, Effect} from '../effect.js';
 import {SchedulerState} from '../schedulerState.js';
 import {ClaimAnswer, ClaimRecord, memberStatus} from '../peerMessage.js';
 import {dispatchResume} from './dispatchRequest.js';
@@ -103,7 +103,11 @@
   const request = state.requests.active.get(requestId);
   if (request === undefined || request.phase !== 'claiming') return [];
   if (!request.isFirstAttempt) {
-    return endWithUnknownOutcome(state, request, 'owner_silent', nowMs);
+    const silentZones = [...request.pendingClaims].join();
+    return [
+      createLog('claim_silent', {requestId, silentZones}),
+      ...endWithUnknownOutcome(state, request, 'owner_silent', nowMs),
+    ];
   }
   request.claimOwnerRank += 1;
   const {availabilityZone} = state.options;
--- a/packages/ryeworksd/src/createEffectHandlers.ts
+++ b/packages/ryeworksd/src/createEffectHandlers.ts
@@ -53,6 +53,8 @@
         heldAnswer.addSink(answer);
         return;
       }
+      const fields = {requestId: holderRequestId, reason: 'no such answer'};
+      context.logger.warn('attach_failed', fields);
       const error = 'outcomeUnknown';
       answer.fail({error, ran: 'unknown', retryAfterMs: 1000});
     },
--- a/packages/ryeworksd/src/createEntryProcess.ts
+++ b/packages/ryeworksd/src/createEntryProcess.ts
@@ -120,9 +120,9 @@
       ({loop, clock, openRequests}: Components) =>
         new EndpointClient(loop, clock, openRequests),
     ).singleton(),
-    peerClient: asFunction(() => {
+    peerClient: asFunction(({logger}: Components) => {
       const {vm, peerKey} = settings;
-      return new PeerClient({vm, peerKey});
+      return new PeerClient({vm, peerKey, logger});
     }).singleton(),
     platformWatcher: asFunction(
       ({platform, loop, logger}: Components) =>
--- a/packages/ryeworksd/src/peers/peerClient.ts
+++ b/packages/ryeworksd/src/peers/peerClient.ts
@@ -5,6 +5,7 @@
   Http2SessionManager,
 } from '@connectrpc/connect-node';
 import {PeerService} from '@ryeworks/protocol';
+import {Logger} from '@ryeworks/logger';
 import {SendPeer} from '@ryeworks/scheduler';
 import {ErrorKind, RunStatus} from '@ryeworks/types';
 import {EnvelopeStream} from './envelopeStream.js';
@@ -22,6 +23,7 @@
 
 /** The connection to one peer. */
 interface PeerLink {
+  readonly address: string;
   readonly client: Client<typeof PeerService>;
   readonly session: Http2SessionManager;
   readonly outgoing: EnvelopeStream;
@@ -33,6 +35,7 @@
 export interface PeerClientOptions {
   readonly vm: string;
   readonly peerKey: string;
+  readonly logger?: Logger;
 }
 
 /** Sends messages to peers in batches. Delivery is not guaranteed. */
@@ -76,9 +79,10 @@
           return;
         }
       }
-    } catch {
-      // The holder is unreachable or no longer has the answer. The failure is
-      // reported below.
+    } catch (error) {
+      // The holder is unreachable or no longer has the answer.
+      const fields = {requestId, address, reason: `${error}`};
+      this.options.logger?.warn('attach_failed', fields);
     }
     sink.fail({error: 'outcomeUnknown', ran: 'unknown', retryAfterMs: 1000});
   }
@@ -108,6 +112,7 @@
       compressMinBytes: compressionThresholdBytes,
     });
     const link: PeerLink = {
+      address,
       client: createClient(PeerService, transport),
       session,
       outgoing: new EnvelopeStream(this.options.vm),
@@ -122,9 +127,12 @@
     link.isOpen = true;
     try {
       await link.client.deliver(link.outgoing.readEnvelopes());
-    } catch {
+    } catch (error) {
       // The peer is unreachable or the connection silent. Queued messages are
       // dropped.
+      const {address} = link;
+      const fields = {address, reason: `${error}`};
+      this.options.logger?.warn('peer_stream_failed', fields);
       link.outgoing.clear();
       await new Promise(resolve => setTimeout(resolve, reopenDelayMs));
     }
