Claims: a zone that lacks claims does not end a retry that another zone holds

Callers saw: a retry was told outcomeUnknown although the first attempt was running and its answer complete.

Cause: the owner of a key in a zone whose claims are not complete (after the start or a pause of a VM) answers unknown, and the first such answer ended the retry, while another zone's owner was answering with the claim.

Why it works: a held claim is certain, whatever other zones know; only if no zone holds the key does the missing knowledge of one matter.

--- a/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
@@ -66,7 +66,29 @@
   return endWithUnknownOutcome(state, request, 'holder_unreachable', nowMs);
 }
 
-/** Handles the answer of one zone to a claim. */
+/**
+ * Starts the first attempt to dispatch a request once every zone has answered
+ * its claim. If a zone may hold a claim that is not known, ends the request.
+ */
+function finishClaim(
+  state: SchedulerState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  if (request.pendingClaims.size > 0) return [];
+  const {claimDoubt, requestId} = request;
+  if (claimDoubt !== '') {
+    return endWithUnknownOutcome(state, request, claimDoubt, nowMs);
+  }
+  state.timers.clear('claimTimeout', requestId);
+  return startAttempt(state, requestId, nowMs);
+}
+
+/**
+ * Handles the answer of one zone to a claim. A zone that does not know whether
+ * the key was claimed there does not end the request while another zone may
+ * still answer with the claim.
+ */
 export function handleClaimAnswer(
   state: SchedulerState,
   _from: string,
@@ -75,9 +97,6 @@
 ): Effect[] {
   const request = state.requests.active.get(message.requestId);
   if (request === undefined || request.phase !== 'claiming') return [];
-  if (message.status === 'unknown') {
-    return endWithUnknownOutcome(state, request, 'owner_incomplete', nowMs);
-  }
   if (message.status === 'held' && message.record !== undefined) {
     state.timers.clear('claimTimeout', request.requestId);
     return [
@@ -85,10 +104,9 @@
       ...attachToHolder(state, request, message.record, nowMs),
     ];
   }
+  if (message.status === 'unknown') request.claimDoubt = 'owner_incomplete';
   request.pendingClaims.delete(message.availabilityZone);
-  if (request.pendingClaims.size > 0) return [];
-  state.timers.clear('claimTimeout', request.requestId);
-  return startAttempt(state, request.requestId, nowMs);
+  return finishClaim(state, request, nowMs);
 }
 
 /**
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -74,6 +74,7 @@
     deadlineMs: nowMs + Math.min(maxMs, requestedMs),
     phase: 'claiming',
     pendingClaims: new Set(),
+    claimDoubt: '',
     claimOwnerRank: 0,
     attempts: 0,
     askId: '',
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -37,6 +37,11 @@
   phase: RequestPhase;
   /** Zones that have not yet answered the claim. */
   readonly pendingClaims: Set<string>;
+  /**
+   * Why a zone may hold a claim of the key that is not known; empty if none may.
+   * A claim that another zone holds settles it.
+   */
+  claimDoubt: string;
   /**
    * Rank of the owner that the claim was last sent to. It grows with each owner
    * that does not answer.
