Claims: a retry asks the zones it knows although it knows no VM of another

Callers could see: a retry at a VM that knows no VM of another zone was told outcomeUnknown at once, although its own zone's owner held the claim.

Cause: startClaim ended the request at the first zone without a reachable VM.

Evidence: retryClaims.test.ts, 'a retry is attached although a zone is unreachable', failed before: a1 and a2 zone_unreachable in place of a1-1.

Why it works: as before, a held claim settles the request, and without one the zone that was not asked ends it as unknown; nothing is run on a guess.

--- a/packages/ryeworks-scheduler/src/__tests__/retryClaims.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/retryClaims.test.ts
@@ -183,6 +183,20 @@
   t.strictSame(sendRetries(fleet), attached);
 });
 
+// Guards against a VM that refused a retry without asking its own zone, since it
+// knew no VM of another.
+t.test('a retry is attached although a zone is unreachable', async t => {
+  const fleet = new TestFleet();
+  fleet.completeClaims(...vmNames);
+  startFirstAttempt(fleet);
+  for (const vm of ['a1', 'a2']) {
+    const {membership} = fleet.vms.get(vm)!;
+    for (const other of ['b1', 'b2']) membership.members.delete(other);
+  }
+  const {a1, a2} = sendRetries(fleet);
+  t.strictSame({a1, a2}, {a1: 'a1-1', a2: 'a1-1'});
+});
+
 // Guards against a retry that runs although a zone may hold an earlier claim.
 t.test('a retry that no zone holds fails if a zone lacks claims', async t => {
   const fleet = new TestFleet();
--- a/packages/ryeworks-scheduler/src/requests/endRequest.ts
+++ b/packages/ryeworks-scheduler/src/requests/endRequest.ts
@@ -198,3 +198,17 @@
   removeRequest(state, request);
   return effects;
 }
+
+/** Ends a request of which an earlier attempt may have run. */
+export function endWithUnknownOutcome(
+  state: SchedulerState,
+  request: ActiveRequest,
+  reason: string,
+  nowMs: number,
+): Effect[] {
+  const outcome: EndOutcome = {error: 'outcomeUnknown', reason};
+  return [
+    createCount('claim.unknown', {reason}),
+    ...endRequest(state, request, outcome, nowMs),
+  ];
+}
--- a/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
@@ -2,7 +2,7 @@
 import {SchedulerState} from '../schedulerState.js';
 import {ClaimAnswer, ClaimRecord, memberStatus} from '../peerMessage.js';
 import {dispatchResume} from './dispatchRequest.js';
-import {endRequest, EndOutcome} from './endRequest.js';
+import {endRequest, EndOutcome, endWithUnknownOutcome} from './endRequest.js';
 import {updateClaims} from './updateClaims.js';
 import {ActiveRequest} from './requestsState.js';
 import {startAttempt} from './startAttempt.js';
@@ -11,20 +11,6 @@
 /** Highest owner rank that the claim of a first attempt is sent to. */
 const maxClaimOwnerRank = 2;
 
-/** Ends a request of which an earlier attempt may have run. */
-function endWithUnknownOutcome(
-  state: SchedulerState,
-  request: ActiveRequest,
-  reason: string,
-  nowMs: number,
-): Effect[] {
-  const outcome: EndOutcome = {error: 'outcomeUnknown', reason};
-  return [
-    createCount('claim.unknown', {reason}),
-    ...endRequest(state, request, outcome, nowMs),
-  ];
-}
-
 /**
  * Attaches the caller to the answer of the request that holds the key. When the
  * VM of that request is unreachable or has left, resumes the stream if it was
--- a/packages/ryeworks-scheduler/src/requests/startClaim.ts
+++ b/packages/ryeworks-scheduler/src/requests/startClaim.ts
@@ -1,9 +1,9 @@
-import {createCount, Effect} from '../effect.js';
+import {Effect} from '../effect.js';
 import {rankOwners} from '../membership/membershipState.js';
 import {createSendPeer} from '../membership/createSendPeer.js';
 import {SchedulerState} from '../schedulerState.js';
 import {ClaimAsk} from '../peerMessage.js';
-import {endRequest} from './endRequest.js';
+import {endWithUnknownOutcome} from './endRequest.js';
 import {ActiveRequest} from './requestsState.js';
 
 /**
@@ -46,7 +46,11 @@
   return createSendPeer(state, owner, claimRequest);
 }
 
-/** Claims the key of a request in every zone where it may have been claimed. */
+/**
+ * Claims the key of a request in every zone where it may have been claimed. A
+ * zone without a reachable VM does not keep the others from being asked, since
+ * one of them may hold the claim.
+ */
 export function startClaim(
   state: SchedulerState,
   request: ActiveRequest,
@@ -56,18 +60,15 @@
   for (const zone of getClaimZones(state, request)) {
     const claimRequest = sendClaimRequest(state, request, zone, 0, nowMs);
     if (claimRequest === undefined) {
-      const outcome = {
-        error: 'outcomeUnknown' as const,
-        reason: 'zone_unreachable',
-      };
-      return [
-        createCount('claim.unknown', {reason: 'zone_unreachable'}),
-        ...endRequest(state, request, outcome, nowMs),
-      ];
+      request.claimDoubt = 'zone_unreachable';
+      continue;
     }
     request.pendingClaims.add(zone);
     effects.push(claimRequest);
   }
+  if (request.pendingClaims.size === 0) {
+    return endWithUnknownOutcome(state, request, request.claimDoubt, nowMs);
+  }
   const dueMs = nowMs + state.options.claimTimeoutMs;
   state.timers.set('claimTimeout', request.requestId, dueMs);
   return effects;
