Claims: a retry asks a zone again that was silent or lacked claims

Callers could see: a retry was told outcomeUnknown since an owner had no processor for 400 ms, one message was lost, or the owner of the key had just met the VM that made the claim while it knew no other and had no copy yet.

Cause: a retry asked each zone once, a first attempt up to three owners.

Evidence: retryClaims.test.ts, 'a retry asks silent owners again' (a2, b1 and b2) and 'a retry asks an owner that lacks claims again' failed before.

Why it works: asking is idempotent for the same request, and only the first owner of a zone is asked, as before. The end as unknown comes up to 800 ms later than it did.

--- a/packages/ryeworks-scheduler/src/__tests__/retryClaims.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/retryClaims.test.ts
@@ -2,7 +2,9 @@
 import {handleNewZoneDetected} from '../claims/handleMemberChanges.js';
 import {Effect} from '../effect.js';
 import {getNextDueMs, handleInput, Input} from '../index.js';
-import {memberStatus} from '../peerMessage.js';
+import {applyMemberUpdate} from '../membership/applyMemberUpdate.js';
+import {createMemberUpdate} from '../membership/membershipState.js';
+import {memberStatus, MemberUpdate} from '../peerMessage.js';
 import {createSchedulerState, SchedulerState} from '../schedulerState.js';
 import {createTestOptions} from './testOptions.js';
 
@@ -86,6 +88,12 @@
     }
   }
 
+  /** Lets a VM learn of another. */
+  joinMember(vm: string, update: MemberUpdate, nowMs: number): void {
+    const state = this.vms.get(vm)!;
+    this.applyEffects(vm, applyMemberUpdate(state, update, nowMs), nowMs);
+  }
+
   /** Sends an attempt with the only key to a VM. */
   sendAttempt(vm: string, attempt: number, atMs: number): void {
     const requestId = `${vm}-${attempt}`;
@@ -197,6 +205,36 @@
   t.strictSame({a1, a2}, {a1: 'a1-1', a2: 'a1-1'});
 });
 
+// Guards against a retry that was refused because one message was lost or late.
+t.test('a retry asks silent owners again', async t => {
+  for (const vm of vmNames) {
+    const fleet = new TestFleet();
+    fleet.completeClaims(...vmNames);
+    startFirstAttempt(fleet);
+    for (const owner of vmNames) fleet.drops.set(`claimAsk ${owner}`, 1);
+    fleet.sendAttempt(vm, 2, 200);
+    fleet.run(2500);
+    t.equal(fleet.outcomes.get(`${vm}-2`), 'a1-1', vm);
+  }
+});
+
+// Guards against a retry that was refused because the owner of the key had just
+// met the VM that made the claim while it knew no other.
+t.test('a retry asks an owner that lacks claims again', async t => {
+  const fleet = new TestFleet();
+  fleet.completeClaims('a2', 'b1', 'b2');
+  const {membership} = fleet.vms.get('a2')!;
+  const owner = membership.members.get('a1')!;
+  membership.members.delete('a1');
+  fleet.sendAttempt('a2', 1, 0);
+  fleet.sendAttempt('b1', 2, 200);
+  fleet.run(300);
+  const update = {...createMemberUpdate(owner), incarnation: 2};
+  fleet.joinMember('a2', update, 300);
+  fleet.run(2500);
+  t.equal(fleet.outcomes.get('b1-2'), 'a2-1');
+});
+
 // Guards against a retry that runs although a zone may hold an earlier claim.
 t.test('a retry that no zone holds fails if a zone lacks claims', async t => {
   const fleet = new TestFleet();
--- a/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
@@ -4,12 +4,17 @@
 import {dispatchResume} from './dispatchRequest.js';
 import {endRequest, EndOutcome, endWithUnknownOutcome} from './endRequest.js';
 import {updateClaims} from './updateClaims.js';
-import {ActiveRequest} from './requestsState.js';
+import {ActiveRequest, claimDoubt} from './requestsState.js';
 import {startAttempt} from './startAttempt.js';
-import {sendClaimRequest} from './startClaim.js';
+import {askZone, sendClaimRequest} from './startClaim.js';
 
 /** Highest owner rank that the claim of a first attempt is sent to. */
 const maxClaimOwnerRank = 2;
+/**
+ * How often the zones of a retry are asked again. A retry is no use to its caller
+ * if it waits much longer than a first attempt does.
+ */
+const maxClaimRepeats = 2;
 
 /**
  * Attaches the caller to the answer of the request that holds the key. When the
@@ -62,9 +67,14 @@
   nowMs: number,
 ): Effect[] {
   if (request.pendingClaims.size > 0) return [];
-  const {claimDoubt, requestId} = request;
-  if (claimDoubt !== '') {
-    return endWithUnknownOutcome(state, request, claimDoubt, nowMs);
+  const {claimDoubts, claimRepeats, requestId} = request;
+  const [reason] = claimDoubts.values();
+  if (reason !== undefined) {
+    const {ownerIncomplete} = claimDoubt;
+    const isIncomplete = [...claimDoubts.values()].includes(ownerIncomplete);
+    // The owner may have its claims before the claim timeout asks it again.
+    if (isIncomplete && claimRepeats < maxClaimRepeats) return [];
+    return endWithUnknownOutcome(state, request, reason, nowMs);
   }
   state.timers.clear('claimTimeout', requestId);
   return startAttempt(state, requestId, nowMs);
@@ -90,29 +100,66 @@
       ...attachToHolder(state, request, message.record, nowMs),
     ];
   }
-  if (message.status === 'unknown') request.claimDoubt = 'owner_incomplete';
-  request.pendingClaims.delete(message.availabilityZone);
+  const {availabilityZone, status} = message;
+  request.pendingClaims.delete(availabilityZone);
+  request.claimDoubts.delete(availabilityZone);
+  if (status === 'unknown') {
+    request.claimDoubts.set(availabilityZone, claimDoubt.ownerIncomplete);
+  }
   return finishClaim(state, request, nowMs);
 }
 
 /**
- * Handles a claim timeout. The claim of a first attempt is sent to the next
- * owner while there is one; else the request ends.
+ * Sends the claim of a retry again to the zones that were silent or may hold a
+ * claim that is not known. Ends the request after the last repeat. Only the
+ * first owner of a zone is asked, since a claim that it grants must be the only
+ * one.
  */
-export function expireClaim(
+function sendClaimAgain(
   state: SchedulerState,
-  requestId: string,
+  request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
-  const request = state.requests.active.get(requestId);
-  if (request === undefined || request.phase !== 'claiming') return [];
-  if (!request.isFirstAttempt) {
-    const silentZones = [...request.pendingClaims].join();
+  const {claimDoubts, pendingClaims, requestId} = request;
+  const silentZones = [...pendingClaims].join();
+  const effects: Effect[] = [];
+  if (silentZones !== '') {
+    effects.push(createLog('claim_silent', {requestId, silentZones}));
+  }
+  if (request.claimRepeats >= maxClaimRepeats) {
     return [
-      createLog('claim_silent', {requestId, silentZones}),
+      ...effects,
       ...endWithUnknownOutcome(state, request, 'owner_silent', nowMs),
     ];
   }
+  request.claimRepeats += 1;
+  for (const zone of [...pendingClaims, ...claimDoubts.keys()]) {
+    pendingClaims.delete(zone);
+    claimDoubts.delete(zone);
+    effects.push(...askZone(state, request, zone, nowMs));
+  }
+  const dueMs = nowMs + state.options.claimTimeoutMs;
+  state.timers.set('claimTimeout', requestId, dueMs);
+  return [
+    ...effects,
+    createCount('claim.retried'),
+    ...finishClaim(state, request, nowMs),
+  ];
+}
+
+/**
+ * Handles a claim timeout. The claim of a retry is sent again to its zones, the
+ * claim of a first attempt to the next owner while there is one; else the request
+ * ends.
+ */
+export function expireClaim(
+  state: SchedulerState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = state.requests.active.get(requestId);
+  if (request === undefined || request.phase !== 'claiming') return [];
+  if (!request.isFirstAttempt) return sendClaimAgain(state, request, nowMs);
   request.claimOwnerRank += 1;
   const {availabilityZone} = state.options;
   const {claimOwnerRank} = request;
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -15,6 +15,17 @@
 /** One of the phases of a request. */
 export type RequestPhase = (typeof requestPhase)[keyof typeof requestPhase];
 
+/** Why a zone may hold a claim that is not known. */
+export const claimDoubt = {
+  /** No VM of the zone is reachable. */
+  zoneUnreachable: 'zone_unreachable',
+  /** The owner of the key may lack claims. */
+  ownerIncomplete: 'owner_incomplete',
+} as const;
+
+/** One of the reasons why a zone may hold a claim that is not known. */
+export type ClaimDoubt = (typeof claimDoubt)[keyof typeof claimDoubt];
+
 /** A request whose caller is connected to this VM. */
 export interface ActiveRequest {
   readonly requestId: string;
@@ -38,10 +49,12 @@
   /** Zones that have not yet answered the claim. */
   readonly pendingClaims: Set<string>;
   /**
-   * Why a zone may hold a claim of the key that is not known; empty if none may.
-   * A claim that another zone holds settles it.
+   * Zones that may hold a claim of the key that is not known, with the reason. A
+   * claim that another zone holds settles it.
    */
-  claimDoubt: string;
+  readonly claimDoubts: Map<string, ClaimDoubt>;
+  /** How often the zones were asked again for claims of a retry. */
+  claimRepeats: number;
   /**
    * Rank of the owner that the claim was last sent to. It grows with each owner
    * that does not answer.
--- a/packages/ryeworks-scheduler/src/requests/startClaim.ts
+++ b/packages/ryeworks-scheduler/src/requests/startClaim.ts
@@ -4,7 +4,7 @@
 import {SchedulerState} from '../schedulerState.js';
 import {ClaimAsk} from '../peerMessage.js';
 import {endWithUnknownOutcome} from './endRequest.js';
-import {ActiveRequest} from './requestsState.js';
+import {ActiveRequest, claimDoubt} from './requestsState.js';
 
 /**
  * Lists the zones in which the key may have been claimed: for a first attempt
@@ -46,6 +46,25 @@
   return createSendPeer(state, owner, claimRequest);
 }
 
+/**
+ * Sends a claim to the first owner of the key in a zone, or records that the
+ * zone cannot be asked.
+ */
+export function askZone(
+  state: SchedulerState,
+  request: ActiveRequest,
+  zone: string,
+  nowMs: number,
+): Effect[] {
+  const claimRequest = sendClaimRequest(state, request, zone, 0, nowMs);
+  if (claimRequest === undefined) {
+    request.claimDoubts.set(zone, claimDoubt.zoneUnreachable);
+    return [];
+  }
+  request.pendingClaims.add(zone);
+  return [claimRequest];
+}
+
 /**
  * Claims the key of a request in every zone where it may have been claimed. A
  * zone without a reachable VM does not keep the others from being asked, since
@@ -58,16 +77,15 @@
 ): Effect[] {
   const effects: Effect[] = [];
   for (const zone of getClaimZones(state, request)) {
-    const claimRequest = sendClaimRequest(state, request, zone, 0, nowMs);
-    if (claimRequest === undefined) {
-      request.claimDoubt = 'zone_unreachable';
-      continue;
-    }
-    request.pendingClaims.add(zone);
-    effects.push(claimRequest);
+    effects.push(...askZone(state, request, zone, nowMs));
   }
   if (request.pendingClaims.size === 0) {
-    return endWithUnknownOutcome(state, request, request.claimDoubt, nowMs);
+    return endWithUnknownOutcome(
+      state,
+      request,
+      claimDoubt.zoneUnreachable,
+      nowMs,
+    );
   }
   const dueMs = nowMs + state.options.claimTimeoutMs;
   state.timers.set('claimTimeout', request.requestId, dueMs);
