Claims: retries that hold one zone each are not attached to each other

Callers could see: no answer at all to several retries of an attempt that had reached no VM, sent to VMs of different zones at once, until they gave up: the deadline had been cleared when they were attached.

Cause: each retry was granted the key in its own zone, was told that the other zone's key was held by another retry, released its claim and was attached to the other's answer, which did the same.

Evidence: retryClaims.test.ts, 'one of several retries runs and the others get its answer', failed before: nothing was dispatched, a1-2 was attached to b1-2 and b1-2 to a1-2.

Why it works: a retry is attached to a holder that was not dispatched only if the holder's ID is lower, or after two repeats; so that there is no circle, and the lowest ID is granted all zones once the others have released theirs.

--- a/packages/ryeworks-scheduler/src/__tests__/retryClaims.test.ts
+++ b/packages/ryeworks-scheduler/src/__tests__/retryClaims.test.ts
@@ -77,6 +77,8 @@
   readonly vms = new Map(vmNames.map(vm => [vm, createVm(vm)]));
   /** What became of each request: the attached holder or the error's reason. */
   readonly outcomes = new Map<string, string>();
+  /** Requests that were sent to the endpoint. */
+  readonly dispatched: string[] = [];
   /** Messages to drop, by kind and VM, with how many. */
   readonly drops = new Map<string, number>();
   private readonly inputs: {atMs: number; vm: string; input: Input}[] = [];
@@ -141,6 +143,7 @@
   ): void {
     for (const effect of effects) {
       if (effect.kind === 'sendPeer') this.sendMessage(vm, effect, nowMs);
+      if (effect.kind === 'dispatch') this.dispatched.push(effect.requestId);
       if (effect.kind === 'attachAnswer') {
         this.outcomes.set(effect.requestId, effect.holderRequestId);
       }
@@ -243,3 +246,20 @@
   fleet.run(5000);
   t.equal(fleet.outcomes.get('a1-2'), 'owner_incomplete');
 });
+
+// Guards against retries of an attempt that reached no VM which were attached to
+// each other, so that none of them was ever answered.
+t.test('one of several retries runs and the others get its answer', async t => {
+  const fleet = new TestFleet();
+  fleet.completeClaims(...vmNames);
+  for (const vm of vmNames) fleet.sendAttempt(vm, 2, 200);
+  fleet.run(5000);
+  t.equal(fleet.dispatched.length, 1);
+  for (const vm of vmNames) {
+    let requestId = `${vm}-2`;
+    for (const _ of vmNames) {
+      requestId = fleet.outcomes.get(requestId) ?? requestId;
+    }
+    t.equal(requestId, fleet.dispatched[0], `${vm} gets the answer that runs`);
+  }
+});
--- a/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
@@ -57,6 +57,23 @@
   return endWithUnknownOutcome(state, request, 'holder_unreachable', nowMs);
 }
 
+/**
+ * Returns whether a retry asks again before it is attached to a holder that was
+ * not dispatched. Two retries that each hold a claim of one zone would else be
+ * attached to each other, without an answer; of these, the lower ID goes on.
+ */
+function isHolderUndecided(
+  request: ActiveRequest,
+  record: ClaimRecord,
+): boolean {
+  return (
+    !request.isFirstAttempt &&
+    request.claimRepeats < maxClaimRepeats &&
+    record.state === 'claimed' &&
+    record.requestId > request.requestId
+  );
+}
+
 /**
  * Starts the first attempt to dispatch a request once every zone has answered
  * its claim. If a zone may hold a claim that is not known, ends the request.
@@ -70,10 +87,12 @@
   const {claimDoubts, claimRepeats, requestId} = request;
   const [reason] = claimDoubts.values();
   if (reason !== undefined) {
-    const {ownerIncomplete} = claimDoubt;
-    const isIncomplete = [...claimDoubts.values()].includes(ownerIncomplete);
-    // The owner may have its claims before the claim timeout asks it again.
-    if (isIncomplete && claimRepeats < maxClaimRepeats) return [];
+    const {zoneUnreachable} = claimDoubt;
+    const canSettle = [...claimDoubts.values()].some(
+      doubt => doubt !== zoneUnreachable,
+    );
+    // The zone may know more before the claim timeout asks it again.
+    if (canSettle && claimRepeats < maxClaimRepeats) return [];
     return endWithUnknownOutcome(state, request, reason, nowMs);
   }
   state.timers.clear('claimTimeout', requestId);
@@ -93,19 +112,24 @@
 ): Effect[] {
   const request = state.requests.active.get(message.requestId);
   if (request === undefined || request.phase !== 'claiming') return [];
-  if (message.status === 'held' && message.record !== undefined) {
+  const {availabilityZone, record, status} = message;
+  const isUndecided =
+    record !== undefined && isHolderUndecided(request, record);
+  if (status === 'held' && record !== undefined && !isUndecided) {
     state.timers.clear('claimTimeout', request.requestId);
     return [
       ...updateClaims(state, request, 'released'),
-      ...attachToHolder(state, request, message.record, nowMs),
+      ...attachToHolder(state, request, record, nowMs),
     ];
   }
-  const {availabilityZone, status} = message;
   request.pendingClaims.delete(availabilityZone);
   request.claimDoubts.delete(availabilityZone);
   if (status === 'unknown') {
     request.claimDoubts.set(availabilityZone, claimDoubt.ownerIncomplete);
   }
+  if (isUndecided) {
+    request.claimDoubts.set(availabilityZone, claimDoubt.holderUndecided);
+  }
   return finishClaim(state, request, nowMs);
 }
 
--- a/packages/ryeworks-scheduler/src/requests/requestsState.ts
+++ b/packages/ryeworks-scheduler/src/requests/requestsState.ts
@@ -21,6 +21,8 @@
   zoneUnreachable: 'zone_unreachable',
   /** The owner of the key may lack claims. */
   ownerIncomplete: 'owner_incomplete',
+  /** A request that is not dispatched holds it and may yet give it up. */
+  holderUndecided: 'holder_undecided',
 } as const;
 
 /** One of the reasons why a zone may hold a claim that is not known. */
