--- a/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleClaimAnswer.ts
@@ -1,29 +1,20 @@
-import {createCount, Effect} from '../effect.js';
+import {createCount, createLog, Effect} from '../effect.js';
 import {SchedulerState} from '../schedulerState.js';
 import {ClaimAnswer, ClaimRecord, memberStatus} from '../peerMessage.js';
 import {dispatchResume} from './dispatchRequest.js';
-import {endRequest, EndOutcome} from './endRequest.js';
+import {endRequest, EndOutcome, endWithUnknownOutcome} from './endRequest.js';
 import {updateClaims} from './updateClaims.js';
-import {ActiveRequest} from './requestsState.js';
+import {ActiveRequest, claimDoubt} from './requestsState.js';
 import {startAttempt} from './startAttempt.js';
-import {sendClaimRequest} from './startClaim.js';
+import {askZone, sendClaimRequest} from './startClaim.js';
 
 /** Highest owner rank that the claim of a first attempt is sent to. */
 const maxClaimOwnerRank = 2;
-
-/** Ends a request of which an earlier attempt may have run. */
-function endWithUnknownOutcome(
-  state: SchedulerState,
-  request: ActiveRequest,
-  reason: string,
-  nowMs: number,
-): Effect[] {
-  const outcome: EndOutcome = {error: 'outcomeUnknown', reason};
-  return [
-    createCount('claim.unknown', {reason}),
-    ...endRequest(state, request, outcome, nowMs),
-  ];
-}
+/**
+ * How often the zones of a retry are asked again. A retry is no use to its caller
+ * if it waits much longer than a first attempt does.
+ */
+const maxClaimRepeats = 2;
 
 /**
  * Attaches the caller to the answer of the request that holds the key. When the
@@ -66,7 +57,53 @@
   return endWithUnknownOutcome(state, request, 'holder_unreachable', nowMs);
 }
 
-/** Handles the answer of one zone to a claim. */
+/**
+ * Returns whether a retry asks again before it is attached to a holder that was
+ * not dispatched. Two retries that each hold a claim of one zone would else be
+ * attached to each other, without an answer; of these, the lower ID goes on.
+ */
+function isHolderUndecided(
+  request: ActiveRequest,
+  record: ClaimRecord,
+): boolean {
+  return (
+    !request.isFirstAttempt &&
+    request.claimRepeats < maxClaimRepeats &&
+    record.state === 'claimed' &&
+    record.requestId > request.requestId
+  );
+}
+
+/**
+ * Starts the first attempt to dispatch a request once every zone has answered
+ * its claim. If a zone may hold a claim that is not known, ends the request.
+ */
+function finishClaim(
+  state: SchedulerState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  if (request.pendingClaims.size > 0) return [];
+  const {claimDoubts, claimRepeats, requestId} = request;
+  const [reason] = claimDoubts.values();
+  if (reason !== undefined) {
+    const {zoneUnreachable} = claimDoubt;
+    const canSettle = [...claimDoubts.values()].some(
+      doubt => doubt !== zoneUnreachable,
+    );
+    // The zone may know more before the claim timeout asks it again.
+    if (canSettle && claimRepeats < maxClaimRepeats) return [];
+    return endWithUnknownOutcome(state, request, reason, nowMs);
+  }
+  state.timers.clear('claimTimeout', requestId);
+  return startAttempt(state, requestId, nowMs);
+}
+
+/**
+ * Handles the answer of one zone to a claim. A zone that does not know whether
+ * the key was claimed there does not end the request while another zone may
+ * still answer with the claim.
+ */
 export function handleClaimAnswer(
   state: SchedulerState,
   _from: string,
@@ -75,25 +112,69 @@
 ): Effect[] {
   const request = state.requests.active.get(message.requestId);
   if (request === undefined || request.phase !== 'claiming') return [];
-  if (message.status === 'unknown') {
-    return endWithUnknownOutcome(state, request, 'owner_incomplete', nowMs);
-  }
-  if (message.status === 'held' && message.record !== undefined) {
+  const {availabilityZone, record, status} = message;
+  const isUndecided =
+    record !== undefined && isHolderUndecided(request, record);
+  if (status === 'held' && record !== undefined && !isUndecided) {
     state.timers.clear('claimTimeout', request.requestId);
     return [
       ...updateClaims(state, request, 'released'),
-      ...attachToHolder(state, request, message.record, nowMs),
+      ...attachToHolder(state, request, record, nowMs),
     ];
   }
-  request.pendingClaims.delete(message.availabilityZone);
-  if (request.pendingClaims.size > 0) return [];
-  state.timers.clear('claimTimeout', request.requestId);
-  return startAttempt(state, request.requestId, nowMs);
+  request.pendingClaims.delete(availabilityZone);
+  request.claimDoubts.delete(availabilityZone);
+  if (status === 'unknown') {
+    request.claimDoubts.set(availabilityZone, claimDoubt.ownerIncomplete);
+  }
+  if (isUndecided) {
+    request.claimDoubts.set(availabilityZone, claimDoubt.holderUndecided);
+  }
+  return finishClaim(state, request, nowMs);
 }
 
 /**
- * Handles a claim timeout. The claim of a first attempt is sent to the next
- * owner while there is one; else the request ends.
+ * Sends the claim of a retry again to the zones that were silent or may hold a
+ * claim that is not known. Ends the request after the last repeat. Only the
+ * first owner of a zone is asked, since a claim that it grants must be the only
+ * one.
+ */
+function sendClaimAgain(
+  state: SchedulerState,
+  request: ActiveRequest,
+  nowMs: number,
+): Effect[] {
+  const {claimDoubts, pendingClaims, requestId} = request;
+  const silentZones = [...pendingClaims].join();
+  const effects: Effect[] = [];
+  if (silentZones !== '') {
+    effects.push(createLog('claim_silent', {requestId, silentZones}));
+  }
+  if (request.claimRepeats >= maxClaimRepeats) {
+    return [
+      ...effects,
+      ...endWithUnknownOutcome(state, request, 'owner_silent', nowMs),
+    ];
+  }
+  request.claimRepeats += 1;
+  for (const zone of [...pendingClaims, ...claimDoubts.keys()]) {
+    pendingClaims.delete(zone);
+    claimDoubts.delete(zone);
+    effects.push(...askZone(state, request, zone, nowMs));
+  }
+  const dueMs = nowMs + state.options.claimTimeoutMs;
+  state.timers.set('claimTimeout', requestId, dueMs);
+  return [
+    ...effects,
+    createCount('claim.retried'),
+    ...finishClaim(state, request, nowMs),
+  ];
+}
+
+/**
+ * Handles a claim timeout. The claim of a retry is sent again to its zones, the
+ * claim of a first attempt to the next owner while there is one; else the request
+ * ends.
  */
 export function expireClaim(
   state: SchedulerState,
@@ -102,9 +183,7 @@
 ): Effect[] {
   const request = state.requests.active.get(requestId);
   if (request === undefined || request.phase !== 'claiming') return [];
-  if (!request.isFirstAttempt) {
-    return endWithUnknownOutcome(state, request, 'owner_silent', nowMs);
-  }
+  if (!request.isFirstAttempt) return sendClaimAgain(state, request, nowMs);
   request.claimOwnerRank += 1;
   const {availabilityZone} = state.options;
   const {claimOwnerRank} = request;
--- a/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-scheduler/src/requests/handleRequestReceived.ts
@@ -74,6 +74,8 @@
     deadlineMs: nowMs + Math.min(maxMs, requestedMs),
     phase: 'claiming',
     pendingClaims: new Set(),
+    claimDoubts: new Map(),
+    claimRepeats: 0,
     claimOwnerRank: 0,
     attempts: 0,
     askId: '',
--- a/packages/ryeworks-scheduler/src/requests/startClaim.ts
+++ b/packages/ryeworks-scheduler/src/requests/startClaim.ts
@@ -1,10 +1,10 @@
-import {createCount, Effect} from '../effect.js';
+import {Effect} from '../effect.js';
 import {rankOwners} from '../membership/membershipState.js';
 import {createSendPeer} from '../membership/createSendPeer.js';
 import {SchedulerState} from '../schedulerState.js';
 import {ClaimAsk} from '../peerMessage.js';
-import {endRequest} from './endRequest.js';
-import {ActiveRequest} from './requestsState.js';
+import {endWithUnknownOutcome} from './endRequest.js';
+import {ActiveRequest, claimDoubt} from './requestsState.js';
 
 /**
  * Lists the zones in which the key may have been claimed: for a first attempt
@@ -46,7 +46,30 @@
   return createSendPeer(state, owner, claimRequest);
 }
 
-/** Claims the key of a request in every zone where it may have been claimed. */
+/**
+ * Sends a claim to the first owner of the key in a zone, or records that the
+ * zone cannot be asked.
+ */
+export function askZone(
+  state: SchedulerState,
+  request: ActiveRequest,
+  zone: string,
+  nowMs: number,
+): Effect[] {
+  const claimRequest = sendClaimRequest(state, request, zone, 0, nowMs);
+  if (claimRequest === undefined) {
+    request.claimDoubts.set(zone, claimDoubt.zoneUnreachable);
+    return [];
+  }
+  request.pendingClaims.add(zone);
+  return [claimRequest];
+}
+
+/**
+ * Claims the key of a request in every zone where it may have been claimed. A
+ * zone without a reachable VM does not keep the others from being asked, since
+ * one of them may hold the claim.
+ */
 export function startClaim(
   state: SchedulerState,
   request: ActiveRequest,
@@ -54,19 +77,15 @@
 ): Effect[] {
   const effects: Effect[] = [];
   for (const zone of getClaimZones(state, request)) {
-    const claimRequest = sendClaimRequest(state, request, zone, 0, nowMs);
-    if (claimRequest === undefined) {
-      const outcome = {
-        error: 'outcomeUnknown' as const,
-        reason: 'zone_unreachable',
-      };
-      return [
-        createCount('claim.unknown', {reason: 'zone_unreachable'}),
-        ...endRequest(state, request, outcome, nowMs),
-      ];
-    }
-    request.pendingClaims.add(zone);
-    effects.push(claimRequest);
+    effects.push(...askZone(state, request, zone, nowMs));
+  }
+  if (request.pendingClaims.size === 0) {
+    return endWithUnknownOutcome(
+      state,
+      request,
+      claimDoubt.zoneUnreachable,
+      nowMs,
+    );
   }
   const dueMs = nowMs + state.options.claimTimeoutMs;
   state.timers.set('claimTimeout', request.requestId, dueMs);
