The search for a standby call outlasts refusals

What callers saw: a begun answer whose endpoint was silent waited for its time limit once two other endpoints had refused it, although others were free.

Cause: any obstacle ended the search for a standby call, also those after which a call that was cut is retried later. The silence timeout of each call sets the pace, and each call is charged to the budget.

--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -4,6 +4,7 @@
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {consumeRetry, findRetryObstacle} from './findRetryObstacle.js';
 import {getSilenceTimeoutMs} from './silenceTimeout.js';
+import {canRetryLater} from './retryRequest.js';
 import {pickStandbyEndpoint} from './standbyCall.js';
 import {startStandbyCall} from './startCall.js';
 
@@ -35,6 +36,14 @@
   ];
 }
 
+/**
+ * Returns whether an obstacle only asks for a slower pace, which the silence
+ * timeout of each call sets, and the answer has begun.
+ */
+function canRetryNow(request: ActiveRequest, obstacle: string): boolean {
+  return request.firstEventAtMs > 0 && canRetryLater(obstacle);
+}
+
 /**
  * Starts a standby call if the last call has been silent for too long, or
  * searches again later if no endpoint can take the request now. The silent call
@@ -56,7 +65,7 @@
     return [];
   }
   const obstacle = findRetryObstacle(request, callFailure.cut, nowMs);
-  if (obstacle !== undefined) {
+  if (obstacle !== undefined && !canRetryNow(request, obstacle)) {
     return reportSilence(request, call, timeoutMs, obstacle, nowMs);
   }
   const standby = pickStandbyEndpoint(state, request, nowMs);
