A standby call that cannot be sent does not end the silent call

What callers saw: a begun answer was ended because the VM could not send a standby call (an event ID that no header can hold), although its endpoint was only silent.

Cause: a fault in starting a call ended the request, also one that has another call. The core now gets the call as not sent and goes on with the other one.

--- a/packages/ryeworks-gateway/src/core/createFaultHandler.ts
+++ b/packages/ryeworks-gateway/src/core/createFaultHandler.ts
@@ -1,4 +1,4 @@
-import {DispatchState} from '@ryeworks/dispatch';
+import {DispatchState, Input} from '@ryeworks/dispatch';
 import {Logger, PrometheusMetrics} from '@ryeworks/logger';
 import {OpenRequests} from '../callers/openRequest.js';
 import {DispatchLoop, Fault} from './dispatchLoop.js';
@@ -28,6 +28,24 @@
   });
 }
 
+/**
+ * Creates the input for a call that a fault kept from being sent. The other
+ * calls of its request go on.
+ */
+function createUnsentCall(
+  requestId: string,
+  {callNumber}: {readonly callNumber: number},
+): Input {
+  return {
+    kind: 'callFailed',
+    requestId,
+    callNumber,
+    failure: 'notSent',
+    hasResponseStarted: false,
+    detail: 'internal_error',
+  };
+}
+
 /**
  * Creates the handler of the errors that the core or the handler of an effect
  * throws. It reports them and ends the request that they belong to, if any; all
@@ -50,6 +68,11 @@
     const attemptId = openRequest?.requestInfo.attemptId;
     reportFault(context, error, source, attemptId);
     if (requestId === undefined) return;
+    const {calls = []} = state.requests.get(requestId) ?? {};
+    if (source === 'startCall' && calls.length > 1) {
+      loop.submit(createUnsentCall(requestId, calls[calls.length - 1]));
+      return;
+    }
     if (state.requests.has(requestId) && source !== 'requestInterrupted') {
       const isCallStarted = source !== 'startCall';
       loop.submit({
