--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -2,7 +2,12 @@
 import {createLog, Effect} from '../effect.js';
 import {callFailure} from '../input.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
-import {consumeRetry, findRetryObstacle} from './findRetryObstacle.js';
+import {
+  consumeRetry,
+  findRetryObstacle,
+  RetryObstacle,
+  retryObstacle,
+} from './findRetryObstacle.js';
 import {getSilenceTimeoutMs} from './silenceTimeout.js';
 import {canRetryLater} from './retryRequest.js';
 import {pickStandbyEndpoint} from './standbyCall.js';
@@ -40,7 +45,7 @@
  * Returns whether an obstacle only asks for a slower pace, which the silence
  * timeout of each call sets, and the answer has begun.
  */
-function canRetryNow(request: ActiveRequest, obstacle: string): boolean {
+function canRetryNow(request: ActiveRequest, obstacle: RetryObstacle): boolean {
   return request.firstEventAtMs > 0 && canRetryLater(obstacle);
 }
 
@@ -71,7 +76,8 @@
   const standby = pickStandbyEndpoint(state, request, nowMs);
   if (standby === undefined || !consumeRetry(state, request, nowMs)) {
     state.timers.set('silence', requestId, nowMs + searchPeriodMs);
-    const next = standby === undefined ? 'no_endpoint' : 'budget_used';
+    const next =
+      standby === undefined ? 'no_endpoint' : retryObstacle.budgetUsed;
     return reportSilence(request, call, timeoutMs, next, nowMs);
   }
   return [
--- a/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
+++ b/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
@@ -15,6 +15,20 @@
 /** Minimum time left until its timeout for a request to be retried, in ms. */
 const minRetryTimeMs = 30;
 
+/** The reasons why a request is not retried after a failure. */
+export const retryObstacle = {
+  mayHaveRun: 'may_have_run',
+  attemptsUsed: 'attempts_used',
+  /** Endpoints have refused too many calls of the request. */
+  arrivalsUsed: 'arrivals_used',
+  callsUsed: 'calls_used',
+  noTimeLeft: 'no_time_left',
+  budgetUsed: 'budget_used',
+} as const;
+
+/** One of the reasons why a request is not retried. */
+export type RetryObstacle = (typeof retryObstacle)[keyof typeof retryObstacle];
+
 /** Whether each failure proves that the call did not run. */
 export const provesNotRun: Readonly<Record<CallFailure, boolean>> = {
   [callFailure.notSent]: true,
@@ -32,14 +46,16 @@
   request: ActiveRequest,
   failure: CallFailure,
   nowMs: number,
-): string | undefined {
+): RetryObstacle | undefined {
   const {maxAttempts} = request.route;
-  if (!provesNotRun[failure] && !request.isRetryable) return 'may_have_run';
-  if (request.possibleRuns >= maxAttempts) return 'attempts_used';
-  if (request.sentCalls >= maxAttempts + extraSentCalls) return 'arrivals_used';
-  if (request.callsStarted >= maxCalls) return 'calls_used';
-  if (request.timeoutAtMs - nowMs < minRetryTimeMs) return 'no_time_left';
-  return undefined;
+  const {callsStarted, isRetryable, possibleRuns, sentCalls} = request;
+  const timeLeftMs = request.timeoutAtMs - nowMs;
+  if (!provesNotRun[failure] && !isRetryable) return retryObstacle.mayHaveRun;
+  if (possibleRuns >= maxAttempts) return retryObstacle.attemptsUsed;
+  const maxSentCalls = maxAttempts + extraSentCalls;
+  if (sentCalls >= maxSentCalls) return retryObstacle.arrivalsUsed;
+  if (callsStarted >= maxCalls) return retryObstacle.callsUsed;
+  return timeLeftMs < minRetryTimeMs ? retryObstacle.noTimeLeft : undefined;
 }
 
 /**
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -10,6 +10,8 @@
   consumeRetry,
   findRetryObstacle,
   provesNotRun,
+  RetryObstacle,
+  retryObstacle,
 } from './findRetryObstacle.js';
 import {canRetryLater, retryRequest, scheduleRetry} from './retryRequest.js';
 import {releaseFailedCall} from './standbyCall.js';
@@ -22,7 +24,7 @@
   state: DispatchState,
   request: ActiveRequest,
   input: CallFailed,
-  obstacle: string,
+  obstacle: RetryObstacle,
   nowMs: number,
 ): Effect[] {
   const {failure, requestId} = input;
@@ -81,10 +83,12 @@
   request: ActiveRequest,
   failure: CallFailure,
   nowMs: number,
-): string | undefined {
+): RetryObstacle | undefined {
   const obstacle = findRetryObstacle(request, failure, nowMs);
   if (obstacle !== undefined) return obstacle;
-  return consumeRetry(state, request, nowMs) ? undefined : 'budget_used';
+  return consumeRetry(state, request, nowMs)
+    ? undefined
+    : retryObstacle.budgetUsed;
 }
 
 /**
--- a/packages/ryeworks-dispatch/src/requests/retryRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/retryRequest.ts
@@ -3,7 +3,11 @@
 import {Effect} from '../effect.js';
 import {ActiveRequest} from './activeRequest.js';
 import {releaseCalls} from './endRequest.js';
-import {consumeRetry} from './findRetryObstacle.js';
+import {
+  consumeRetry,
+  RetryObstacle,
+  retryObstacle,
+} from './findRetryObstacle.js';
 
 /**
  * Time until a request whose answer has begun is retried again although it has
@@ -13,10 +17,10 @@
 const retryDelayMs = 250;
 
 /** Obstacles to a retry that may pass, or that only ask for a slower pace. */
-const passingObstacles: ReadonlySet<string> = new Set([
-  'budget_used',
-  'calls_used',
-  'arrivals_used',
+const passingObstacles: ReadonlySet<RetryObstacle> = new Set([
+  retryObstacle.budgetUsed,
+  retryObstacle.callsUsed,
+  retryObstacle.arrivalsUsed,
 ]);
 
 /** Puts a request back into its queue, to be sent to another endpoint. */
@@ -33,7 +37,7 @@
 }
 
 /** Returns whether a later retry may succeed although one now must not be made. */
-export function canRetryLater(obstacle: string): boolean {
+export function canRetryLater(obstacle: RetryObstacle): boolean {
   return passingObstacles.has(obstacle);
 }
 
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -51,7 +51,7 @@
   /** Monotonic time, in ms. */
   readonly readNowMs: () => number;
   /** Whether another call of the same request is in progress. */
-  readonly hasRival: () => boolean;
+  readonly hasOtherCall: () => boolean;
   /** Called once, when the call has completed, failed or been canceled. */
   readonly handleFinished: () => void;
 }
@@ -196,7 +196,7 @@
   }
 
   private handleData(chunk: Buffer): void {
-    this.reportRivalProgress();
+    this.reportBeforeForwarding();
     if (this.isFinished) return;
     if (this.mode === 'held') this.holdChunk(chunk);
     else if (this.mode === 'events') this.forwardEvents(chunk);
@@ -209,9 +209,9 @@
    * call, so that the core cancels one of the two: only one may forward. A
    * failure of the endpoint is not progress.
    */
-  private reportRivalProgress(): void {
+  private reportBeforeForwarding(): void {
     if (this.isFinished || this.isFailure()) return;
-    if (!this.options.hasRival()) return;
+    if (!this.options.hasOtherCall()) return;
     this.submitEvent({kind: 'callProgressed', events: this.events});
   }
 
@@ -241,7 +241,7 @@
 
   /** Forwards what is left of an answer that was received completely. */
   private forwardAnswer(): void {
-    this.reportRivalProgress();
+    this.reportBeforeForwarding();
     if (this.isFinished) return;
     const {openRequest} = this.options;
     const {status} = this.head!;
--- a/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointClient.ts
@@ -36,7 +36,7 @@
       wire,
       submit,
       readNowMs,
-      hasRival: () => requestCalls.size > 1,
+      hasOtherCall: () => requestCalls.size > 1,
       handleFinished: () => {
         requestCalls.delete(callNumber);
         if (requestCalls.size === 0) this.calls.delete(requestId);
