A silence counts against a new version at once; its standby call goes to the old one

What callers saw: more requests went to a bad version before it was withdrawn.

Cause: since silent calls are kept, a silence counted as evidence against the version only when the call was superseded, and the standby call of a trial went to the new version again.

--- a/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
@@ -246,3 +246,36 @@
     t.match(listEffects(effects, 'startCall'), [{requestId}]);
   }
 });
+
+// Guards against a bad version that gets a second call for each silent one, and
+// is found only once the silent calls have ended.
+t.test('a silence counts against a new version at once', async t => {
+  const state = createReadyState([
+    createEndpoint('m1', names.model, {slots: 50}),
+    createEndpoint('m2', names.model, {slots: 50, version: 'v2'}),
+    createEndpoint('m3', names.model, {slots: 50, version: 'v2'}),
+  ]);
+  const position = {era: 1, revision: 10};
+  const order = {service: names.model, toVersion: 'v2', durationMs: 12_000};
+  const placed = {position, createdAt: position, phase: undefined};
+  const orders = [{...order, ...placed}];
+  runInput(state, {kind: 'movesRead', era: 1, orders}, 0);
+  const requestId = startTrial(state);
+  const move = state.moves.get(names.model)!;
+  t.equal(move.newEvidence.own.failed, 0);
+  const calls = listEffects(runTimers(state, 1000), 'startCall');
+  const standby = calls.find(call => call.requestId === requestId);
+  t.equal(standby?.endpoint.version, 'v1');
+  t.equal(move.newEvidence.own.failed, 1);
+});
+
+/** Sends requests until one is called at the new version; ends the others. */
+function startTrial(state: DispatchState): string {
+  for (;;) {
+    const request = createRequest('urgent', 0);
+    const {requestId} = request;
+    const [call] = listEffects(runInput(state, request, 0), 'startCall');
+    if (call.endpoint.version === 'v2') return requestId;
+    runInput(state, {kind: 'callerGone', requestId}, 0);
+  }
+}
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -1,6 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
 import {callFailure} from '../input.js';
+import {recordMoveEvidence} from '../moves/recordMoveEvidence.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {
   consumeRetry,
@@ -9,6 +10,7 @@
   retryObstacle,
 } from './findRetryObstacle.js';
 import {getSilenceTimeoutMs} from './silenceTimeout.js';
+import {getEndpointEntry} from './findCall.js';
 import {canRetryLater} from './retryRequest.js';
 import {pickStandbyEndpoint} from './standbyCall.js';
 import {startStandbyCall} from './startCall.js';
@@ -41,6 +43,18 @@
   ];
 }
 
+/**
+ * Records what a silence shows about the version of its endpoint. A bad version
+ * must be found while its calls are silent, not when they have ended.
+ */
+function recordSilence(state: DispatchState, call: ActiveCall): void {
+  const entry = getEndpointEntry(state, call);
+  if (entry === undefined) return;
+  const {service, version} = entry.endpoint;
+  const evidence = {service, version, isFailed: true, isSlow: false};
+  recordMoveEvidence(state, evidence);
+}
+
 /**
  * Returns whether an obstacle only asks for a slower pace, which the silence
  * timeout of each call sets, and the answer has begun.
@@ -73,6 +87,7 @@
   if (obstacle !== undefined && !canRetryNow(request, obstacle)) {
     return reportSilence(request, call, timeoutMs, obstacle, nowMs);
   }
+  if (!call.isSilenceLogged) recordSilence(state, call);
   const standby = pickStandbyEndpoint(state, request, nowMs);
   if (standby === undefined || !consumeRetry(state, request, nowMs)) {
     state.timers.set('silence', requestId, nowMs + searchPeriodMs);
--- a/packages/ryeworks-dispatch/src/requests/standbyCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/standbyCall.ts
@@ -5,9 +5,12 @@
 import {isAhead} from '../admission/waitingQueue.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
-import {EndpointEntry} from '../endpoints/endpointTable.js';
-import {recordFailure} from '../endpoints/recordFailure.js';
-import {callFailure} from '../input.js';
+import {
+  EndpointEntry,
+  recordOutcome,
+  recordUnanswered,
+  toleratedCuts,
+} from '../endpoints/endpointTable.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {markAvoided} from './avoidedEndpoints.js';
 import {releaseSlot} from './endRequest.js';
@@ -27,7 +30,9 @@
   const [first] = getQueue(state, service);
   if (first !== undefined && isAhead(first, request)) return undefined;
   const snapshot = createServiceSnapshot(state, service);
-  return pickEndpoint(state, request, snapshot, nowMs);
+  // A new version whose call is silent may be bad: the old one takes over.
+  const untried = {...request, isTrial: false};
+  return pickEndpoint(state, untried, snapshot, nowMs);
 }
 
 /** Cancels a call of a request in favor of the one that made progress. */
@@ -43,7 +48,8 @@
   const wasSilent = callNumber < kept.callNumber;
   const entry = getEndpointEntry(state, canceled);
   if (entry !== undefined && wasSilent) {
-    recordFailure(state, entry, callFailure.cut, nowMs);
+    recordOutcome(entry, false);
+    recordUnanswered(entry, toleratedCuts, nowMs);
   }
   if (wasSilent) markAvoided(request, endpointId, nowMs);
   return [
