--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -167,6 +167,7 @@
     deadlineInMs: 8000,
     promptTokens: 100,
     totalTokens: 200,
+    sharedParts: [],
     ...changes,
   };
 }
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -29,6 +29,11 @@
    * caller does not state them.
    */
   readonly totalTokens: number | undefined;
+  /**
+   * IDs of the parts of the prompt that other prompts may share: all but the
+   * last, in order; empty if the caller names none.
+   */
+  readonly sharedParts: readonly string[];
 }
 
 /** The caller closed its connection before the response was complete. */
@@ -117,6 +122,11 @@
   readonly failure: CallFailure;
   /** Whether the caller has received part of the response. */
   readonly hasResponseStarted: boolean;
+  /**
+   * Whether the endpoint ended the connection before its answer was complete;
+   * undefined, like false, if the call failed in another way.
+   */
+  readonly isConnectionLost?: boolean;
   /** Description of the failure, for logs. */
   readonly detail: string;
 }
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -44,6 +44,8 @@
   /** Deadline of the caller or of the route, whichever is earlier, in ms. */
   readonly timeoutAtMs: number;
   readonly promptTokens: number;
+  /** IDs of the parts of the prompt that other prompts may share. */
+  readonly sharedParts: readonly string[];
   /** Units of the customer's limit that the request uses. */
   readonly units: number;
   /** Whether the request may run more than once. */
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -19,6 +19,9 @@
 /** Retry-after time of a request that no endpoint ran, in ms. */
 export const notRunRetryAfterMs = 300;
 
+/** Maximum number of parts of a prompt in a log line. */
+const maxLoggedParts = 8;
+
 /** Ends a request whose call failed and is not retried. */
 function endFailedRequest(
   state: DispatchState,
@@ -59,7 +62,7 @@
 /** Creates the log line of a call that failed. */
 function createFailureLog(
   {call, request}: FoundCall,
-  {detail, failure}: CallFailed,
+  {detail, failure, isConnectionLost = false}: CallFailed,
   next: string,
   nowMs: number,
 ): Log {
@@ -68,6 +71,9 @@
     endpoint: call.endpointId,
     failure,
     detail,
+    isConnectionLost,
+    events: call.events,
+    sharedParts: request.sharedParts.slice(0, maxLoggedParts).join(),
     call: call.callNumber,
     afterMs: Math.round(nowMs - call.startedAtMs),
     next,
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -174,6 +174,7 @@
     ),
     timeoutAtMs: getTimeoutAtMs(route, input),
     promptTokens: input.promptTokens,
+    sharedParts: input.sharedParts,
     units,
     isRetryable: route.kind === callKind.idempotent || isResumableStream,
     isTrial: decideTrial(state, service, nowMs),
--- a/packages/ryeworks-gateway/src/__tests__/timerFaults.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/timerFaults.test.ts
@@ -17,6 +17,7 @@
     deadlineInMs: undefined,
     promptTokens: 0,
     totalTokens: undefined,
+    sharedParts: [],
   };
 }
 
--- a/packages/ryeworks-gateway/src/deploymentInterfaces.ts
+++ b/packages/ryeworks-gateway/src/deploymentInterfaces.ts
@@ -25,6 +25,8 @@
   readonly promptTokens: number;
   /** Prompt tokens plus maximum output tokens; undefined if not stated. */
   readonly totalTokens: number | undefined;
+  /** See `RequestReceived`. */
+  readonly sharedParts: readonly string[];
   /**
    * ID of the last event that the caller received from an earlier stream; empty
    * if none.
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -30,6 +30,8 @@
  * sends more is not going to answer.
  */
 const maxInterimResponses = 16;
+/** Beginning of the codes of errors of Node's HTTP parser. */
+const parseErrorPrefix = 'HPE_';
 /** Lowest HTTP status of an answer; Node sends no lower one to a caller. */
 const minAnswerStatus = 200;
 /** Lowest HTTP status that reports a failure of the endpoint. */
@@ -115,9 +117,12 @@
       },
     });
     this.request = call;
-    call.on('error', (error: Error & {code?: string}) =>
-      this.fail(this.isSent ? 'cut' : 'notSent', error.code ?? error.message),
-    );
+    call.on('error', (error: Error & {code?: string}) => {
+      const detail = error.code ?? error.message;
+      if (!this.isSent) this.fail('notSent', detail);
+      else if (detail.startsWith(parseErrorPrefix)) this.fail('cut', detail);
+      else this.failLost(detail);
+    });
     call.on('information', () => this.countInterimResponse());
     call.on('upgrade', () => this.fail('cut', 'upgraded'));
     call.on('response', response => this.handleResponse(response));
@@ -147,7 +152,7 @@
     const status = response.statusCode ?? 0;
     this.response = response;
     this.head = {status, headers: response.headers};
-    response.on('error', error => this.fail('cut', error.message));
+    response.on('error', error => this.failLost(error.message));
     const {effect, openRequest, wire} = this.options;
     const answerClass = wire.classifyAnswer(
       this.head,
@@ -185,7 +190,7 @@
     response.on('data', (chunk: Buffer) => this.handleData(chunk));
     response.on('end', () => this.handleEnd());
     response.on('close', () => {
-      if (!response.complete) this.fail('cut', 'connection_closed');
+      if (!response.complete) this.failLost('connection_closed');
     });
   }
 
@@ -231,7 +236,7 @@
   private handleEnd(): void {
     if (this.isFinished) return;
     if (this.response?.complete !== true || this.splitter.partialBytes > 0) {
-      this.fail('cut', 'answer_incomplete');
+      this.failLost('answer_incomplete');
       return;
     }
     if (this.connectionEnd === undefined) {
@@ -240,7 +245,7 @@
     }
     void this.connectionEnd.then(end => {
       if (end === 'ended') this.forwardAnswer();
-      else this.fail('cut', 'connection_reset');
+      else this.failLost('connection_reset');
     });
   }
 
@@ -283,7 +288,16 @@
     this.options.submit({...event, requestId, callNumber});
   }
 
-  private fail(failure: CallFailure, detail: string): void {
+  /** Fails because the endpoint ended the connection too early. */
+  private failLost(detail: string): void {
+    this.fail('cut', detail, true);
+  }
+
+  private fail(
+    failure: CallFailure,
+    detail: string,
+    isConnectionLost = false,
+  ): void {
     if (this.isFinished) return;
     this.finish();
     const {effect, openRequest, submit} = this.options;
@@ -295,6 +309,7 @@
       callNumber,
       failure,
       hasResponseStarted,
+      isConnectionLost,
       detail,
     });
   }
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -255,6 +255,7 @@
       deadlineInMs: callerDeadlineMs,
       promptTokens: 100,
       totalTokens: fleetRequestUnits,
+      sharedParts: [],
     };
     vm.submitRequest(input);
   }
