--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -125,9 +125,10 @@
   /** Zones that are cut off from all others. */
   private readonly cutZones = new Set<string>();
   readonly requests = new Map<string, FleetRequest>();
-  private readonly calls = new FleetCalls(
+  readonly calls = new FleetCalls(
     this.events,
     () => (this.counts.served += 1),
+    target => this.passEndpoint(target),
   );
   private desiredVersion = 1;
   private nextRequestNumber = 1;
@@ -213,17 +214,27 @@
     else this.cutZones.delete(zone);
   }
 
+  /** Crashes an endpoint. */
+  crashEndpoint(id: string): void {
+    this.calls.crash(this.getEndpoint(id));
+  }
+
   /** Connects all zones again. */
   clearCuts(): void {
     this.cutZones.clear();
   }
 
   /** Sends requests on a route at a rate until a time, to random live VMs. */
-  startCallers(routeName: string, perSecond: number, untilMs: number): void {
+  startCallers(
+    routeName: string,
+    perSecond: number,
+    untilMs: number,
+    sharedParts: readonly string[] = [],
+  ): void {
     const intervalMs = 1000 / perSecond;
     const sendNext = () => {
       if (this.events.nowMs >= untilMs) return;
-      this.sendRequest(routeName);
+      this.sendRequest(routeName, sharedParts);
       const spread = 0.5 + this.random.next();
       this.events.schedule(intervalMs * spread, sendNext);
     };
@@ -231,12 +242,13 @@
   }
 
   /** Sends one request to a random live VM. */
-  sendRequest(routeName: string): void {
+  sendRequest(routeName: string, sharedParts: readonly string[] = []): void {
     const live = [...this.vms.values()].filter(vm => !vm.isDead);
     const vm = live[this.random.nextInt(live.length)];
     const requestId = `r${this.nextRequestNumber++}`;
     this.requests.set(requestId, {
       route: this.options.routes.find(({name}) => name === routeName)!,
+      sharedParts,
       vm: vm.options.vm,
       sentAtMs: this.events.nowMs,
       events: 0,
@@ -255,7 +267,7 @@
       deadlineInMs: callerDeadlineMs,
       promptTokens: 100,
       totalTokens: fleetRequestUnits,
-      sharedParts: [],
+      sharedParts,
     };
     vm.submitRequest(input);
   }
@@ -306,6 +318,16 @@
     vm.submit({kind: 'desiredStateRead', desiredState});
   }
 
+  /** Tells all VMs of a new process of an endpoint. */
+  private passEndpoint({endpoint}: FleetEndpoint): void {
+    for (const vm of this.vms.values()) {
+      const delayMs = this.random.nextInt(maxReadDelayMs);
+      this.events.schedule(delayMs, () =>
+        vm.submit({kind: 'endpointChanged', endpoint}),
+      );
+    }
+  }
+
   private startCall(vm: FleetVm, effect: StartCall): void {
     const {endpoint, requestId} = effect;
     const {availabilityZone: zone} = vm.options;
--- a/packages/ryeworks-lab/src/fleet/fleetCalls.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -12,6 +12,8 @@
 /** Number of events of a stream, and the time between two of them, in ms. */
 const streamEvents = 20;
 const eventGapMs = 20;
+/** Time until another process replaces one that has crashed, in ms. */
+const downMs = 3000;
 /** Time after which a VM gives up connecting to an endpoint, in ms. */
 const connectTimeoutMs = 150;
 
@@ -28,14 +30,29 @@
   isCanceled: boolean;
 }
 
+/** The crash of an endpoint. */
+export interface FleetCrash {
+  readonly endpointId: string;
+  readonly atMs: number;
+}
+
 /** Runs the calls from the VMs of a fleet to its endpoints. */
 export class FleetCalls {
+  /**
+   * Part of a prompt under which endpoints crash as soon as they begin to answer;
+   * undefined if there is none.
+   */
+  crashingPart: string | undefined;
+  /** The crashes under that part, in order. */
+  readonly crashes: FleetCrash[] = [];
   private readonly callsByRequestId = new Map<string, FleetCall[]>();
 
   constructor(
     private readonly events: EventQueue,
     /** Called when the caller of a request has its complete answer. */
     private readonly handleServed: (request: FleetRequest) => void,
+    /** Called when another process has started as a crashed endpoint. */
+    private readonly handleRestarted: (target: FleetEndpoint) => void,
   ) {}
 
   /** Starts a call; without a path to the endpoint, it fails unsent. */
@@ -57,6 +74,10 @@
     }
     this.events.schedule(linkDelayMs, () => {
       if (call.isCanceled) return;
+      if (target.isDown) {
+        this.fail(call, 'notSent');
+        return;
+      }
       vm.submit({kind: 'callSent', ...ids});
       target.runUnlessPaused(() => this.handleArrival(call));
     });
@@ -71,6 +92,49 @@
     }
   }
 
+  /** Crashes an endpoint, which another process replaces after a while. */
+  crash(target: FleetEndpoint): void {
+    if (target.isDown) return;
+    target.isDown = true;
+    this.loseConnections(target);
+    this.events.schedule(downMs, () => {
+      target.restart(this.events.nowMs);
+      this.handleRestarted(target);
+    });
+  }
+
+  /** Resets all connections of an endpoint. */
+  loseConnections(target: FleetEndpoint): void {
+    for (const calls of [...this.callsByRequestId.values()]) {
+      for (const call of calls) {
+        if (call.target !== target || !call.isRunning) continue;
+        this.release(call);
+        this.fail(call, 'cut');
+        call.isCanceled = true;
+      }
+    }
+  }
+
+  /**
+   * Begins to answer a call, unless that crashes the endpoint.
+   *
+   * @param answer sends the beginning of the answer
+   */
+  private beginAnswer(call: FleetCall, answer: () => void): void {
+    const {request, target} = call;
+    const {crashingPart} = this;
+    const isCrashing =
+      crashingPart !== undefined && request.sharedParts.includes(crashingPart);
+    if (!isCrashing) {
+      this.submitHead(call);
+      answer();
+      return;
+    }
+    const {id} = target.endpoint;
+    this.crashes.push({endpointId: id, atMs: this.events.nowMs});
+    this.crash(target);
+  }
+
   /**
    * Handles a call that an endpoint reads, which may have been canceled since it
    * was sent.
@@ -79,8 +143,8 @@
     const {request, target, vm} = call;
     const {tier} = request.route;
     const atMs = this.events.nowMs;
-    const {sentAtMs} = request;
-    target.addArrival({atMs, vm: vm.options.vm, tier, sentAtMs});
+    const {sentAtMs, sharedParts} = request;
+    target.addArrival({atMs, vm: vm.options.vm, tier, sentAtMs, sharedParts});
     const isFull = target.running >= target.endpoint.slots;
     if (isFull || target.isRefusing) {
       this.submitHead(call, true);
@@ -92,16 +156,16 @@
     call.isRunning = true;
     if (request.route.kind === callKind.stream) {
       const firstEvent = request.events + 1;
-      this.schedule(call, answerBeginsMs, () => {
-        this.submitHead(call);
-        this.sendEvents(call, firstEvent);
-      });
+      this.schedule(call, answerBeginsMs, () =>
+        this.beginAnswer(call, () => this.sendEvents(call, firstEvent)),
+      );
       return;
     }
-    this.schedule(call, answerBeginsMs, () => {
-      this.submitHead(call);
-      call.vm.submit({kind: 'callProgressed', ...call.ids, events: 1});
-    });
+    this.schedule(call, answerBeginsMs, () =>
+      this.beginAnswer(call, () => {
+        call.vm.submit({kind: 'callProgressed', ...call.ids, events: 1});
+      }),
+    );
     this.schedule(call, answerEndsMs, () => this.finish(call));
   }
 
@@ -146,7 +210,7 @@
     this.callsByRequestId.delete(ids.requestId);
   }
 
-  private fail(call: FleetCall, failure: 'notSent' | 'refused'): void {
+  private fail(call: FleetCall, failure: 'notSent' | 'refused' | 'cut'): void {
     const {ids, request, vm} = call;
     if (call.isCanceled) return;
     const hasResponseStarted = request.events > 0;
@@ -156,6 +220,7 @@
       ...ids,
       failure,
       hasResponseStarted,
+      isConnectionLost: failure === 'cut',
       detail,
     });
   }
--- a/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
@@ -12,6 +12,8 @@
   readonly tier: number;
   /** When the caller sent the request, in ms. */
   readonly sentAtMs: number;
+  /** IDs of the parts of the prompt that other prompts may share. */
+  readonly sharedParts: readonly string[];
 }
 
 /**
@@ -28,6 +30,8 @@
   running = 0;
   /** Whether it refuses all calls. */
   isRefusing = false;
+  /** Whether its process has crashed and no other one has started yet. */
+  isDown = false;
   readonly notices = new StatedNotices(fleetDrainMs);
   private readonly limit = new NamedRateLimit();
   /** When the current pause ends, in ms; 0 if it is not paused. */
@@ -35,7 +39,13 @@
   /** Steps of its work that came due during the pause, in order. */
   private dueSteps: Array<() => void> = [];
 
-  constructor(readonly endpoint: Endpoint) {}
+  constructor(public endpoint: Endpoint) {}
+
+  /** Starts another process after a crash. */
+  restart(nowMs: number): void {
+    this.isDown = false;
+    this.endpoint = {...this.endpoint, startedAtMs: nowMs};
+  }
 
   /** Names a limit from now on, changes it, or withdraws it (undefined). */
   setLimit(perSecond: number | undefined, nowMs: number): void {
--- a/packages/ryeworks-lab/src/fleet/fleetRequest.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetRequest.ts
@@ -4,6 +4,8 @@
 /** A caller's request and what the caller got. */
 export interface FleetRequest {
   readonly route: Route;
+  /** IDs of the parts of its prompt that other prompts may share. */
+  readonly sharedParts: readonly string[];
   /** Name of the VM that it was sent to. */
   readonly vm: string;
   readonly sentAtMs: number;
