--- a/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
@@ -26,6 +26,9 @@
 const obstructed = createEndpoint('m1', names.model, {slots: 4});
 const other = createEndpoint('m2', names.model, {slots: 4});
 
+/** Prompt of the requests whose ways to the endpoint are tested. */
+const prompt = {sharedParts: ['c0', 'a1']};
+
 /** Returns the entry of the obstructed endpoint. */
 function getEntry(state: DispatchState) {
   return state.endpoints.byId.get(obstructed.id)!;
@@ -63,6 +66,13 @@
     runInput(state, {kind: 'movesRead', era: 1, orders: [order]}, setAtMs);
     state.moves.get(names.model)!.isBad = true;
   },
+  quarantined: state => {
+    const processes = ['m3@1', 'm4@1', 'm5@1', 'm6@1'];
+    const report = {part: 'a1', seenAgoMs: 0, processes};
+    const message = createDigest({sequence: 2, crashes: [report]});
+    deliver(state, message, setAtMs - 500);
+    runInput(state, {kind: 'timerDue'}, setAtMs - 100);
+  },
   no_permit: state => {
     const limits = {m1: {perSecond: 0.01, isLifted: false, ageMs: 0}};
     const message = createDigest({sequence: 2, limits});
@@ -77,7 +87,7 @@
 /** Calls of a stream at the other endpoint, which has begun its answer. */
 function startElsewhere(state: DispatchState) {
   getEntry(state).cooldownUntilMs = setAtMs;
-  const request = createRequest('urgent', 0);
+  const request = createRequest('urgent', 0, prompt);
   const {requestId} = request;
   runInput(state, request, 0);
   const call = {requestId, callNumber: 1};
@@ -109,7 +119,7 @@
 const ways: Record<string, Way> = {
   'first call': {
     prepare: startElsewhere,
-    createInputs: () => [createRequest('urgent', setAtMs + 1)],
+    createInputs: () => [createRequest('urgent', setAtMs + 1, prompt)],
   },
   'retry after a refusal': {
     prepare: startElsewhere,
@@ -129,7 +139,7 @@
       const inFlight = {m1: 99, m2: 99};
       const message = createDigest({inFlight});
       deliver(state, message, 200);
-      runInput(state, createRequest('urgent', 300), 300);
+      runInput(state, createRequest('urgent', 300, prompt), 300);
       return call;
     },
     createInputs: () => [{kind: 'peerMessageReceived', message: slotOffer}],
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/crashes/crashReports.ts
@@ -0,0 +1,107 @@
+import {DispatchState} from '../dispatchState.js';
+import {Effect} from '../effect.js';
+import {CrashReport} from '../peers/peerMessage.js';
+import {PartRecord} from './crashTable.js';
+import {addCrash, quarantineMs} from './partRecords.js';
+import {announceSound, isSound, recordSoundPart} from './soundParts.js';
+import {scheduleQuarantines} from './updateQuarantines.js';
+
+/** Time for which a crash that this VM has seen is in each digest, in ms. */
+const newReportMs = 3000;
+/**
+ * Time between two reports of all records, for all VMs together, in ms: VMs that
+ * have just started learn of them in this time.
+ */
+const allReportsIntervalMs = 250;
+/** Maximum number of records in a digest. */
+const maxReports = 32;
+/**
+ * Age up to which a record is reported, in ms. It is shorter than a quarantine, so
+ * that VMs do not remind each other of a part that all are about to forget.
+ */
+const maxReportedAgeMs = quarantineMs / 2;
+/**
+ * Difference above which a peer has seen a part later than this VM, in ms. A report
+ * may be underway for seconds, so that times seem later than they are.
+ */
+const lastSeenSlackMs = 10_000;
+
+/** Returns the time between two reports of all records by this VM, in ms. */
+function getAllReportsPeriodMs(state: DispatchState): number {
+  const vmCount = state.peers.byVm.size + 1;
+  return allReportsIntervalMs * vmCount * (0.5 + state.random.next());
+}
+
+/** Orders parts by their number of crashes, most first. */
+function compareRecords(
+  [, a]: [string, PartRecord],
+  [, b]: [string, PartRecord],
+): number {
+  return b.crashes.size - a.crashes.size;
+}
+
+/**
+ * Creates the reports of a digest: crashes that this VM has just seen, or from time
+ * to time all that it knows of.
+ */
+export function createCrashReports(
+  state: DispatchState,
+  nowMs: number,
+): CrashReport[] {
+  const table = state.crashes;
+  if (table.records.size === 0) return [];
+  const isAllDue = nowMs >= table.allReportedAtMs;
+  if (isAllDue) table.allReportedAtMs = nowMs + getAllReportsPeriodMs(state);
+  const reported = [...table.records].filter(
+    ([, {lastSeenAtMs, observedAtMs}]) =>
+      nowMs - observedAtMs <= newReportMs ||
+      (isAllDue && nowMs - lastSeenAtMs <= maxReportedAgeMs),
+  );
+  const reports: CrashReport[] = [];
+  for (const [part, record] of reported.sort(compareRecords)) {
+    if (reports.length === maxReports) break;
+    const seenAgoMs = Math.round(nowMs - record.lastSeenAtMs);
+    reports.push({part, seenAgoMs, processes: [...record.crashes.keys()]});
+  }
+  return reports;
+}
+
+/** Applies a peer's report of the crashes under a part. */
+function applyCrashReport(
+  state: DispatchState,
+  {part, processes, seenAgoMs}: CrashReport,
+  nowMs: number,
+): void {
+  const table = state.crashes;
+  if (isSound(table, part, nowMs)) {
+    announceSound(table, part, nowMs);
+    return;
+  }
+  let isNews = false;
+  for (const process of processes) {
+    if (addCrash(table, part, process, nowMs)) isNews = true;
+  }
+  const record = table.records.get(part);
+  if (record === undefined) return;
+  const seenAtMs = nowMs - seenAgoMs;
+  if (seenAtMs > record.lastSeenAtMs + lastSeenSlackMs) {
+    record.lastSeenAtMs = seenAtMs;
+  }
+  if (isNews) scheduleQuarantines(state, nowMs);
+}
+
+/** Applies what a peer's digest tells of crashes and of sound parts. */
+export function applyCrashReports(
+  state: DispatchState,
+  reports: readonly CrashReport[],
+  soundParts: readonly string[],
+  peer: string,
+  nowMs: number,
+): Effect[] {
+  const effects: Effect[] = [];
+  for (const part of soundParts) {
+    effects.push(...recordSoundPart(state, part, peer, nowMs));
+  }
+  for (const report of reports) applyCrashReport(state, report, nowMs);
+  return effects;
+}
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -0,0 +1,68 @@
+import {Endpoint} from '../endpoints/endpoint.js';
+
+/** What is known of a part of prompts under which endpoints have crashed. */
+export interface PartRecord {
+  /**
+   * When this VM learned of each crash, in ms, by the process that crashed; see
+   * `getProcess`.
+   */
+  readonly crashes: Map<string, number>;
+  /** When a request with the part last crashed an endpoint or was refused, in ms. */
+  lastSeenAtMs: number;
+  /** When an answer to this VM last failed by such a crash, in ms. */
+  observedAtMs: number;
+}
+
+/** Connections to a process that were lost and may show that it crashed. */
+export interface ConnectionLoss {
+  readonly atMs: number;
+  /** The parts of the prompts that it worked on for this VM. */
+  readonly parts: Set<string>;
+}
+
+/**
+ * Parts that are in all prompts under which the same endpoints have crashed. A
+ * prompt that has all of them is refused.
+ */
+export type Quarantine = readonly string[];
+
+/** What a VM knows of prompts under which endpoints crash. */
+export interface CrashTable {
+  /** Records of parts that no answer has shown to be sound, by part. */
+  readonly records: Map<string, PartRecord>;
+  quarantines: readonly Quarantine[];
+  /** When a prompt with a part was last answered completely, in ms, by part. */
+  readonly soundAtMs: Map<string, number>;
+  /** Until when this VM reports that a part is sound, in ms, by part. */
+  readonly soundReportedUntilMs: Map<string, number>;
+  /** Losses of connections that are being checked, by process. */
+  readonly uncheckedLosses: Map<string, ConnectionLoss>;
+  /** When each process last lost connections of this VM, in ms. */
+  readonly lostAtMs: Map<string, number>;
+  /** Whether the quarantines are going to be updated. */
+  isUpdateScheduled: boolean;
+  /** When this VM next reports all records, in ms. */
+  allReportedAtMs: number;
+}
+
+/** Creates an empty table. */
+export function createCrashTable(): CrashTable {
+  return {
+    records: new Map(),
+    quarantines: [],
+    soundAtMs: new Map(),
+    soundReportedUntilMs: new Map(),
+    uncheckedLosses: new Map(),
+    lostAtMs: new Map(),
+    isUpdateScheduled: false,
+    allReportedAtMs: 0,
+  };
+}
+
+/** Returns the name of the process that runs as an endpoint: `ID@START`. */
+export function getProcess({
+  id,
+  startedAtMs,
+}: Pick<Endpoint, 'id' | 'startedAtMs'>): string {
+  return `${id}@${startedAtMs}`;
+}
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -11,6 +11,7 @@
   createDesiredStateTracker,
   DesiredStateTracker,
 } from './desired/desiredStateTracker.js';
+import {CrashTable, createCrashTable} from './crashes/crashTable.js';
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointTable, EndpointTable} from './endpoints/endpointTable.js';
 import {LastZoneResponses} from './endpoints/zoneCooldown.js';
@@ -46,6 +47,8 @@
   | 'sweepMissing'
   /** Grants permits of an endpoint with a rate limit. */
   | 'permits'
+  /** Updates which prompts are kept from endpoints. */
+  | 'quarantines'
   /** Checks the progress of the moves. */
   | 'moves'
   /** Ends the wait for peers to name their version of the desired state. */
@@ -72,6 +75,7 @@
   readonly desiredState: DesiredStateTracker;
   readonly endpoints: EndpointTable;
   readonly lastZoneResponses: LastZoneResponses;
+  readonly crashes: CrashTable;
   readonly peers: PeerTable;
   /** `host:port` of seed VMs to contact while no other VM is known. */
   readonly seedAddresses: string[];
@@ -152,6 +156,7 @@
     desiredState: createDesiredStateTracker(),
     endpoints: createEndpointTable(),
     lastZoneResponses: new Map(),
+    crashes: createCrashTable(),
     peers: createPeerTable(),
     seedAddresses: [],
     usageByCustomer: new Map(),
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -28,6 +28,15 @@
   readonly callNumber: number;
 }
 
+/**
+ * Checks whether an endpoint accepts connections, shortly after it has lost one:
+ * a process that ends may still accept one meanwhile.
+ */
+export interface ProbeEndpoint {
+  readonly kind: 'probeEndpoint';
+  readonly endpoint: Endpoint;
+}
+
 /** Answers the caller with an error that this VM generates. */
 export interface AnswerError {
   readonly kind: 'answerError';
@@ -151,6 +160,8 @@
   desired_state_applied: [],
   endpoints_changed: ['change'],
   endpoint_notices: ['notice'],
+  prompt_crashes: [],
+  prompt_parts: ['change'],
   store_changes: ['state'],
 } as const;
 
@@ -171,6 +182,7 @@
 export type Effect =
   | StartCall
   | CancelCall
+  | ProbeEndpoint
   | AnswerError
   | ForwardFailure
   | AbortResponse
--- a/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
@@ -1,4 +1,5 @@
 import {hasFreeCapacity} from '../admission/capacity.js';
+import {isQuarantined} from '../crashes/isQuarantined.js';
 import {DispatchState} from '../dispatchState.js';
 import {listAllowedEndpoints} from '../moves/decideTrial.js';
 import {hasPermit} from '../rateLimits/permits.js';
@@ -29,6 +30,8 @@
   otherVersion: 'other_version',
   /** The request has a call there, or a recent one failed. */
   avoided: 'avoided',
+  /** Endpoints crash under the prompt. */
+  quarantined: 'quarantined',
   /** The endpoint has a rate limit and this VM holds no permit. */
   noPermit: 'no_permit',
   /** Its slots, as far as the request's tier may use them, are taken. */
@@ -103,6 +106,8 @@
 > = {
   avoided: (_state, {endpoint}, request, nowMs) =>
     isAvoided(request, endpoint.id, nowMs),
+  quarantined: ({crashes}, _entry, {sharedParts}, nowMs) =>
+    isQuarantined(crashes, sharedParts, nowMs),
   no_permit: (state, entry, {rank}, nowMs) =>
     !hasPermit(state, entry, rank, nowMs),
   no_capacity: (state, entry, request, nowMs) =>
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -36,6 +36,8 @@
   handleStoreViewFetchEnded,
   handleStoreViewRead,
 } from './peers/storeWatching.js';
+import {handleEndpointProbed} from './crashes/checkLostCall.js';
+import {updateQuarantines} from './crashes/updateQuarantines.js';
 import {sendDigest} from './peers/sendDigest.js';
 import {expirePermitWait} from './rateLimits/grantPermits.js';
 import {handleCallAnswered} from './requests/handleCallAnswered.js';
@@ -76,6 +78,7 @@
   digest: sendDigest,
   sweepMissing,
   permits: expirePermitWait,
+  quarantines: updateQuarantines,
   moves: updateMoves,
   versionCheck: expireVersionCheck,
   announce: announceVm,
@@ -189,6 +192,7 @@
   callPaused: handleCallPaused,
   callDone: handleCallDone,
   callFailed: handleCallFailed,
+  endpointProbed: handleEndpointProbed,
   desiredStateRead: handleDesiredStateRead,
   desiredStateFetchEnded: handleDesiredStateFetchEnded,
   endpointsListed: handleEndpointsListed,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -131,6 +131,17 @@
   readonly detail: string;
 }
 
+/**
+ * A probe showed whether an endpoint accepts connections. Follows each
+ * `probeEndpoint` effect.
+ */
+export interface EndpointProbed {
+  readonly kind: 'endpointProbed';
+  /** The endpoint as it was listed when the probe was asked for. */
+  readonly endpoint: Endpoint;
+  readonly isListening: boolean;
+}
+
 /** A version of the desired state was read from the store or from a peer. */
 export interface DesiredStateRead {
   readonly kind: 'desiredStateRead';
@@ -261,6 +272,7 @@
   | CallPaused
   | CallDone
   | CallFailed
+  | EndpointProbed
   | DesiredStateRead
   | DesiredStateFetchEnded
   | EndpointsListed
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -1,4 +1,5 @@
 import {admitWaiting} from '../admission/admitWaiting.js';
+import {applyCrashReports} from '../crashes/crashReports.js';
 import {DispatchState, getQueue} from '../dispatchState.js';
 import {checkFirstVersion} from '../desired/checkFirstVersion.js';
 import {fetchNewerVersion} from '../desired/fetchNewerVersion.js';
@@ -51,6 +52,13 @@
   effects.push(
     ...applyLimitReports(state, digest.limits ?? {}, vm, nowMs),
     ...applyLeavingReports(state, digest.leaving ?? {}, vm, nowMs),
+    ...applyCrashReports(
+      state,
+      digest.crashes ?? [],
+      digest.soundParts ?? [],
+      vm,
+      nowMs,
+    ),
     ...fetchNewerVersion(state, digest, nowMs),
     ...checkFirstVersion(state, nowMs),
     ...(digest.storeEra === undefined
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -38,6 +38,18 @@
   readonly ageMs: number;
 }
 
+/** What a VM knows of a part of prompts under which endpoints have crashed. */
+export interface CrashReport {
+  readonly part: string;
+  /**
+   * How long ago a request with the part last crashed an endpoint or was refused,
+   * in ms.
+   */
+  readonly seenAgoMs: number;
+  /** The processes that crashed, each as `ID@START`. */
+  readonly processes: readonly string[];
+}
+
 /**
  * State of one VM, sent to all others several times a second. Each digest
  * replaces all earlier ones but for the units that it omits, so a lost digest does
@@ -112,6 +124,14 @@
    * report them.
    */
   readonly leaving?: Readonly<Record<string, number>>;
+  /**
+   * Crashes of endpoints by the parts of the prompts under which they happened;
+   * undefined from a build that reports none. Unlike other fields, a report adds to
+   * earlier ones.
+   */
+  readonly crashes?: readonly CrashReport[];
+  /** Parts that a peer has reported although prompts with them are answered. */
+  readonly soundParts?: readonly string[];
 }
 
 /**
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -1,4 +1,6 @@
 import {getQueueHead} from '../admission/assignFreedSlot.js';
+import {createCrashReports} from '../crashes/crashReports.js';
+import {listSoundReports} from '../crashes/soundParts.js';
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
 import {createLeavingReports} from '../endpoints/leavingReports.js';
@@ -122,6 +124,8 @@
     moves: createMoveReports(state, nowMs),
     limits: createLimitReports(state, nowMs),
     leaving: createLeavingReports(state),
+    crashes: createCrashReports(state, nowMs),
+    soundParts: listSoundReports(state.crashes, nowMs),
   };
 }
 
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -83,7 +83,7 @@
     state.timers.set('silence', requestId, dueMs);
     return [];
   }
-  const obstacle = findRetryObstacle(request, callFailure.cut, nowMs);
+  const obstacle = findRetryObstacle(state, request, callFailure.cut, nowMs);
   if (obstacle !== undefined && !canRetryNow(request, obstacle)) {
     return reportSilence(request, call, timeoutMs, obstacle, nowMs);
   }
--- a/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
+++ b/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
@@ -1,3 +1,4 @@
+import {isQuarantined} from '../crashes/isQuarantined.js';
 import {DispatchState, getRetryBudget} from '../dispatchState.js';
 import {callFailure, CallFailure} from '../input.js';
 import {ActiveRequest} from './activeRequest.js';
@@ -24,6 +25,8 @@
   callsUsed: 'calls_used',
   noTimeLeft: 'no_time_left',
   budgetUsed: 'budget_used',
+  /** Endpoints crash under the prompt. */
+  quarantined: 'quarantined',
 } as const;
 
 /** One of the reasons why a request is not retried. */
@@ -43,6 +46,7 @@
  * its call, or undefined if it may be, as far as the retry budget allows.
  */
 export function findRetryObstacle(
+  state: DispatchState,
   request: ActiveRequest,
   failure: CallFailure,
   nowMs: number,
@@ -50,6 +54,9 @@
   const {maxAttempts} = request.route;
   const {callsStarted, isRetryable, possibleRuns, sentCalls} = request;
   const timeLeftMs = request.timeoutAtMs - nowMs;
+  if (isQuarantined(state.crashes, request.sharedParts, nowMs)) {
+    return retryObstacle.quarantined;
+  }
   if (!provesNotRun[failure] && !isRetryable) return retryObstacle.mayHaveRun;
   if (possibleRuns >= maxAttempts) return retryObstacle.attemptsUsed;
   const maxSentCalls = maxAttempts + extraSentCalls;
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,3 +1,4 @@
+import {recordSoundPart} from '../crashes/soundParts.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
 import {createCount, Effect} from '../effect.js';
@@ -30,6 +31,9 @@
  */
 const slowFactor = 2.5;
 
+/** Lowest HTTP status of an answer that is no success. */
+const minUnsuccessfulStatus = 300;
+
 /** Records that a call was sent, so that the request may have run. */
 export function handleCallSent(
   state: DispatchState,
@@ -133,6 +137,11 @@
     });
     recordStreamEventGap(request, call, entry);
   }
+  if (input.status < minUnsuccessfulStatus) {
+    for (const part of request.sharedParts) {
+      effects.push(...recordSoundPart(state, part, request.attemptId, nowMs));
+    }
+  }
   const reason = `${input.status}`;
   return [
     ...effects,
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -1,3 +1,5 @@
+import {checkLostCall} from '../crashes/checkLostCall.js';
+import {failQuarantined} from '../crashes/endQuarantinedRequests.js';
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect, Log} from '../effect.js';
 import {recordFailure} from '../endpoints/recordFailure.js';
@@ -45,6 +47,9 @@
       ),
     ];
   }
+  if (obstacle === retryObstacle.quarantined) {
+    return failQuarantined(state, request, nowMs);
+  }
   if (request.possibleRuns === 0) {
     const retryAfterMs = notRunRetryAfterMs;
     return failRequest(
@@ -90,7 +95,7 @@
   failure: CallFailure,
   nowMs: number,
 ): RetryObstacle | undefined {
-  const obstacle = findRetryObstacle(request, failure, nowMs);
+  const obstacle = findRetryObstacle(state, request, failure, nowMs);
   if (obstacle !== undefined) return obstacle;
   return consumeRetry(state, request, nowMs)
     ? undefined
@@ -116,6 +121,9 @@
   if (wasSent && provesNotRun[failure]) request.possibleRuns -= 1;
   markAvoided(request, call.endpointId, nowMs);
   const effects: Effect[] = [createCount('calls_failed', {failure})];
+  if (input.isConnectionLost === true && entry !== undefined) {
+    effects.push(...checkLostCall(state, request, call, entry, nowMs));
+  }
   const keepEffects = releaseFailedCall(state, request, call, nowMs);
   if (keepEffects !== undefined) {
     effects.push(createFailureLog(found, input, 'other_call', nowMs));
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -1,6 +1,8 @@
 import {ErrorKind} from '@ryeworks/types';
 import {decideMaxWaitMs} from '../admission/maxWait.js';
 import {refuseOrQueue} from '../admission/refuseOrQueue.js';
+import {findQuarantine} from '../crashes/isQuarantined.js';
+import {quarantineMs, recordSeen} from '../crashes/partRecords.js';
 import {callKind, Customer, Route} from '../desired/desiredState.js';
 import {findRoute, pickService} from '../desired/routeTable.js';
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
@@ -215,6 +217,12 @@
   if (customer === undefined && !route.isAnonymous) {
     return refuseRequest(state, input, 'unauthenticated');
   }
+  const quarantine = findQuarantine(state.crashes, input.sharedParts, nowMs);
+  if (quarantine !== undefined) {
+    recordSeen(state.crashes, quarantine, nowMs);
+    const details = {parts: quarantine.join()};
+    return refuseRequest(state, input, 'crashingPrompt', quarantineMs, details);
+  }
   const service = pickService(route, state.random);
   if (service === undefined) {
     return refuseRequest(state, input, 'noEndpoint', notReadyRetryAfterMs);
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -35,6 +35,7 @@
   WireFormat,
 } from './deploymentInterfaces.js';
 import {EndpointClient} from './endpoints/endpointClient.js';
+import {probeEndpoint} from './endpoints/probeEndpoint.js';
 import {GatewaySettings} from './gatewaySettings.js';
 import {PeerSocket} from './peers/peerSocket.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
@@ -195,6 +196,7 @@
     ...createFetchHandlers(components),
     startCall: effect => endpointClient.startCall(effect),
     cancelCall: effect => endpointClient.cancelCall(effect),
+    probeEndpoint: effect => void probeEndpoint(components.loop, effect),
     ...createAnswerHandlers(components),
     sendPeer: ({address, message}) => peerSocket.send(address, message),
     applyCallerBounds: ({bounds}) => callerServer.applyBounds(bounds),
--- a/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
@@ -18,6 +18,8 @@
 const commonPart = 'c0';
 const topicPart = 'a1';
 const crashingPart = 'bad0';
+/** Number of topics that few requests are about. */
+const rareTopics = 40;
 
 const fleetSizes: ReadonlyArray<FleetSize & {readonly name: string}> = [
   {name: '8 VMs', zones: 4, vmsPerZone: 2, endpoints: 13},
@@ -32,9 +34,21 @@
   fleet.startCallers('story', perSecond, endMs, [commonPart]);
   fleet.startCallers('relaxed', perSecond, endMs, [commonPart, topicPart]);
   fleet.startCallers('urgent', perSecond, endMs, [commonPart]);
+  for (let index = 0; index < rareTopics; index++) {
+    fleet.startCallers('story', 0.4, endMs, [commonPart, `d${index}`]);
+  }
   return fleet;
 }
 
+/** Returns how many requests were refused for their prompts. */
+function countQuarantined(fleet: DispatchFleet, part: string): number {
+  const refused = [...fleet.requests.values()].filter(
+    ({error, sharedParts}) =>
+      error === 'crashingPrompt' && sharedParts.includes(part),
+  );
+  return refused.length;
+}
+
 /** Lists when VMs sent requests with a part to endpoints, in ms. */
 function listArrivals(fleet: DispatchFleet, part: string): number[] {
   const timesMs: number[] = [];
@@ -79,5 +93,67 @@
     t.ok(late.length <= toleratedArrivals, `${late.length} arrive later`);
     const share = getServedShare(fleet, lastMs + 2 * contactMs, endMs - 500);
     t.ok(share >= 0.97, `${share} of the sound requests are served`);
+    const refused = countQuarantined(fleet, commonPart);
+    t.equal(refused, countQuarantined(fleet, crashingPart), 'no sound prompt');
   });
 }
+
+/** Troubles that have nothing to do with prompts. */
+const ordinaryTroubles: Record<string, (fleet: DispatchFleet) => void> = {
+  'one endpoint after the other crashes': fleet => {
+    for (const [index, id] of [...fleet.endpoints.keys()].entries()) {
+      fleet.events.schedule(4000 + 150 * index, () => fleet.killEndpoint(id));
+    }
+  },
+  'all endpoints crash twice': fleet => {
+    for (const atMs of [5000, 10_000]) {
+      fleet.events.schedule(atMs, () => {
+        for (const id of fleet.endpoints.keys()) fleet.killEndpoint(id);
+      });
+    }
+  },
+  'connections are reset': fleet => {
+    for (let atMs = 4000; atMs < 12_000; atMs += 100) {
+      fleet.events.schedule(atMs, () => {
+        for (const endpoint of fleet.endpoints.values()) {
+          fleet.calls.resetConnections(endpoint);
+        }
+      });
+    }
+  },
+  'VMs and endpoints restart and a zone is cut off': fleet => {
+    const [first, second] = fleet.vms.values();
+    for (const {options} of [first, second]) {
+      fleet.events.schedule(4000, () => fleet.killVm(options.vm));
+      fleet.events.schedule(6000, () =>
+        fleet.startVm(options.vm, options.availabilityZone),
+      );
+    }
+    fleet.events.schedule(7000, () => fleet.setZoneCut('zone-1', true));
+    for (const [index, id] of [...fleet.endpoints.keys()].entries()) {
+      fleet.events.schedule(7000 + 100 * index, () => fleet.killEndpoint(id));
+    }
+    fleet.events.schedule(10_000, () => fleet.clearCuts());
+  },
+  'all endpoints crash as a topic becomes hot': fleet => {
+    fleet.events.schedule(6000, () =>
+      fleet.startCallers('story', 30, endMs, [commonPart, 'e1']),
+    );
+    fleet.events.schedule(6150, () => {
+      for (const id of fleet.endpoints.keys()) fleet.killEndpoint(id);
+    });
+  },
+};
+
+for (const size of fleetSizes.slice(0, 2)) {
+  for (const [trouble, cause] of Object.entries(ordinaryTroubles)) {
+    // Guards against sound prompts that are refused because endpoints crash, or
+    // lose connections, for another reason.
+    t.test(`no prompt is blamed at ${size.name} if ${trouble}`, async t => {
+      const fleet = startFleet(size);
+      cause(fleet);
+      fleet.events.runUntil(endMs);
+      t.equal(countQuarantined(fleet, commonPart), 0);
+    });
+  }
+}
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -5,6 +5,7 @@
   Effect,
   Endpoint,
   LimitBounds,
+  ProbeEndpoint,
   RequestReceived,
   Route,
   SendPeer,
@@ -19,6 +20,8 @@
 
 /** Time of a message between two VMs, in ms. */
 const linkDelayMs = 1;
+/** Time until an endpoint that has lost a connection is probed, in ms. */
+const probeDelayMs = 50;
 /** How long callers wait for an answer, in ms. */
 export const callerDeadlineMs = 8000;
 /** Longest time until a VM reads a change of the desired state, in ms. */
@@ -214,9 +217,9 @@
     else this.cutZones.delete(zone);
   }
 
-  /** Crashes an endpoint. */
-  crashEndpoint(id: string): void {
-    this.calls.crash(this.getEndpoint(id));
+  /** Ends the process of an endpoint. */
+  killEndpoint(id: string): void {
+    this.calls.kill(this.getEndpoint(id));
   }
 
   /** Connects all zones again. */
@@ -279,6 +282,7 @@
       sendPeer: sent => this.sendMessage(vm, sent),
       startCall: call => this.startCall(vm, call),
       cancelCall: call => this.calls.cancel(call),
+      probeEndpoint: probe => this.probeEndpoint(vm, probe),
       answerError: answer => this.recordRefusal(answer),
       abortResponse: ({requestId}) => {
         this.requests.get(requestId)!.outcome = 'cut';
@@ -337,6 +341,15 @@
     this.calls.start(vm, effect, request, target, hasPath);
   }
 
+  private probeEndpoint(vm: FleetVm, {endpoint}: ProbeEndpoint): void {
+    this.events.schedule(probeDelayMs, () => {
+      const {endpoint: running, isDown} = this.getEndpoint(endpoint.id);
+      const isSame = running.startedAtMs === endpoint.startedAtMs;
+      const isListening = isSame && !isDown;
+      vm.submit({kind: 'endpointProbed', endpoint, isListening});
+    });
+  }
+
   private recordRefusal({error, requestId, retryAfterMs}: AnswerError): void {
     const request = this.requests.get(requestId)!;
     Object.assign(request, {outcome: 'failed', error});
--- a/packages/ryeworks-lab/src/fleet/fleetCalls.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -92,19 +92,19 @@
     }
   }
 
-  /** Crashes an endpoint, which another process replaces after a while. */
-  crash(target: FleetEndpoint): void {
+  /** Ends the process of an endpoint, which another process replaces after a while. */
+  kill(target: FleetEndpoint): void {
     if (target.isDown) return;
     target.isDown = true;
-    this.loseConnections(target);
+    this.resetConnections(target);
     this.events.schedule(downMs, () => {
-      target.restart(this.events.nowMs);
+      target.startNextProcess(this.events.nowMs);
       this.handleRestarted(target);
     });
   }
 
   /** Resets all connections of an endpoint. */
-  loseConnections(target: FleetEndpoint): void {
+  resetConnections(target: FleetEndpoint): void {
     for (const calls of [...this.callsByRequestId.values()]) {
       for (const call of calls) {
         if (call.target !== target || !call.isRunning) continue;
@@ -120,7 +120,7 @@
    *
    * @param answer sends the beginning of the answer
    */
-  private beginAnswer(call: FleetCall, answer: () => void): void {
+  private startAnswer(call: FleetCall, answer: () => void): void {
     const {request, target} = call;
     const {crashingPart} = this;
     const isCrashing =
@@ -132,7 +132,7 @@
     }
     const {id} = target.endpoint;
     this.crashes.push({endpointId: id, atMs: this.events.nowMs});
-    this.crash(target);
+    this.kill(target);
   }
 
   /**
@@ -157,12 +157,12 @@
     if (request.route.kind === callKind.stream) {
       const firstEvent = request.events + 1;
       this.schedule(call, answerBeginsMs, () =>
-        this.beginAnswer(call, () => this.sendEvents(call, firstEvent)),
+        this.startAnswer(call, () => this.sendEvents(call, firstEvent)),
       );
       return;
     }
     this.schedule(call, answerBeginsMs, () =>
-      this.beginAnswer(call, () => {
+      this.startAnswer(call, () => {
         call.vm.submit({kind: 'callProgressed', ...call.ids, events: 1});
       }),
     );
--- a/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
@@ -42,7 +42,7 @@
   constructor(public endpoint: Endpoint) {}
 
   /** Starts another process after a crash. */
-  restart(nowMs: number): void {
+  startNextProcess(nowMs: number): void {
     this.isDown = false;
     this.endpoint = {...this.endpoint, startedAtMs: nowMs};
   }
--- a/packages/ryeworks-types/src/errorKind.ts
+++ b/packages/ryeworks-types/src/errorKind.ts
@@ -82,6 +82,13 @@
     retryAfter: true,
     message: 'No endpoint can take the request now. It did not run.',
   },
+  crashingPrompt: {
+    status: 503,
+    ran: runStatus.notRun,
+    retryAfter: true,
+    message:
+      'Endpoints have crashed under a part of the prompt. The request did not run.',
+  },
   notReady: {
     status: 503,
     ran: runStatus.notRun,
