Answers without a length are forwarded in chunks; a stream that ends inside an event is cut

What callers saw: an answer that was cut off at its time limit looked complete (endlessBody.test.ts failed so once, beside other work). Traced: an answer without length was forwarded without one, and only a reset marked an early end. A caller that has not read all bytes when the reset comes is told of a regular end by Node. A caller that begins to read after 1.9 s of the 2 s shows it in each run (the new case of endlessBody.test.ts failed before). The reset also took away events that the caller had not read yet.

Chunks weighed: a close without the last chunk is noticed however late the caller reads, and events before it arrive. What speaks against them: an end by FIN from a dying endpoint is passed on as a proper end. The same end of a connection looked like one to the caller before. Callers that speak HTTP/1.0 get no chunks and the reset as before. gateway.test.ts asked for the old framing ('must not be passed on as framed'); it now asks for chunks.

A stream that may not be resumed was not looked at: one that ended inside an event was passed on as complete (unframedAnswers.test.ts failed before, 2 of 6).

--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -8,13 +8,15 @@
 export interface ForwardedHead {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
-  /**
-   * Whether the endpoint's answer had neither a content length nor a transfer
-   * encoding, so that only the end of the connection marks its end. It is
-   * forwarded in the same way: with framing added, an answer that may be
-   * truncated would look complete.
-   */
-  readonly isUnframed: boolean;
+}
+
+/** Media type of a stream of events. */
+export const eventStreamType = 'text/event-stream';
+
+/** Returns the media type of an answer, without parameters. */
+export function getMediaType(headers: ForwardedHead['headers']): string {
+  const [mediaType] = `${headers['content-type'] ?? ''}`.split(';');
+  return mediaType.trim().toLowerCase();
 }
 
 /** A complete answer, held in memory until it is forwarded. */
@@ -33,7 +35,7 @@
   if (retryAfter && retryAfterMs > 0) {
     headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
   }
-  return {status, headers, body, isUnframed: false};
+  return {status, headers, body};
 }
 
 /** A caller's request that was read and is not completely answered yet. */
@@ -48,7 +50,7 @@
   /** Whether the answer was aborted. */
   isAborted = false;
   private isClosing = false;
-  private isUnframed = false;
+  private sentHead: ForwardedHead | undefined;
 
   constructor(
     readonly requestId: string,
@@ -73,12 +75,16 @@
     this.isClosing = true;
   }
 
-  /** Sends the status and headers of an answer. */
-  writeHead({headers, isUnframed, status}: ForwardedHead): void {
-    this.isUnframed = isUnframed;
-    if (isUnframed) this.response.removeHeader('transfer-encoding');
-    const isLast = this.isClosing || isUnframed;
-    const sentHeaders = isLast ? {...headers, connection: 'close'} : headers;
+  /**
+   * Sends the status and headers of an answer. One without a length is sent in
+   * chunks, so that its caller notices an end that comes too early.
+   */
+  writeHead(head: ForwardedHead): void {
+    const {headers, status} = head;
+    this.sentHead = head;
+    const sentHeaders = this.isClosing
+      ? {...headers, connection: 'close'}
+      : headers;
     this.response.writeHead(status, sentHeaders);
   }
 
@@ -140,11 +146,19 @@
   abort(): void {
     if (this.response.writableEnded) return;
     this.isAborted = true;
-    // If the end of the connection marks the end of the answer, only a reset
-    // shows that the answer was aborted.
-    if (this.isUnframed) resetSocket(this.request.socket);
+    if (this.isUnframed()) resetSocket(this.request.socket);
     else this.response.destroy();
   }
+
+  /**
+   * Returns whether only the end of the connection marks the end of the answer, so
+   * that only a reset shows an end that comes too early: a caller that speaks
+   * HTTP/1.0 reads no chunks.
+   */
+  private isUnframed(): boolean {
+    const length = this.sentHead?.headers['content-length'];
+    return this.request.httpVersion === '1.0' && length === undefined;
+  }
 }
 
 /** Open requests of this VM by request ID. */
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -2,13 +2,16 @@
 import {parseHostPort} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {
+  eventStreamType,
   ForwardedHead,
+  getMediaType,
   HeldAnswer,
   OpenRequest,
 } from '../callers/openRequest.js';
 import {AnswerHead, WireFormat} from '../deploymentInterfaces.js';
 import {checkConnectionEnd, ConnectionEnd} from './checkConnectionEnd.js';
 import {connectEndpoint} from './connectEndpoint.js';
+import {EventBoundary} from './eventBoundary.js';
 import {EventSplitter} from './eventSplitter.js';
 
 /**
@@ -75,6 +78,7 @@
   private connectionEnd: Promise<ConnectionEnd> | undefined;
   private mode: ForwardMode = 'unknown';
   private readonly splitter = new EventSplitter();
+  private readonly boundary = new EventBoundary();
   /** Parts of the body that are held in memory. */
   private held: Buffer[] = [];
   private heldBytes = 0;
@@ -235,7 +239,7 @@
 
   private handleEnd(): void {
     if (this.isFinished) return;
-    if (this.response?.complete !== true || this.splitter.partialBytes > 0) {
+    if (this.response?.complete !== true || this.isInsideEvent()) {
       this.failLost('answer_incomplete');
       return;
     }
@@ -332,13 +336,22 @@
     );
   }
 
+  /** Returns whether what was received ends inside an event of a stream. */
+  private isInsideEvent(): boolean {
+    if (this.mode === 'events') return this.splitter.partialBytes > 0;
+    if (this.mode !== 'bytes' || !this.options.effect.isStream) return false;
+    const {headers} = this.createForwardedHead();
+    const isEventStream = getMediaType(headers) === eventStreamType;
+    return isEventStream && this.boundary.isInsideEvent;
+  }
+
   private createForwardedHead(): ForwardedHead {
     const {headers, status} = this.head!;
     const callerHeaders = this.options.wire.createCallerHeaders({
       headers,
       status,
     });
-    return {status, headers: callerHeaders, isUnframed: this.isUnframed()};
+    return {status, headers: callerHeaders};
   }
 
   private createHeldAnswer(): HeldAnswer {
@@ -382,6 +395,7 @@
   private forwardBytes(chunk: Buffer): void {
     this.sendHead();
     this.events += 1;
+    this.boundary.addChunk(chunk);
     this.write(chunk);
   }
 
