A stream goes on only with events of the same status

What callers saw: a stream broke off, the next endpoint answered 200 with an error as plain text, an empty text or 204, and its text was joined to the stream, or the stream ended as if it were complete (report of the users, ORDER, MIXED). Cause: any status below 300 went on as a stream.

--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -88,6 +88,19 @@
     this.response.writeHead(status, sentHeaders);
   }
 
+  /**
+   * Returns whether a stream that has begun can go on with the events of another
+   * answer, which may be an error in spite of its status.
+   */
+  canContinueWith({headers, status}: ForwardedHead): boolean {
+    if (this.sentHead?.status !== status) return false;
+    const mediaType = getMediaType(headers);
+    return (
+      mediaType === eventStreamType ||
+      mediaType === getMediaType(this.sentHead.headers)
+    );
+  }
+
   /**
    * Sends part of an answer. Returns false if the send buffer is full because
    * the caller reads slowly.
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -186,8 +186,10 @@
     else this.mode = effect.isResumable ? 'events' : 'bytes';
     // Part of an earlier call's answer was forwarded, which only a stream that
     // is resumed after its last event can complete.
-    const isContinuable = this.mode === 'events' || this.isFailure();
-    if (openRequest.hasStarted && !isContinuable) {
+    const isContinuable =
+      this.mode === 'events' &&
+      openRequest.canContinueWith(this.createForwardedHead());
+    if (openRequest.hasStarted && !isContinuable && !this.isFailure()) {
       this.fail('cut', `not_resumable_${status}`);
       return;
     }
