--- a/packages/ryeworks-utils/src/hostPort.ts
+++ b/packages/ryeworks-utils/src/hostPort.ts
@@ -15,3 +15,13 @@
 export function formatHostPort({host, port}: HostPort): string {
   return `${host}:${port}`;
 }
+
+/** Highest TCP and UDP port. */
+const maxPort = 65_535;
+
+/** Returns whether an address has a host and a port that can be connected to. */
+export function hasValidPort(address: string): boolean {
+  const {host, port} = parseHostPort(address);
+  const isPort = Number.isInteger(port) && port >= 1 && port <= maxPort;
+  return host !== '' && isPort;
+}
