--- a/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
@@ -72,6 +72,56 @@
   return served.length / sound.length;
 }
 
+/** Starts requests with the crashing part, as streams and as plain calls. */
+function startCrashing(fleet: DispatchFleet): void {
+  const parts = [commonPart, topicPart, crashingPart];
+  fleet.startCallers('story', 5, endMs, parts);
+  fleet.startCallers('relaxed', 3, endMs, [commonPart, crashingPart]);
+}
+
+/** Counts the requests with the crashing part that reach endpoints too late. */
+function countLateArrivals(fleet: DispatchFleet): number {
+  const {atMs: fifthMs} = fleet.calls.crashes[toleratedCrashes - 1];
+  const times = listArrivals(fleet, crashingPart);
+  return times.filter(atMs => atMs > fifthMs + contactMs).length;
+}
+
+for (const size of fleetSizes.slice(0, 2)) {
+  // Guards against a fleet that forgets with its processes which prompts crash
+  // endpoints.
+  t.test(`a restart of all of ${size.name} forgets no prompt`, async t => {
+    const fleet = startFleet(size);
+    fleet.calls.crashingPart = crashingPart;
+    fleet.events.schedule(crashingFromMs, () => startCrashing(fleet));
+    const all = [...fleet.vms.values()].map(({options}) => options);
+    fleet.events.schedule(11_000, () => {
+      for (const {vm} of all) fleet.killVm(vm);
+    });
+    fleet.events.schedule(12_000, () => {
+      for (const {availabilityZone, vm} of all) {
+        fleet.startVm(vm, availabilityZone);
+      }
+    });
+    fleet.events.runUntil(endMs);
+    const late = countLateArrivals(fleet);
+    t.ok(late <= toleratedArrivals, `${late} arrive later`);
+  });
+
+  // Guards against a VM that starts later and does not hear of the crashes.
+  t.test(`a VM that starts beside ${size.name} is told`, async t => {
+    const fleet = startFleet(size);
+    fleet.calls.crashingPart = crashingPart;
+    fleet.events.schedule(crashingFromMs, () => startCrashing(fleet));
+    fleet.events.runUntil(12_000);
+    fleet.startVm('zone-0-new', 'zone-0');
+    fleet.events.runUntil(endMs);
+    const late = countLateArrivals(fleet);
+    t.ok(late <= toleratedArrivals, `${late} arrive later`);
+    const {state} = fleet.vms.get('zone-0-new')!;
+    t.strictSame(state.crashes.quarantines, [[crashingPart]]);
+  });
+}
+
 for (const size of fleetSizes) {
   // Guards against requests that crash one endpoint after the other: each VM sees
   // one or two of the crashes.
@@ -79,10 +129,7 @@
     const fleet = startFleet(size);
     fleet.calls.crashingPart = crashingPart;
     fleet.events.runUntil(crashingFromMs);
-    // As streams that are resumed, and as calls that are retried.
-    const parts = [commonPart, topicPart, crashingPart];
-    fleet.startCallers('story', 5, endMs, parts);
-    fleet.startCallers('relaxed', 3, endMs, [commonPart, crashingPart]);
+    startCrashing(fleet);
     fleet.events.runUntil(endMs);
     const {crashes} = fleet.calls;
     t.ok(crashes.length >= 3, 'endpoints have crashed');
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -244,9 +244,10 @@
     this.events.schedule(this.random.next() * intervalMs, sendNext);
   }
 
-  /** Sends one request to a random live VM. */
+  /** Sends one request to a random live VM, if there is one. */
   sendRequest(routeName: string, sharedParts: readonly string[] = []): void {
     const live = [...this.vms.values()].filter(vm => !vm.isDead);
+    if (live.length === 0) return;
     const vm = live[this.random.nextInt(live.length)];
     const requestId = `r${this.nextRequestNumber++}`;
     this.requests.set(requestId, {
