Which prompts crash endpoints survives a restart of all VMs

The VM that writes the results of moves also writes the parts under quarantine to the store, when they change. Each VM reads them once as it starts, with a list that may be stale.

--- a/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
+++ b/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
@@ -6,7 +6,7 @@
 import {CrashTable, getProcess} from './crashTable.js';
 import {addCrash} from './partRecords.js';
 import {isSound} from './soundParts.js';
-import {scheduleQuarantines} from './updateQuarantines.js';
+import {scheduleQuarantines} from './scheduleQuarantines.js';
 
 /**
  * Number of events up to which an answer has only begun. A prompt that crashes
--- a/packages/ryeworks-dispatch/src/crashes/crashReports.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashReports.ts
@@ -4,7 +4,7 @@
 import {PartRecord} from './crashTable.js';
 import {addCrash, quarantineMs} from './partRecords.js';
 import {announceSound, isSound, recordSoundPart} from './soundParts.js';
-import {scheduleQuarantines} from './updateQuarantines.js';
+import {scheduleQuarantines} from './scheduleQuarantines.js';
 
 /** Time for which a crash that this VM has seen is in each digest, in ms. */
 const newReportMs = 3000;
@@ -66,10 +66,15 @@
   return reports;
 }
 
-/** Applies a peer's report of the crashes under a part. */
-function applyCrashReport(
+/**
+ * Applies a report of the crashes under a part, of a peer or from the store.
+ *
+ * @param learnedAtMs since when this VM knows of crashes that are news to it
+ */
+export function applyCrashReport(
   state: DispatchState,
   {part, processes, seenAgoMs}: CrashReport,
+  learnedAtMs: number,
   nowMs: number,
 ): void {
   const table = state.crashes;
@@ -79,7 +84,7 @@
   }
   let isNews = false;
   for (const process of processes) {
-    if (addCrash(table, part, process, nowMs)) isNews = true;
+    if (addCrash(table, part, process, learnedAtMs)) isNews = true;
   }
   const record = table.records.get(part);
   if (record === undefined) return;
@@ -102,6 +107,6 @@
   for (const part of soundParts) {
     effects.push(...recordSoundPart(state, part, peer, nowMs));
   }
-  for (const report of reports) applyCrashReport(state, report, nowMs);
+  for (const report of reports) applyCrashReport(state, report, nowMs, nowMs);
   return effects;
 }
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -41,6 +41,13 @@
   readonly lostAtMs: Map<string, number>;
   /** Whether the quarantines are going to be updated. */
   isUpdateScheduled: boolean;
+  /**
+   * The quarantines that this VM has written to the store, as a text; undefined if
+   * it has written none, or does not know what the store holds.
+   */
+  storedKey: string | undefined;
+  /** Whether the quarantines are being written to the store. */
+  isWriting: boolean;
   /** When this VM next reports all records, in ms. */
   allReportedAtMs: number;
 }
@@ -55,6 +62,8 @@
     uncheckedLosses: new Map(),
     lostAtMs: new Map(),
     isUpdateScheduled: false,
+    storedKey: undefined,
+    isWriting: false,
     allReportedAtMs: 0,
   };
 }
--- a/packages/ryeworks-dispatch/src/crashes/partRecords.ts
+++ b/packages/ryeworks-dispatch/src/crashes/partRecords.ts
@@ -44,16 +44,20 @@
   return record;
 }
 
-/** Records the crash of a process under a part. Returns whether it is news. */
+/**
+ * Records the crash of a process under a part. Returns whether it is news.
+ *
+ * @param learnedAtMs since when this VM knows of it
+ */
 export function addCrash(
   table: CrashTable,
   part: string,
   process: string,
-  nowMs: number,
+  learnedAtMs: number,
 ): boolean {
   const {crashes} = getOrCreateRecord(table, part);
   if (crashes.has(process)) return false;
-  crashes.set(process, nowMs);
+  crashes.set(process, learnedAtMs);
   if (crashes.size > maxCrashes) removeOldest(crashes);
   return true;
 }
--- a/packages/ryeworks-dispatch/src/crashes/soundParts.ts
+++ b/packages/ryeworks-dispatch/src/crashes/soundParts.ts
@@ -1,7 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {CrashTable, Quarantine} from './crashTable.js';
-import {scheduleQuarantines} from './updateQuarantines.js';
+import {scheduleQuarantines} from './scheduleQuarantines.js';
 
 /**
  * Time for which a complete answer shows that the parts of its prompt do not crash
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -2,7 +2,7 @@
 import {CallerBounds} from './desired/desiredState.js';
 import {Endpoint} from './endpoints/endpoint.js';
 import {MoveResult} from './moves/moveOrder.js';
-import {PeerMessage} from './peers/peerMessage.js';
+import {CrashReport, PeerMessage} from './peers/peerMessage.js';
 
 /** Sends a request to an endpoint. */
 export interface StartCall {
@@ -112,6 +112,15 @@
   readonly result: MoveResult;
 }
 
+/**
+ * Writes to the store which prompts crash endpoints, in place of what it holds. A
+ * `crashReportsWritten` input follows.
+ */
+export interface WriteCrashReports {
+  readonly kind: 'writeCrashReports';
+  readonly reports: readonly CrashReport[];
+}
+
 /** Reports an error that the handler of a timer has thrown. */
 export interface ReportFault {
   readonly kind: 'reportFault';
@@ -194,6 +203,7 @@
   | AnnounceVm
   | ApplyCallerBounds
   | WriteMoveResult
+  | WriteCrashReports
   | ReportFault
   | Count
   | Observe
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -37,6 +37,10 @@
   handleStoreViewRead,
 } from './peers/storeWatching.js';
 import {handleEndpointProbed} from './crashes/checkLostCall.js';
+import {
+  handleCrashReportsRead,
+  handleCrashReportsWritten,
+} from './crashes/writeCrashReports.js';
 import {updateQuarantines} from './crashes/updateQuarantines.js';
 import {sendDigest} from './peers/sendDigest.js';
 import {expirePermitWait} from './rateLimits/grantPermits.js';
@@ -193,6 +197,8 @@
   callDone: handleCallDone,
   callFailed: handleCallFailed,
   endpointProbed: handleEndpointProbed,
+  crashReportsRead: handleCrashReportsRead,
+  crashReportsWritten: handleCrashReportsWritten,
   desiredStateRead: handleDesiredStateRead,
   desiredStateFetchEnded: handleDesiredStateFetchEnded,
   endpointsListed: handleEndpointsListed,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -3,7 +3,7 @@
 import {Endpoint} from './endpoints/endpoint.js';
 import {EndpointNotice} from './endpoints/endpointNotice.js';
 import {MoveOrder} from './moves/moveOrder.js';
-import {PeerMessage} from './peers/peerMessage.js';
+import {CrashReport, PeerMessage} from './peers/peerMessage.js';
 import {LimitStatement} from './rateLimits/limitStatement.js';
 import {StorePosition} from './store/storePosition.js';
 
@@ -205,6 +205,18 @@
   readonly orders: readonly MoveOrder[];
 }
 
+/** What earlier processes of the VMs know of crashes was read from the store. */
+export interface CrashReportsRead {
+  readonly kind: 'crashReportsRead';
+  readonly reports: readonly CrashReport[];
+}
+
+/** A write of crash reports to the store ended, successfully or not. */
+export interface CrashReportsWritten {
+  readonly kind: 'crashReportsWritten';
+  readonly isWritten: boolean;
+}
+
 /** An answer of the store named its era. */
 export interface StoreEraRead {
   readonly kind: 'storeEraRead';
@@ -273,6 +285,8 @@
   | CallDone
   | CallFailed
   | EndpointProbed
+  | CrashReportsRead
+  | CrashReportsWritten
   | DesiredStateRead
   | DesiredStateFetchEnded
   | EndpointsListed
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -1,7 +1,7 @@
 import {addObservations, estimateFailureRates} from '@ryeworks/utils';
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
-import {isProbablyAlive} from '../peers/peerTable.js';
+import {isStoreWriter} from '../peers/isStoreWriter.js';
 import {VersionCounts} from '../peers/peerMessage.js';
 import {startMove} from './handleMovesRead.js';
 import {getElapsedFraction, getNewVersionShare} from './decideTrial.js';
@@ -112,25 +112,6 @@
   return phase === undefined ? 'moving' : undefined;
 }
 
-/**
- * Returns whether this VM writes the results of moves: it is the first by name of
- * those that reach the store, or of all if none does, not counting peers that are
- * probably dead.
- */
-function isResultWriter(state: DispatchState, nowMs: number): boolean {
-  const isReaching = state.isStoreReachable && state.isWatchingStore;
-  for (const peer of state.peers.byVm.values()) {
-    if (!isProbablyAlive(state.peers, peer, nowMs)) continue;
-    const isPeerReaching = Number.isFinite(peer.storeReachableSinceMs);
-    const isPeerFirst =
-      isPeerReaching === isReaching
-        ? peer.vm < state.options.vm
-        : isPeerReaching;
-    if (isPeerFirst) return false;
-  }
-  return true;
-}
-
 /**
  * Ends the wait for orders that the store lost with a copy: applies the orders
  * that were read in place of others, and removes moves whose orders did not
@@ -160,7 +141,7 @@
     effects.push(...testNewVersion(state, move));
     if (move.isMissing) continue;
     const phase = decideNextPhase(state, move, nowMs);
-    if (phase === undefined || !isResultWriter(state, nowMs)) continue;
+    if (phase === undefined || !isStoreWriter(state, nowMs)) continue;
     if (nowMs - move.resultWrittenAtMs < writeRetryMs) continue;
     move.resultWrittenAtMs = nowMs;
     const {position, service, toVersion} = move.order;
--- a/packages/ryeworks-dispatch/src/store/updateStoreEra.ts
+++ b/packages/ryeworks-dispatch/src/store/updateStoreEra.ts
@@ -25,6 +25,8 @@
   const spreadMs = state.peers.byVm.size * announceSpreadMs;
   const delayMs = spreadMs * state.random.next();
   state.timers.set('announce', '', nowMs + delayMs);
+  // What was written to the store may be lost.
+  state.crashes.storedKey = undefined;
   const desiredVersion = state.desiredState.current?.version ?? -1;
   return [
     createCount('store_changes', {state: 'restored'}),
--- a/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
@@ -65,6 +65,7 @@
   }
 
   async writeMoveResult(): Promise<void> {}
+  async writeCrashReports(): Promise<void> {}
 
   /** Answers every waiting watch. */
   answerWatches(): void {
@@ -80,6 +81,7 @@
     endpoint: ignore,
     move: ignore,
     vm: ignore,
+    crashReports: ignore,
   };
   return {
     replace: kinds,
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -6,6 +6,7 @@
   getBounds,
   histogramLabels,
   isReady,
+  WriteCrashReports,
 } from '@ryeworks/dispatch';
 import {
   createBoundedLineStream,
@@ -187,6 +188,22 @@
   return container;
 }
 
+/** Writes crash reports to the store and submits the result to the core. */
+async function writeCrashReports(
+  {logger, loop, store}: Components,
+  {reports}: WriteCrashReports,
+): Promise<void> {
+  let isWritten = false;
+  try {
+    await store.writeCrashReports(reports);
+    isWritten = true;
+  } catch (error) {
+    const detail = (error as Error).message;
+    logger.warn('crash_reports_not_written', {detail});
+  }
+  loop.submit({kind: 'crashReportsWritten', isWritten});
+}
+
 /** Creates a handler for each kind of effect. */
 function createEffectHandlers(components: Components): EffectHandlers {
   const {callerServer, endpointClient, logger, metrics} = components;
@@ -203,6 +220,7 @@
     setStoreWatch: ({isWatching}) =>
       components.storeWatcher.setWatching(isWatching),
     announceVm: () => components.storeWatcher.announceAgain(),
+    writeCrashReports: effect => void writeCrashReports(components, effect),
     writeMoveResult: ({result}) => {
       store.writeMoveResult(result).catch((error: Error) =>
         logger.warn('move_result_not_written', {
--- a/packages/ryeworks-gateway/src/deploymentInterfaces.ts
+++ b/packages/ryeworks-gateway/src/deploymentInterfaces.ts
@@ -1,4 +1,5 @@
 import {
+  CrashReport,
   DesiredState,
   Endpoint,
   EndpointNotice,
@@ -113,6 +114,7 @@
   endpoint: Endpoint;
   move: MoveOrder;
   vm: AnnouncedVm;
+  crashReports: readonly CrashReport[];
 }
 
 /** Kind of an object in the platform's store. */
@@ -171,4 +173,6 @@
    * position that the decision was based on.
    */
   writeMoveResult(result: MoveResult): Promise<void>;
+  /** Writes which prompts crash endpoints, in place of what is there. */
+  writeCrashReports(reports: readonly CrashReport[]): Promise<void>;
 }
--- a/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
+++ b/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
@@ -78,12 +78,18 @@
           loop.submit({kind: 'vmListed', ...vm});
         }
       },
+      crashReports: items => {
+        for (const reports of listContents(items)) {
+          loop.submit({kind: 'crashReportsRead', reports});
+        }
+      },
     },
     change: {
       desiredState: submitDesiredState,
       endpoint: submitEndpointChanges,
       move: submitMoveOrders,
       vm: () => {},
+      crashReports: () => {},
     },
     handleEra: era => loop.submit({kind: 'storeEraRead', era}),
     handlePosition: (position, ordersPosition) =>
--- a/packages/ryeworks-gateway/src/store/storeWatcher.ts
+++ b/packages/ryeworks-gateway/src/store/storeWatcher.ts
@@ -108,6 +108,17 @@
     void this.watchKind('desiredState');
     void this.watchKind('endpoint');
     void this.watchKind('move');
+    void this.retry('list crash reports', () => this.listCrashReports());
+  }
+
+  /**
+   * Lists the crash reports of earlier processes, once: peers tell later ones. What
+   * the store returns may be some seconds old, as reports last for minutes.
+   */
+  private async listCrashReports(): Promise<void> {
+    const {items, position} = await this.store.list('crashReports', true);
+    this.reportUnreadableItems(items);
+    this.handlers.replace.crashReports(items, position.era);
   }
 
   /**
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -1,5 +1,6 @@
 import {
   AnswerError,
+  CrashReport,
   CustomerLimit,
   DesiredState,
   Effect,
@@ -133,6 +134,8 @@
     () => (this.counts.served += 1),
     target => this.passEndpoint(target),
   );
+  /** Crash reports that a VM has written to the store. */
+  private storedReports: readonly CrashReport[] = [];
   private desiredVersion = 1;
   private nextRequestNumber = 1;
 
@@ -187,6 +190,7 @@
     this.passDesiredState(vm);
     const endpoints = [...this.endpoints.values()].map(item => item.endpoint);
     vm.submit({kind: 'endpointsListed', era: 1, endpoints});
+    vm.submit({kind: 'crashReportsRead', reports: this.storedReports});
     for (const other of this.vms.values()) {
       const {availabilityZone, peerAddress} = other.options;
       const listed = {vm: other.options.vm, address: peerAddress};
@@ -283,6 +287,10 @@
       sendPeer: sent => this.sendMessage(vm, sent),
       startCall: call => this.startCall(vm, call),
       cancelCall: call => this.calls.cancel(call),
+      writeCrashReports: ({reports}) => {
+        this.storedReports = reports;
+        vm.submit({kind: 'crashReportsWritten', isWritten: true});
+      },
       probeEndpoint: probe => this.probeEndpoint(vm, probe),
       answerError: answer => this.recordRefusal(answer),
       abortResponse: ({requestId}) => {
