A service that answers no prompt at all blames none

Found while reviewing: if all engines crash for a minute, whatever the prompt, no part counts as sound any more, the part that all prompts have gets under quarantine, and nothing is served once the engines are mended, since only an answer ends a quarantine. A quarantine now needs an answer of the same service to a prompt without its parts, since the first of the crashes.

--- a/packages/ryeworks-dispatch/src/crashes/crashReports.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashReports.ts
@@ -15,6 +15,8 @@
 const allReportsIntervalMs = 250;
 /** Maximum number of records in a digest. */
 const maxReports = 32;
+/** Maximum number of crashes in a report, the newest ones. */
+const maxProcesses = 24;
 /**
  * Age up to which a record is reported, in ms. It is shorter than a quarantine, so
  * that VMs do not remind each other of a part that all are about to forget.
@@ -60,8 +62,10 @@
   const reports: CrashReport[] = [];
   for (const [part, record] of reported.sort(compareRecords)) {
     if (reports.length === maxReports) break;
-    const seenAgoMs = Math.round(nowMs - record.lastSeenAtMs);
-    reports.push({part, seenAgoMs, processes: [...record.crashes.keys()]});
+    const {crashes, lastSeenAtMs, service} = record;
+    const seenAgoMs = Math.round(nowMs - lastSeenAtMs);
+    const processes = [...crashes.keys()].slice(-maxProcesses);
+    reports.push({part, service, seenAgoMs, processes});
   }
   return reports;
 }
@@ -73,7 +77,7 @@
  */
 export function applyCrashReport(
   state: DispatchState,
-  {part, processes, seenAgoMs}: CrashReport,
+  {part, processes, seenAgoMs, service}: CrashReport,
   learnedAtMs: number,
   nowMs: number,
 ): void {
@@ -84,7 +88,7 @@
   }
   let isNews = false;
   for (const process of processes) {
-    if (addCrash(table, part, process, learnedAtMs)) isNews = true;
+    if (addCrash(table, part, {service, process}, learnedAtMs)) isNews = true;
   }
   const record = table.records.get(part);
   if (record === undefined) return;
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -1,7 +1,10 @@
 import {Endpoint} from '../endpoints/endpoint.js';
+import {RecentAnswer} from './recentAnswers.js';
 
 /** What is known of a part of prompts under which endpoints have crashed. */
 export interface PartRecord {
+  /** Service of the endpoints. */
+  service: string;
   /**
    * When this VM learned of each crash, in ms, by the process that crashed; see
    * `getProcess`.
@@ -33,6 +36,8 @@
   quarantines: readonly Quarantine[];
   /** When a prompt with a part was last answered completely, in ms, by part. */
   readonly soundAtMs: Map<string, number>;
+  /** The last complete answers to prompts, by service. */
+  readonly recentAnswers: Map<string, RecentAnswer[]>;
   /** Until when this VM reports that a part is sound, in ms, by part. */
   readonly soundReportedUntilMs: Map<string, number>;
   /** Losses of connections that are being checked, by process. */
@@ -58,6 +63,7 @@
     records: new Map(),
     quarantines: [],
     soundAtMs: new Map(),
+    recentAnswers: new Map(),
     soundReportedUntilMs: new Map(),
     uncheckedLosses: new Map(),
     lostAtMs: new Map(),
--- a/packages/ryeworks-dispatch/src/crashes/updateQuarantines.ts
+++ b/packages/ryeworks-dispatch/src/crashes/updateQuarantines.ts
@@ -38,10 +38,12 @@
 ): Effect[] {
   const table = state.crashes;
   table.isUpdateScheduled = false;
-  const effects = applyCrashRecords(state, nowMs);
+  const effects = applyCrashRecords(state, true, nowMs);
   const settledSinceMs = getSettledSinceMs(state, nowMs);
   if (hasCrashSince(table, settledSinceMs)) scheduleQuarantines(state, nowMs);
-  else effects.push(...writeCrashReports(state, nowMs));
+  if (!table.isUpdateScheduled) {
+    effects.push(...writeCrashReports(state, nowMs));
+  }
   scheduleCheck(state, nowMs);
   return effects;
 }
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,3 +1,4 @@
+import {addRecentAnswer} from '../crashes/recentAnswers.js';
 import {recordSoundPart} from '../crashes/soundParts.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
@@ -138,6 +139,7 @@
     recordStreamEventGap(request, call, entry);
   }
   if (input.status < minUnsuccessfulStatus) {
+    addRecentAnswer(state.crashes, request, nowMs);
     for (const part of request.sharedParts) {
       effects.push(...recordSoundPart(state, part, request.attemptId, nowMs));
     }
--- a/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
@@ -204,3 +204,19 @@
     });
   }
 }
+
+// Guards against a quarantine of the part that all prompts have, which could not
+// end once the endpoints are mended.
+t.test('endpoints that crash under each prompt blame none', async t => {
+  const fleet = createFleet(fleetSizes[0], seed);
+  const mendedMs = 80_000;
+  fleet.startCallers('story', 60, mendedMs + 9000, [commonPart]);
+  fleet.events.runUntil(crashingFromMs);
+  fleet.calls.crashingPart = commonPart;
+  fleet.events.runUntil(mendedMs);
+  fleet.calls.crashingPart = undefined;
+  fleet.events.runUntil(mendedMs + 10_000);
+  t.equal(countQuarantined(fleet, commonPart), 0);
+  const share = getServedShare(fleet, mendedMs + 4000, mendedMs + 9000);
+  t.ok(share >= 0.97, `${share} are served once they are mended`);
+});
