Only VMs with an answer of their own report that a part is sound

Found while reviewing: a VM that had learned of it from a peer reported it on, so that two VMs could keep a part sound for ever while crash reports came in.

--- a/packages/ryeworks-dispatch/src/crashes/crashReports.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashReports.ts
@@ -3,7 +3,12 @@
 import {CrashReport} from '../peers/peerMessage.js';
 import {PartRecord} from './crashTable.js';
 import {addCrash, quarantineMs} from './partRecords.js';
-import {announceSound, isSound, recordSoundPart} from './soundParts.js';
+import {
+  announceSound,
+  isAnswered,
+  isSound,
+  recordReportedPart,
+} from './soundParts.js';
 import {scheduleQuarantines} from './scheduleQuarantines.js';
 
 /** Time for which a crash that this VM has seen is in each digest, in ms. */
@@ -82,10 +87,8 @@
   nowMs: number,
 ): void {
   const table = state.crashes;
-  if (isSound(table, part, nowMs)) {
-    announceSound(table, part, nowMs);
-    return;
-  }
+  if (isAnswered(table, part, nowMs)) announceSound(table, part, nowMs);
+  if (isSound(table, part, nowMs)) return;
   let isNews = false;
   for (const process of processes) {
     if (addCrash(table, part, {service, process}, learnedAtMs)) isNews = true;
@@ -109,7 +112,7 @@
 ): Effect[] {
   const effects: Effect[] = [];
   for (const part of soundParts) {
-    effects.push(...recordSoundPart(state, part, peer, nowMs));
+    effects.push(...recordReportedPart(state, part, peer, nowMs));
   }
   for (const report of reports) applyCrashReport(state, report, nowMs, nowMs);
   return effects;
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -29,13 +29,21 @@
  */
 export type Quarantine = readonly string[];
 
+/** Since when a part is known to be sound. */
+export interface SoundPart {
+  /** When a prompt with it was last answered through this VM, in ms. */
+  answeredAtMs: number;
+  /** When a peer last reported such an answer, in ms. */
+  reportedAtMs: number;
+}
+
 /** What a VM knows of prompts under which endpoints crash. */
 export interface CrashTable {
   /** Records of parts that no answer has shown to be sound, by part. */
   readonly records: Map<string, PartRecord>;
   quarantines: readonly Quarantine[];
-  /** When a prompt with a part was last answered completely, in ms, by part. */
-  readonly soundAtMs: Map<string, number>;
+  /** Parts that are known to be sound, by part. */
+  readonly soundParts: Map<string, SoundPart>;
   /** The last complete answers to prompts, by service. */
   readonly recentAnswers: Map<string, RecentAnswer[]>;
   /** Until when this VM reports that a part is sound, in ms, by part. */
@@ -62,7 +70,7 @@
   return {
     records: new Map(),
     quarantines: [],
-    soundAtMs: new Map(),
+    soundParts: new Map(),
     recentAnswers: new Map(),
     soundReportedUntilMs: new Map(),
     uncheckedLosses: new Map(),
--- a/packages/ryeworks-dispatch/src/crashes/soundParts.ts
+++ b/packages/ryeworks-dispatch/src/crashes/soundParts.ts
@@ -1,6 +1,6 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
-import {CrashTable, Quarantine} from './crashTable.js';
+import {CrashTable, Quarantine, SoundPart} from './crashTable.js';
 import {scheduleQuarantines} from './scheduleQuarantines.js';
 
 /**
@@ -10,28 +10,53 @@
 const soundMs = 60_000;
 /** Maximum number of sound parts that are remembered. */
 const maxSoundParts = 4096;
+/** A part that was never found to be sound. */
+const neverSound: SoundPart = {
+  answeredAtMs: Number.NEGATIVE_INFINITY,
+  reportedAtMs: Number.NEGATIVE_INFINITY,
+};
 /** Time for which a VM tells the others that a part is sound, in ms. */
 const soundReportMs = 3000;
 
-/** Returns whether a prompt with a part was answered completely of late. */
+/** Returns whether a prompt with a part was answered by this VM of late. */
+export function isAnswered(
+  {soundParts}: CrashTable,
+  part: string,
+  nowMs: number,
+): boolean {
+  const sound = soundParts.get(part);
+  return sound !== undefined && nowMs - sound.answeredAtMs <= soundMs;
+}
+
+/** Returns whether a prompt with a part was answered by any VM of late. */
 export function isSound(
-  {soundAtMs}: CrashTable,
+  table: CrashTable,
   part: string,
   nowMs: number,
 ): boolean {
-  const atMs = soundAtMs.get(part);
-  return atMs !== undefined && nowMs - atMs <= soundMs;
+  const sound = table.soundParts.get(part);
+  return sound !== undefined && nowMs - getLastMs(sound) <= soundMs;
+}
+
+/** Returns when a part was last found to be sound, in ms. */
+function getLastMs({answeredAtMs, reportedAtMs}: SoundPart): number {
+  return Math.max(answeredAtMs, reportedAtMs);
 }
 
 /** Remembers that a part is sound, and forgets the oldest ones. */
-function markSound(table: CrashTable, part: string, nowMs: number): void {
-  const {soundAtMs} = table;
-  soundAtMs.delete(part);
-  soundAtMs.set(part, nowMs);
-  for (const [oldest, atMs] of soundAtMs) {
-    const isOld = nowMs - atMs > soundMs;
-    if (!isOld && soundAtMs.size <= maxSoundParts) return;
-    soundAtMs.delete(oldest);
+function markSound(
+  {soundParts}: CrashTable,
+  part: string,
+  change: Partial<SoundPart>,
+  nowMs: number,
+): void {
+  const known = soundParts.get(part) ?? neverSound;
+  soundParts.delete(part);
+  soundParts.set(part, {...known, ...change});
+  for (const [oldest, sound] of soundParts) {
+    const isOld = nowMs - getLastMs(sound) > soundMs;
+    if (!isOld && soundParts.size <= maxSoundParts) return;
+    soundParts.delete(oldest);
   }
 }
 
@@ -49,21 +74,19 @@
 }
 
 /**
- * Records that a part is sound: crashes under it have another cause.
+ * Forgets the crashes under a part that is sound: they have another cause.
  *
  * @param source attempt that was answered, or VM that reports it
  */
-export function recordSoundPart(
+function clearPart(
   state: DispatchState,
   part: string,
   source: string,
   nowMs: number,
 ): Effect[] {
   const table = state.crashes;
-  markSound(table, part, nowMs);
   if (!table.records.delete(part)) return [];
   const wasQuarantined = removeFromQuarantines(table, part);
-  announceSound(table, part, nowMs);
   // Parts that were always together with it may be the cause.
   scheduleQuarantines(state, nowMs);
   return [
@@ -72,6 +95,33 @@
   ];
 }
 
+/** Records that this VM has got a complete answer to a prompt with a part. */
+export function recordAnsweredPart(
+  state: DispatchState,
+  part: string,
+  attemptId: string,
+  nowMs: number,
+): Effect[] {
+  const table = state.crashes;
+  markSound(table, part, {answeredAtMs: nowMs}, nowMs);
+  if (table.records.has(part)) announceSound(table, part, nowMs);
+  return clearPart(state, part, attemptId, nowMs);
+}
+
+/**
+ * Records that a peer has got such an answer. This VM does not report it on, so
+ * that it is forgotten once no VM gets such answers any more.
+ */
+export function recordReportedPart(
+  state: DispatchState,
+  part: string,
+  peer: string,
+  nowMs: number,
+): Effect[] {
+  markSound(state.crashes, part, {reportedAtMs: nowMs}, nowMs);
+  return clearPart(state, part, peer, nowMs);
+}
+
 /** Lets this VM's next digests report that a part is sound. */
 export function announceSound(
   {soundReportedUntilMs}: CrashTable,
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,5 +1,5 @@
 import {addRecentAnswer} from '../crashes/recentAnswers.js';
-import {recordSoundPart} from '../crashes/soundParts.js';
+import {recordAnsweredPart} from '../crashes/soundParts.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
 import {createCount, Effect} from '../effect.js';
@@ -141,7 +141,9 @@
   if (input.status < minUnsuccessfulStatus) {
     addRecentAnswer(state.crashes, request, nowMs);
     for (const part of request.sharedParts) {
-      effects.push(...recordSoundPart(state, part, request.attemptId, nowMs));
+      effects.push(
+        ...recordAnsweredPart(state, part, request.attemptId, nowMs),
+      );
     }
   }
   const reason = `${input.status}`;
