Tests and proofs of the quarantine

crashingParts.test.ts: causes, groups, ends of requests and of quarantines, which losses count. Seven mutations; 'npm run proofs -- TEXT' runs those whose promise contains the text.

--- a/admin/checkProofs.js
+++ b/admin/checkProofs.js
@@ -68,8 +68,10 @@
 
 // Each mutation must make its scenario or test fail; otherwise that scenario or
 // test does not prove the promise.
+const [wanted = ''] = process.argv.slice(2);
+const selected = proofMutations.filter(({promise}) => promise.includes(wanted));
 let uncaught = 0;
-for (const mutation of proofMutations) {
+for (const mutation of selected) {
   const copy = createCopy();
   try {
     applyMutation(copy, mutation);
@@ -85,5 +87,5 @@
     rmSync(copy, {recursive: true, force: true});
   }
 }
-console.log(`${proofMutations.length - uncaught} passed, ${uncaught} failed`);
+console.log(`${selected.length - uncaught} passed, ${uncaught} failed`);
 process.exit(uncaught === 0 ? 0 : 1);
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -0,0 +1,193 @@
+import t, {Test} from 'tap';
+import {DispatchState} from '../dispatchState.js';
+import {findCrashingParts} from '../crashes/findCrashingParts.js';
+import {PartRecord} from '../crashes/crashTable.js';
+import {
+  createDigest,
+  createEndpoint,
+  createReadyState,
+  createRequest,
+  deliver,
+  listEffects,
+  names,
+  runInput,
+  sendDigests,
+} from './fixtures.js';
+
+/** When crashes are known in these tests, in ms. */
+const atMs = 1000;
+/** Time in which crashes count and quarantines start, in ms. */
+const settleMs = 500;
+const service = names.model;
+const endpoints = ['m1', 'm2', 'm3', 'm4', 'm5'].map(id =>
+  createEndpoint(id, service, {slots: 4}),
+);
+
+/** Creates the record of a part under which processes have crashed. */
+function createRecord(...processes: string[]): PartRecord {
+  const crashes = new Map(processes.map(process => [process, atMs]));
+  return {service, crashes, lastSeenAtMs: atMs, observedAtMs: atMs};
+}
+
+t.test('the part with most crashes explains those of the others', async t => {
+  const records = new Map([
+    ['topic', createRecord('p1', 'p2', 'p3', 'p4')],
+    ['bad', createRecord('p1', 'p2', 'p3', 'p4', 'p5')],
+    ['worse', createRecord('q1', 'q2', 'q3', 'q4')],
+    ['rare', createRecord('r1', 'r2', 'r3')],
+  ]);
+  t.strictSame(findCrashingParts(records, atMs), [['bad'], ['worse']]);
+  t.strictSame(findCrashingParts(records, atMs - 1), [], 'not settled yet');
+});
+
+t.test('parts that were always together are found together', async t => {
+  const crashes = ['p1', 'p2', 'p3', 'p4'];
+  const records = new Map([
+    ['topic', createRecord(...crashes)],
+    ['bad', createRecord(...crashes)],
+  ]);
+  t.strictSame(findCrashingParts(records, atMs), [['bad', 'topic']]);
+});
+
+/** Sends a request with a prompt; returns its id and calls. */
+function send(state: DispatchState, sharedParts: string[], nowMs: number) {
+  const request = createRequest('urgent', nowMs, {sharedParts});
+  const effects = runInput(state, request, nowMs);
+  const [call] = listEffects(effects, 'startCall');
+  return {requestId: request.requestId, call, effects};
+}
+
+/** Answers a request completely. */
+function answer(state: DispatchState, sharedParts: string[], nowMs: number) {
+  const {call, requestId} = send(state, sharedParts, nowMs);
+  const {callNumber} = call;
+  const done = {kind: 'callDone', requestId, callNumber, status: 200} as const;
+  runInput(state, done, nowMs + 1);
+}
+
+/** Lets a peer report crashes under parts, and waits until they count. */
+function reportCrashes(state: DispatchState, parts: string[], nowMs = atMs) {
+  const processes = ['x1@1', 'x2@1', 'x3@1', 'x4@1'];
+  const crashes = parts.map(part => ({part, service, seenAgoMs: 0, processes}));
+  deliver(state, createDigest({sequence: nowMs, crashes}), nowMs);
+  answer(state, ['other'], nowMs + 1);
+  return runInput(state, {kind: 'timerDue'}, nowMs + settleMs);
+}
+
+/** Returns the error with which a request was answered. */
+function getError(effects: Parameters<typeof listEffects>[0]) {
+  return listEffects(effects, 'answerError')[0]?.error;
+}
+
+t.test('requests end when their prompts are quarantined', async t => {
+  const state = createReadyState(endpoints.slice(0, 2));
+  const begun = send(state, ['bad'], 0);
+  const sent = {requestId: begun.requestId, callNumber: 1};
+  runInput(state, {kind: 'callSent', ...sent}, 1);
+  const unsent = send(state, ['bad'], 2);
+  const effects = reportCrashes(state, ['bad']);
+  t.equal(getError(effects), 'crashingPrompt', 'not sent yet');
+  const canceled = listEffects(effects, 'cancelCall');
+  t.ok(canceled.some(({requestId}) => requestId === unsent.requestId));
+  t.notOk(
+    canceled.some(
+      ({requestId, callNumber}) =>
+        requestId === begun.requestId && callNumber === 1,
+    ),
+  );
+  t.ok(state.requests.has(begun.requestId), 'the endpoint has it already');
+  const nowMs = atMs + settleMs + 1;
+  t.equal(
+    getError(send(state, ['c0', 'bad'], nowMs).effects),
+    'crashingPrompt',
+  );
+  t.ok(send(state, ['c0'], nowMs).call, 'a prompt without the part');
+  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+  const cut = {...failed, ...sent, hasResponseStarted: false};
+  const ended = runInput(state, cut, nowMs);
+  t.equal(getError(ended), 'outcomeUnknown', 'it is not sent again');
+});
+
+t.test('an answer to one of several parts leaves the others', async t => {
+  const state = createReadyState(endpoints);
+  reportCrashes(state, ['topic', 'bad']);
+  const nowMs = atMs + settleMs + 1;
+  t.ok(send(state, ['bad'], nowMs).call, 'one of them may be the cause');
+  t.notOk(send(state, ['topic', 'bad'], nowMs).call);
+  answer(state, ['topic'], nowMs);
+  t.ok(send(state, ['topic'], nowMs + 2).call);
+  t.notOk(send(state, ['bad'], nowMs + 2).call);
+});
+
+t.test('a quarantine ends ten minutes after the last request', async t => {
+  const state = createReadyState(endpoints);
+  reportCrashes(state, ['bad']);
+  for (const minutes of [9, 18, 27]) {
+    t.notOk(send(state, ['bad'], minutes * 60_000).call);
+  }
+  t.ok(send(state, ['bad'], 38 * 60_000).call);
+});
+
+t.test('a report of a peer clears a part and is not passed on', async t => {
+  const state = createReadyState(endpoints);
+  reportCrashes(state, ['bad']);
+  const nowMs = atMs + settleMs + 1;
+  deliver(state, createDigest({sequence: nowMs, soundParts: ['bad']}), nowMs);
+  t.ok(send(state, ['bad'], nowMs).call);
+  reportCrashes(state, ['bad'], nowMs + 1);
+  t.ok(send(state, ['bad'], nowMs + 600).call, 'still sound');
+  const [{message}] = sendDigests(state, nowMs + 700);
+  t.match(message, {soundParts: [], crashes: []});
+  answer(state, ['bad'], nowMs + 800);
+  reportCrashes(state, ['bad'], nowMs + 900);
+  const [{message: own}] = sendDigests(state, nowMs + 1500);
+  t.match(own, {soundParts: ['bad']}, 'own answers are reported');
+});
+
+/** How the connection of a call is lost, and what a probe then finds. */
+interface Loss {
+  readonly events: number;
+  readonly isListening: boolean;
+  /** Time between the losses of the five endpoints, in ms. */
+  readonly gapMs: number;
+}
+
+const crashes: Loss = {events: 1, isListening: false, gapMs: 100};
+
+/** Returns the processes that a digest reports after some lost connections. */
+function listReported(
+  t: Test,
+  {events, gapMs, isListening}: Loss,
+): readonly string[] {
+  const state = createReadyState(endpoints);
+  deliver(state, createDigest(), 0);
+  const lost = endpoints.map(() => send(state, ['bad'], 0).call);
+  for (const [index, {callNumber, endpoint, requestId}] of lost.entries()) {
+    const nowMs = atMs + index * gapMs;
+    const call = {requestId, callNumber};
+    runInput(state, {kind: 'callSent', ...call}, nowMs);
+    runInput(state, {kind: 'callProgressed', ...call, events}, nowMs);
+    const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+    const flags = {hasResponseStarted: false, isConnectionLost: true};
+    const effects = runInput(state, {...failed, ...call, ...flags}, nowMs);
+    const probes = listEffects(effects, 'probeEndpoint').length;
+    t.equal(probes, events > 3 ? 0 : 1, 'one probe');
+    const probed = {kind: 'endpointProbed', endpoint, isListening} as const;
+    if (gapMs > 0) runInput(state, probed, nowMs + 50);
+  }
+  for (const {endpoint} of gapMs > 0 ? [] : lost) {
+    const probed = {kind: 'endpointProbed', endpoint, isListening} as const;
+    runInput(state, probed, atMs + 50);
+  }
+  const [{message}] = sendDigests(state, atMs + 1000);
+  if (message.kind !== 'digest') return [];
+  return message.crashes?.[0]?.processes ?? [];
+}
+
+t.test('only crashes at the beginning of an answer count', async t => {
+  const all = ['m1@1', 'm2@1', 'm3@1', 'm4@1', 'm5@1'];
+  t.strictSame([...listReported(t, crashes)].sort(), all);
+  t.strictSame(listReported(t, {...crashes, isListening: true}), []);
+  t.strictSame(listReported(t, {...crashes, events: 4}), []);
+  t.strictSame(listReported(t, {...crashes, gapMs: 0}), [], 'an outage');
+});
