--- a/packages/ryeworks-dispatch/src/crashes/endQuarantinedRequests.ts
+++ b/packages/ryeworks-dispatch/src/crashes/endQuarantinedRequests.ts
@@ -7,7 +7,7 @@
 import {quarantineMs} from './partRecords.js';
 
 /** Reason in logs and counters. */
-export const quarantinedReason = 'crashing_prompt';
+const quarantinedReason = 'crashing_prompt';
 
 /** Ends a request whose prompt must not be sent to endpoints. */
 export function failQuarantined(
