--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -286,7 +286,7 @@
   {
     promise: 'a quarantined prompt finds no way to an endpoint',
     file: `${dispatch}/crashes/isQuarantined.js`,
-    from: /return findQuarantine\(table, sharedParts, nowMs\) !== undefined/,
+    from: /return findQuarantine\(table, prompt, nowMs\) !== undefined/,
     to: 'return false',
     test: `${dispatch}/__tests__/callObstacles.test.js`,
   },
@@ -306,10 +306,10 @@
     test: `${dispatch}/__tests__/crashingParts.test.js`,
   },
   {
-    promise: 'a service that answers no prompt at all blames none',
-    file: `${dispatch}/crashes/applyCrashRecords.js`,
-    from: /needsOtherAnswers &&/,
-    to: 'false &&',
+    promise: 'quarantines never refuse most prompts of a service',
+    file: `${dispatch}/crashes/recentPrompts.js`,
+    from: /maxRefusedShare = 0\.6/,
+    to: 'maxRefusedShare = 1',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
   {
--- a/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
@@ -68,10 +68,7 @@
   },
   quarantined: state => {
     const processes = ['m3@1', 'm4@1', 'm5@1', 'm6@1'];
-    const service = names.model;
-    const report = {part: 'a1', service, seenAgoMs: 0, processes};
-    const answer = {atMs: setAtMs - 500, sharedParts: ['c0']};
-    state.crashes.recentAnswers.set(service, [answer]);
+    const report = {part: 'a1', seenAgoMs: 0, processes};
     const message = createDigest({sequence: 2, crashes: [report]});
     deliver(state, message, setAtMs - 500);
     runInput(state, {kind: 'timerDue'}, setAtMs - 100);
--- a/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -26,7 +26,7 @@
 /** Creates the record of a part under which processes have crashed. */
 function createRecord(...processes: string[]): PartRecord {
   const crashes = new Map(processes.map(process => [process, atMs]));
-  return {service, crashes, lastSeenAtMs: atMs, observedAtMs: atMs};
+  return {crashes, lastSeenAtMs: atMs, observedAtMs: atMs};
 }
 
 t.test('the part with most crashes explains those of the others', async t => {
@@ -68,9 +68,8 @@
 /** Lets a peer report crashes under parts, and waits until they count. */
 function reportCrashes(state: DispatchState, parts: string[], nowMs = atMs) {
   const processes = ['x1@1', 'x2@1', 'x3@1', 'x4@1'];
-  const crashes = parts.map(part => ({part, service, seenAgoMs: 0, processes}));
+  const crashes = parts.map(part => ({part, seenAgoMs: 0, processes}));
   deliver(state, createDigest({sequence: nowMs, crashes}), nowMs);
-  answer(state, ['other'], nowMs + 1);
   return runInput(state, {kind: 'timerDue'}, nowMs + settleMs);
 }
 
--- a/packages/ryeworks-dispatch/src/crashes/applyCrashRecords.ts
+++ b/packages/ryeworks-dispatch/src/crashes/applyCrashRecords.ts
@@ -5,8 +5,6 @@
 import {endQuarantinedRequests} from './endQuarantinedRequests.js';
 import {findCrashingParts} from './findCrashingParts.js';
 import {dropOldRecords} from './partRecords.js';
-import {hasOtherAnswers} from './recentAnswers.js';
-import {scheduleQuarantines} from './scheduleQuarantines.js';
 
 /**
  * Time until a crash counts, as a multiple of the time that a report takes: peers
@@ -63,12 +61,9 @@
 /**
  * Starts and ends quarantines by what is known of crashes, and ends the requests
  * that must not be sent on.
- *
- * @param needsOtherAnswers false for crashes that VMs have judged before
  */
 export function applyCrashRecords(
   state: DispatchState,
-  needsOtherAnswers: boolean,
   nowMs: number,
 ): Effect[] {
   const table = state.crashes;
@@ -77,11 +72,6 @@
   const settledSinceMs = getSettledSinceMs(state, nowMs);
   for (const parts of findCrashingParts(table.records, settledSinceMs)) {
     if (hasQuarantine(table.quarantines, parts)) continue;
-    const record = table.records.get(parts[0])!;
-    if (needsOtherAnswers && !hasOtherAnswers(table, record, parts)) {
-      scheduleQuarantines(state, nowMs);
-      continue;
-    }
     table.quarantines = [...table.quarantines, parts];
     effects.push(...startQuarantine(state, parts));
   }
--- a/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
+++ b/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
@@ -89,7 +89,7 @@
   ];
   if (!isCrash || parts.length === 0) return effects;
   for (const part of parts) {
-    addCrash(table, part, {service: endpoint.service, process}, nowMs);
+    addCrash(table, part, process, nowMs);
     const record = table.records.get(part)!;
     record.lastSeenAtMs = nowMs;
     record.observedAtMs = nowMs;
--- a/packages/ryeworks-dispatch/src/crashes/crashReports.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashReports.ts
@@ -67,10 +67,10 @@
   const reports: CrashReport[] = [];
   for (const [part, record] of reported.sort(compareRecords)) {
     if (reports.length === maxReports) break;
-    const {crashes, lastSeenAtMs, service} = record;
+    const {crashes, lastSeenAtMs} = record;
     const seenAgoMs = Math.round(nowMs - lastSeenAtMs);
     const processes = [...crashes.keys()].slice(-maxProcesses);
-    reports.push({part, service, seenAgoMs, processes});
+    reports.push({part, seenAgoMs, processes});
   }
   return reports;
 }
@@ -82,7 +82,7 @@
  */
 export function applyCrashReport(
   state: DispatchState,
-  {part, processes, seenAgoMs, service}: CrashReport,
+  {part, processes, seenAgoMs}: CrashReport,
   learnedAtMs: number,
   nowMs: number,
 ): void {
@@ -91,7 +91,7 @@
   if (isSound(table, part, nowMs)) return;
   let isNews = false;
   for (const process of processes) {
-    if (addCrash(table, part, {service, process}, learnedAtMs)) isNews = true;
+    if (addCrash(table, part, process, learnedAtMs)) isNews = true;
   }
   const record = table.records.get(part);
   if (record === undefined) return;
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -1,10 +1,7 @@
 import {Endpoint} from '../endpoints/endpoint.js';
-import {RecentAnswer} from './recentAnswers.js';
 
 /** What is known of a part of prompts under which endpoints have crashed. */
 export interface PartRecord {
-  /** Service of the endpoints. */
-  service: string;
   /**
    * When this VM learned of each crash, in ms, by the process that crashed; see
    * `getProcess`.
@@ -44,8 +41,8 @@
   quarantines: readonly Quarantine[];
   /** Parts that are known to be sound, by part. */
   readonly soundParts: Map<string, SoundPart>;
-  /** The last complete answers to prompts, by service. */
-  readonly recentAnswers: Map<string, RecentAnswer[]>;
+  /** Shared parts of the last prompts that were received, by service. */
+  readonly recentPrompts: Map<string, Array<readonly string[]>>;
   /** Until when this VM reports that a part is sound, in ms, by part. */
   readonly soundReportedUntilMs: Map<string, number>;
   /** Losses of connections that are being checked, by process. */
@@ -71,7 +68,7 @@
     records: new Map(),
     quarantines: [],
     soundParts: new Map(),
-    recentAnswers: new Map(),
+    recentPrompts: new Map(),
     soundReportedUntilMs: new Map(),
     uncheckedLosses: new Map(),
     lostAtMs: new Map(),
--- a/packages/ryeworks-dispatch/src/crashes/endQuarantinedRequests.ts
+++ b/packages/ryeworks-dispatch/src/crashes/endQuarantinedRequests.ts
@@ -54,7 +54,7 @@
   if (crashes.quarantines.length === 0) return [];
   const effects: Effect[] = [];
   for (const request of [...state.requests.values()]) {
-    if (!isQuarantined(crashes, request.sharedParts, nowMs)) continue;
+    if (!isQuarantined(crashes, request, nowMs)) continue;
     const unsent = request.calls.filter(call => !call.isSent);
     if (unsent.length === request.calls.length) {
       effects.push(...failQuarantined(state, request, nowMs));
--- a/packages/ryeworks-dispatch/src/crashes/isQuarantined.ts
+++ b/packages/ryeworks-dispatch/src/crashes/isQuarantined.ts
@@ -1,5 +1,6 @@
 import {CrashTable, Quarantine} from './crashTable.js';
 import {quarantineMs} from './partRecords.js';
+import {isMostlyQuarantined, ServicePrompt} from './recentPrompts.js';
 
 /** Returns whether a quarantine is over: no request had its parts for long. */
 function isExpired(
@@ -19,22 +20,24 @@
  */
 export function findQuarantine(
   table: CrashTable,
-  sharedParts: readonly string[],
+  {service, sharedParts}: ServicePrompt,
   nowMs: number,
 ): Quarantine | undefined {
   if (sharedParts.length === 0) return undefined;
-  return table.quarantines.find(
+  const quarantine = table.quarantines.find(
     parts =>
       parts.every(part => sharedParts.includes(part)) &&
       !isExpired(table, parts, nowMs),
   );
+  if (quarantine === undefined) return undefined;
+  return isMostlyQuarantined(table, service) ? undefined : quarantine;
 }
 
 /** Returns whether a prompt must not be sent to endpoints. */
 export function isQuarantined(
   table: CrashTable,
-  sharedParts: readonly string[],
+  prompt: ServicePrompt,
   nowMs: number,
 ): boolean {
-  return findQuarantine(table, sharedParts, nowMs) !== undefined;
+  return findQuarantine(table, prompt, nowMs) !== undefined;
 }
--- a/packages/ryeworks-dispatch/src/crashes/partRecords.ts
+++ b/packages/ryeworks-dispatch/src/crashes/partRecords.ts
@@ -10,13 +10,6 @@
 /** Maximum number of crashes that are recorded for a part, the newest ones. */
 const maxCrashes = 64;
 
-/** A crash of an endpoint. */
-export interface Crash {
-  readonly service: string;
-  /** The process that crashed. */
-  readonly process: string;
-}
-
 /** Removes the oldest of the records with the fewest crashes. */
 function removeLeastRecord({records}: CrashTable): void {
   let least: string | undefined;
@@ -38,16 +31,11 @@
 }
 
 /** Returns the record of a part; creates it, in place of another if need be. */
-function getOrCreateRecord(
-  table: CrashTable,
-  part: string,
-  service: string,
-): PartRecord {
+function getOrCreateRecord(table: CrashTable, part: string): PartRecord {
   const existing = table.records.get(part);
   if (existing !== undefined) return existing;
   if (table.records.size >= maxRecords) removeLeastRecord(table);
   const record = {
-    service,
     crashes: new Map(),
     lastSeenAtMs: Number.NEGATIVE_INFINITY,
     observedAtMs: Number.NEGATIVE_INFINITY,
@@ -64,10 +52,10 @@
 export function addCrash(
   table: CrashTable,
   part: string,
-  {process, service}: Crash,
+  process: string,
   learnedAtMs: number,
 ): boolean {
-  const {crashes} = getOrCreateRecord(table, part, service);
+  const {crashes} = getOrCreateRecord(table, part);
   if (crashes.has(process)) return false;
   crashes.set(process, learnedAtMs);
   if (crashes.size > maxCrashes) removeOldest(crashes);
--- a/packages/ryeworks-dispatch/src/crashes/updateQuarantines.ts
+++ b/packages/ryeworks-dispatch/src/crashes/updateQuarantines.ts
@@ -38,12 +38,10 @@
 ): Effect[] {
   const table = state.crashes;
   table.isUpdateScheduled = false;
-  const effects = applyCrashRecords(state, true, nowMs);
+  const effects = applyCrashRecords(state, nowMs);
   const settledSinceMs = getSettledSinceMs(state, nowMs);
   if (hasCrashSince(table, settledSinceMs)) scheduleQuarantines(state, nowMs);
-  if (!table.isUpdateScheduled) {
-    effects.push(...writeCrashReports(state, nowMs));
-  }
+  else effects.push(...writeCrashReports(state, nowMs));
   scheduleCheck(state, nowMs);
   return effects;
 }
--- a/packages/ryeworks-dispatch/src/crashes/writeCrashReports.ts
+++ b/packages/ryeworks-dispatch/src/crashes/writeCrashReports.ts
@@ -28,9 +28,8 @@
   for (const part of new Set(quarantines.flat())) {
     const record = records.get(part);
     if (record === undefined) continue;
-    const {crashes, service} = record;
-    const processes = [...crashes.keys()].slice(-storedCrashes);
-    reports.push({part, service, seenAgoMs: 0, processes});
+    const processes = [...record.crashes.keys()].slice(-storedCrashes);
+    reports.push({part, seenAgoMs: 0, processes});
   }
   return reports;
 }
@@ -77,7 +76,7 @@
   for (const report of reports) {
     applyCrashReport(state, report, Number.NEGATIVE_INFINITY, nowMs);
   }
-  const effects = applyCrashRecords(state, false, nowMs);
+  const effects = applyCrashRecords(state, nowMs);
   table.storedKey = createKey(table.quarantines);
   if (table.storedKey !== '') scheduleQuarantines(state, nowMs);
   return effects;
--- a/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
@@ -106,8 +106,8 @@
 > = {
   avoided: (_state, {endpoint}, request, nowMs) =>
     isAvoided(request, endpoint.id, nowMs),
-  quarantined: ({crashes}, _entry, {sharedParts}, nowMs) =>
-    isQuarantined(crashes, sharedParts, nowMs),
+  quarantined: ({crashes}, _entry, request, nowMs) =>
+    isQuarantined(crashes, request, nowMs),
   no_permit: (state, entry, {rank}, nowMs) =>
     !hasPermit(state, entry, rank, nowMs),
   no_capacity: (state, entry, request, nowMs) =>
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -41,8 +41,6 @@
 /** What a VM knows of a part of prompts under which endpoints have crashed. */
 export interface CrashReport {
   readonly part: string;
-  /** Service of the endpoints. */
-  readonly service: string;
   /**
    * How long ago a request with the part last crashed an endpoint or was refused,
    * in ms.
--- a/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
+++ b/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
@@ -54,7 +54,7 @@
   const {maxAttempts} = request.route;
   const {callsStarted, isRetryable, possibleRuns, sentCalls} = request;
   const timeLeftMs = request.timeoutAtMs - nowMs;
-  if (isQuarantined(state.crashes, request.sharedParts, nowMs)) {
+  if (isQuarantined(state.crashes, request, nowMs)) {
     return retryObstacle.quarantined;
   }
   if (!provesNotRun[failure] && !isRetryable) return retryObstacle.mayHaveRun;
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,4 +1,3 @@
-import {addRecentAnswer} from '../crashes/recentAnswers.js';
 import {recordAnsweredPart} from '../crashes/soundParts.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
@@ -139,7 +138,6 @@
     recordStreamEventGap(request, call, entry);
   }
   if (input.status < minUnsuccessfulStatus) {
-    addRecentAnswer(state.crashes, request, nowMs);
     for (const part of request.sharedParts) {
       effects.push(
         ...recordAnsweredPart(state, part, request.attemptId, nowMs),
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -3,6 +3,7 @@
 import {refuseOrQueue} from '../admission/refuseOrQueue.js';
 import {findQuarantine} from '../crashes/isQuarantined.js';
 import {quarantineMs, recordSeen} from '../crashes/partRecords.js';
+import {addRecentPrompt} from '../crashes/recentPrompts.js';
 import {callKind, Customer, Route} from '../desired/desiredState.js';
 import {findRoute, pickService} from '../desired/routeTable.js';
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
@@ -217,16 +218,18 @@
   if (customer === undefined && !route.isAnonymous) {
     return refuseRequest(state, input, 'unauthenticated');
   }
-  const quarantine = findQuarantine(state.crashes, input.sharedParts, nowMs);
+  const service = pickService(route, state.random);
+  if (service === undefined) {
+    return refuseRequest(state, input, 'noEndpoint', notReadyRetryAfterMs);
+  }
+  const prompt = {service, sharedParts: input.sharedParts};
+  addRecentPrompt(state.crashes, prompt);
+  const quarantine = findQuarantine(state.crashes, prompt, nowMs);
   if (quarantine !== undefined) {
     recordSeen(state.crashes, quarantine, nowMs);
     const details = {parts: quarantine.join()};
     return refuseRequest(state, input, 'crashingPrompt', quarantineMs, details);
   }
-  const service = pickService(route, state.random);
-  if (service === undefined) {
-    return refuseRequest(state, input, 'noEndpoint', notReadyRetryAfterMs);
-  }
   const units = getRequestUnits(customer, input);
   const limitWaitMs = applyLimit(state, customer, units, nowMs);
   if (limitWaitMs > 0) {
--- a/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
@@ -220,3 +220,16 @@
   const share = getServedShare(fleet, mendedMs + 4000, mendedMs + 9000);
   t.ok(share >= 0.97, `${share} are served once they are mended`);
 });
+
+// Guards against a wave of crashes that keeps itself going: so few endpoints are up
+// for so short a time that no prompt is answered completely.
+t.test('a wave of crashes is stopped though nothing is answered', async t => {
+  const fleet = createFleet({zones: 2, vmsPerZone: 2, endpoints: 3}, seed);
+  fleet.calls.crashingPart = crashingPart;
+  fleet.startCallers('story', 40, endMs, [commonPart]);
+  fleet.events.runUntil(crashingFromMs);
+  fleet.startCallers('story', 30, endMs, [commonPart, crashingPart]);
+  fleet.events.runUntil(endMs);
+  const late = countLateArrivals(fleet);
+  t.ok(late <= toleratedArrivals, `${late} arrive later`);
+});
