--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -292,10 +292,10 @@
   },
   {
     promise: 'prompts that are answered are not blamed for crashes',
-    file: `${dispatch}/crashes/soundParts.js`,
-    from: /nowMs - getLastMs\(sound\) <= soundMs;/,
-    to: 'false;',
-    test: `${lab}/__tests__/crashingPrompts.test.js`,
+    file: `${dispatch}/requests/handleCallEvents.js`,
+    from: /input\.status < minUnsuccessfulStatus/,
+    to: 'false',
+    test: `${dispatch}/__tests__/crashingParts.test.js`,
   },
   {
     promise:
