Reading again: one withdrawal of calls, one predicate, no headers built twice

Behaviour as before, but for one log line: a call that a quarantine withdraws is logged (call_withdrawn), by the function that pauses of endpoints use. The test whether a prompt has all parts of a quarantine stood twice, the removal of a map's oldest entry too. The head of each resumable stream built the caller's headers once more to look at its media type.

--- a/packages/ryeworks-dispatch/src/crashes/endQuarantinedRequests.ts
+++ b/packages/ryeworks-dispatch/src/crashes/endQuarantinedRequests.ts
@@ -1,8 +1,8 @@
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
-import {ActiveCall, ActiveRequest} from '../requests/activeRequest.js';
+import {ActiveRequest} from '../requests/activeRequest.js';
 import {failRequest} from '../requests/endRequest.js';
-import {releaseFailedCall} from '../requests/standbyCall.js';
+import {withdrawCall} from '../requests/withdrawUnsentCalls.js';
 import {isQuarantined} from './isQuarantined.js';
 import {quarantineMs} from './partRecords.js';
 
@@ -26,21 +26,6 @@
   );
 }
 
-/** Cancels a call that was not sent yet, of a request with other calls. */
-function cancelUnsentCall(
-  state: DispatchState,
-  request: ActiveRequest,
-  call: ActiveCall,
-  nowMs: number,
-): Effect[] {
-  const {requestId} = request;
-  const {callNumber} = call;
-  return [
-    {kind: 'cancelCall', requestId, callNumber},
-    ...(releaseFailedCall(state, request, call, nowMs) ?? []),
-  ];
-}
-
 /**
  * Ends the requests that are quarantined, or only their unsent calls if others
  * are with endpoints already: an answer to one of these would show that the
@@ -61,7 +46,7 @@
       continue;
     }
     for (const call of unsent) {
-      effects.push(...cancelUnsentCall(state, request, call, nowMs));
+      effects.push(...withdrawCall(state, request, call, nowMs));
     }
   }
   return effects;
--- a/packages/ryeworks-dispatch/src/crashes/findCrashingParts.ts
+++ b/packages/ryeworks-dispatch/src/crashes/findCrashingParts.ts
@@ -4,7 +4,7 @@
  * Number of crashes under a part, without one complete answer to a prompt with it,
  * after which the part is taken for their cause.
  */
-export const minCrashes = 4;
+const minCrashes = 4;
 
 /** Returns whether two sets have the same elements. */
 function isSameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
--- a/packages/ryeworks-dispatch/src/crashes/isQuarantined.ts
+++ b/packages/ryeworks-dispatch/src/crashes/isQuarantined.ts
@@ -1,6 +1,10 @@
 import {CrashTable, Quarantine} from './crashTable.js';
 import {quarantineMs} from './partRecords.js';
-import {isMostlyQuarantined, ServicePrompt} from './recentPrompts.js';
+import {
+  hasAllParts,
+  isMostlyQuarantined,
+  ServicePrompt,
+} from './recentPrompts.js';
 
 /** Returns whether a quarantine is over: no request had its parts for long. */
 function isExpired(
@@ -25,9 +29,7 @@
 ): Quarantine | undefined {
   if (sharedParts.length === 0) return undefined;
   const quarantine = table.quarantines.find(
-    parts =>
-      parts.every(part => sharedParts.includes(part)) &&
-      !isExpired(table, parts, nowMs),
+    parts => hasAllParts(sharedParts, parts) && !isExpired(table, parts, nowMs),
   );
   if (quarantine === undefined) return undefined;
   return isMostlyQuarantined(table, service) ? undefined : quarantine;
--- a/packages/ryeworks-dispatch/src/crashes/partRecords.ts
+++ b/packages/ryeworks-dispatch/src/crashes/partRecords.ts
@@ -1,3 +1,4 @@
+import {removeOldest} from '@ryeworks/utils';
 import {CrashTable, PartRecord} from './crashTable.js';
 
 /**
@@ -22,14 +23,6 @@
   if (least !== undefined) records.delete(least);
 }
 
-/** Removes the oldest crash. */
-function removeOldest(crashes: Map<string, number>): void {
-  for (const [process] of crashes) {
-    crashes.delete(process);
-    return;
-  }
-}
-
 /** Returns the record of a part; creates it, in place of another if need be. */
 function getOrCreateRecord(table: CrashTable, part: string): PartRecord {
   const existing = table.records.get(part);
--- a/packages/ryeworks-dispatch/src/crashes/recentPrompts.ts
+++ b/packages/ryeworks-dispatch/src/crashes/recentPrompts.ts
@@ -1,5 +1,5 @@
 import {getOrCreate} from '@ryeworks/utils';
-import {CrashTable} from './crashTable.js';
+import {CrashTable, Quarantine} from './crashTable.js';
 
 /** The prompt of a request to a service. */
 export interface ServicePrompt {
@@ -26,14 +26,12 @@
   if (prompts.length > maxPrompts) prompts.shift();
 }
 
-/** Returns whether a prompt has all parts of one of the quarantines. */
-function hasQuarantinedParts(
-  {quarantines}: CrashTable,
+/** Returns whether a prompt has all parts of a quarantine. */
+export function hasAllParts(
   sharedParts: readonly string[],
+  parts: Quarantine,
 ): boolean {
-  return quarantines.some(parts =>
-    parts.every(part => sharedParts.includes(part)),
-  );
+  return parts.every(part => sharedParts.includes(part));
 }
 
 /**
@@ -49,7 +47,10 @@
   if (prompts.length < minPrompts) return false;
   let refused = 0;
   for (const sharedParts of prompts) {
-    if (hasQuarantinedParts(table, sharedParts)) refused += 1;
+    const isRefused = table.quarantines.some(parts =>
+      hasAllParts(sharedParts, parts),
+    );
+    if (isRefused) refused += 1;
   }
   return refused > maxRefusedShare * prompts.length;
 }
--- a/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
@@ -1,3 +1,4 @@
+import {removeOldest} from '@ryeworks/utils';
 import {RateLimit} from '../rateLimits/rateLimit.js';
 import {Endpoint} from './endpoint.js';
 import {createNoticeRecord, NoticeRecord, isSameStart} from './noticeRecord.js';
@@ -126,11 +127,7 @@
   notices: NoticeRecord,
 ): void {
   formerNotices.set(id, notices);
-  if (formerNotices.size <= maxFormerNotices) return;
-  for (const [oldestId] of formerNotices) {
-    formerNotices.delete(oldestId);
-    return;
-  }
+  if (formerNotices.size > maxFormerNotices) removeOldest(formerNotices);
 }
 
 /** Removes an endpoint from the table. */
--- a/packages/ryeworks-dispatch/src/requests/withdrawUnsentCalls.ts
+++ b/packages/ryeworks-dispatch/src/requests/withdrawUnsentCalls.ts
@@ -4,8 +4,11 @@
 import {retryRequest} from './retryRequest.js';
 import {releaseFailedCall} from './standbyCall.js';
 
-/** Cancels a call that was not sent yet, and sends its request elsewhere. */
-function withdrawCall(
+/**
+ * Cancels a call that was not sent yet. Its request goes on with its other calls,
+ * or is sent elsewhere.
+ */
+export function withdrawCall(
   state: DispatchState,
   request: ActiveRequest,
   call: ActiveCall,
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -1,7 +1,7 @@
 import {errorAnswers, ErrorKind} from '@ryeworks/types';
 import {resetSocket} from '@ryeworks/utils';
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {RequestInfo} from '../deploymentInterfaces.js';
+import {AnswerHead, RequestInfo} from '../deploymentInterfaces.js';
 import {dropBody} from './readBody.js';
 
 /** Status and headers of an answer that is forwarded to the caller. */
@@ -14,7 +14,9 @@
 export const eventStreamType = 'text/event-stream';
 
 /** Returns the media type of an answer, without parameters. */
-export function getMediaType(headers: ForwardedHead['headers']): string {
+export function getMediaType(headers: {
+  readonly 'content-type'?: string | string[];
+}): string {
   const [mediaType] = `${headers['content-type'] ?? ''}`.split(';');
   return mediaType.trim().toLowerCase();
 }
@@ -92,7 +94,7 @@
    * Returns whether a stream that has begun can go on with the events of another
    * answer, which may be an error in spite of its status.
    */
-  canContinueWith({headers, status}: ForwardedHead): boolean {
+  canContinueWith({headers, status}: AnswerHead): boolean {
     if (this.sentHead?.status !== status) return false;
     const mediaType = getMediaType(headers);
     return (
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -187,8 +187,7 @@
     // Part of an earlier call's answer was forwarded, which only a stream that
     // is resumed after its last event can complete.
     const isContinuable =
-      this.mode === 'events' &&
-      openRequest.canContinueWith(this.createForwardedHead());
+      this.mode === 'events' && openRequest.canContinueWith(this.head);
     if (openRequest.hasStarted && !isContinuable && !this.isFailure()) {
       this.fail('cut', `not_resumable_${status}`);
       return;
@@ -342,8 +341,7 @@
   private isInsideEvent(): boolean {
     if (this.mode === 'events') return this.splitter.partialBytes > 0;
     if (this.mode !== 'bytes' || !this.options.effect.isStream) return false;
-    const {headers} = this.createForwardedHead();
-    const isEventStream = getMediaType(headers) === eventStreamType;
+    const isEventStream = getMediaType(this.head!.headers) === eventStreamType;
     return isEventStream && this.boundary.isInsideEvent;
   }
 
