--- a/packages/ryeworks-dispatch/src/__tests__/callInvariants.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/callInvariants.test.ts
@@ -1,5 +1,6 @@
 import t, {Test} from 'tap';
-import {CallFailure, DispatchState, Input} from '../index.js';
+import {isQuarantined} from '../crashes/isQuarantined.js';
+import {CallFailure, DispatchState, Endpoint, Input} from '../index.js';
 import {
   createDesiredState,
   createEndpoint,
@@ -28,6 +29,9 @@
   'cut',
 ];
 
+/** Shared parts of the prompts, of which each request has some. */
+const promptParts = ['c0', 'a1', 'a2', 'bad'];
+
 /** A call as the gateway knows it. */
 interface OpenCall {
   readonly requestId: string;
@@ -55,6 +59,9 @@
   readonly ended = new Set<string>();
   readonly requestIds: string[] = [];
   readonly problems: string[] = [];
+  /** Endpoints whose probes have not ended. */
+  private readonly probed: Endpoint[] = [];
+  private quarantinesSeen = 0;
   nowMs = 0;
 
   constructor(private readonly random: (bound: number) => number) {
@@ -84,6 +91,15 @@
         this.openCalls.delete(`${requestId}/${callNumber}`);
       }
     }
+    for (const {callNumber, requestId} of listEffects(effects, 'startCall')) {
+      // The same input may have withdrawn it.
+      if (this.openCalls.has(`${requestId}/${callNumber}`)) {
+        this.checkQuarantine(requestId);
+      }
+    }
+    for (const {endpoint} of listEffects(effects, 'probeEndpoint')) {
+      this.probed.push(endpoint);
+    }
     for (const kind of ['answerError', 'abortResponse'] as const) {
       for (const {requestId} of listEffects(effects, kind)) {
         if (this.ended.has(requestId)) this.problems.push('ended twice');
@@ -95,17 +111,53 @@
     }
   }
 
+  /** Whether a prompt was under quarantine at any time. */
+  get hasSeenQuarantine(): boolean {
+    return this.quarantinesSeen > 0;
+  }
+
+  /** Checks that the prompt of a call that starts is not under quarantine. */
+  private checkQuarantine(requestId: string): void {
+    const {crashes, requests} = this.state;
+    const request = requests.get(requestId);
+    if (request === undefined) return;
+    if (isQuarantined(crashes, request, this.nowMs)) {
+      this.problems.push('started in quarantine');
+    }
+  }
+
+  /** Returns whether the prompt of a request is never answered completely. */
+  private isCrashing(requestId: string): boolean {
+    const {sharedParts = []} = this.state.requests.get(requestId) ?? {};
+    return sharedParts.includes('bad');
+  }
+
+  /** Ends a probe. An endpoint that has crashed starts again. */
+  private endProbe(): void {
+    const endpoint = this.probed.shift();
+    if (endpoint === undefined) return;
+    const isListening = this.random(4) === 0;
+    this.submit({kind: 'endpointProbed', endpoint, isListening});
+    this.quarantinesSeen += this.state.crashes.quarantines.length;
+    if (isListening) return;
+    const startedAtMs = this.nowMs + 1;
+    const restarted = {...endpoint, startedAtMs};
+    this.submit({kind: 'endpointChanged', endpoint: restarted});
+  }
+
   /** Makes one random step. */
   step(): void {
     const {random} = this;
     this.nowMs += random(maxStepMs);
     this.expireConnections();
+    if (random(3) === 0) this.endProbe();
     const calls = [...this.openCalls.values()];
     const choice = random(10);
     if (choice < 2 || calls.length === 0) {
       this.submit({kind: 'timerDue'});
       if (random(3) > 0 || this.requestIds.length > 40) return;
-      const request = createRequest('urgent', this.nowMs);
+      const sharedParts = promptParts.filter(() => random(2) === 0);
+      const request = createRequest('urgent', this.nowMs, {sharedParts});
       this.requestIds.push(request.requestId);
       this.submit(request);
       return;
@@ -130,6 +182,7 @@
       callNumber,
       failure,
       hasResponseStarted: this.begun.has(requestId),
+      isConnectionLost: failure === 'cut' && this.random(4) > 0,
       detail: 'test',
     });
   }
@@ -170,6 +223,10 @@
       this.fail(call, allowed[random(allowed.length)]);
       return;
     }
+    if (choice === 4 && this.isCrashing(requestId)) {
+      this.fail(call, 'cut');
+      return;
+    }
     if (choice === 4) {
       this.submit({kind: 'callProgressed', ...ids, events: 9});
       if (!this.openCalls.has(`${requestId}/${callNumber}`)) return;
@@ -225,8 +282,7 @@
 }
 
 /** Returns the problems of a run, with the step of the first. */
-function playRun(seed: number): string[] {
-  const gateway = new RandomGateway(createRandom(seed));
+function playRun(gateway: RandomGateway): string[] {
   for (let step = 0; step < stepsPerRun; step++) {
     gateway.step();
     const problems = findProblems(gateway);
@@ -247,10 +303,14 @@
 // Guards against calls, slots, timers and requests that are left behind, whatever
 // happens to the calls of a request in whatever order.
 t.test('random events leave nothing behind', (t: Test) => {
+  let quarantined = 0;
   for (let seed = 1; seed <= runs; seed++) {
-    const problems = playRun(seed);
+    const gateway = new RandomGateway(createRandom(seed));
+    const problems = playRun(gateway);
     if (problems.length > 0) t.same(problems, [], `seed ${seed}`);
+    if (gateway.hasSeenQuarantine) quarantined += 1;
   }
   t.pass(`${runs} runs`);
+  t.ok(quarantined > runs / 10, `${quarantined} runs with quarantines`);
   t.end();
 });
