Tests: crashes by route and stage, a cut zone, a bad version that crashes

For each kind of route, a crash before the head, after it and after an event counts, and other failures do not. Late arrivals at 8, 70 and 195 VMs beside a cut zone and a restarted VM; a quarter of the endpoints crash under each prompt and none is blamed, at 8 and 70 VMs.

--- a/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -2,6 +2,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {findCrashingParts} from '../crashes/findCrashingParts.js';
 import {PartRecord} from '../crashes/crashTable.js';
+import {CallFailure} from '../input.js';
 import {
   createDigest,
   createEndpoint,
@@ -10,6 +11,7 @@
   deliver,
   listEffects,
   names,
+  routes,
   runInput,
   sendDigests,
 } from './fixtures.js';
@@ -190,3 +192,56 @@
   t.strictSame(listReported(t, {...crashes, events: 4}), []);
   t.strictSame(listReported(t, {...crashes, gapMs: 0}), [], 'an outage');
 });
+
+/** How far the answer to a call has come. */
+const stages = ['before the head', 'after the head', 'after an event'] as const;
+
+/** Starts a call on a route, lets its answer come to a stage, and ends it. */
+function failCall(
+  routeName: keyof typeof routes,
+  stage: (typeof stages)[number],
+  failure: CallFailure,
+  isConnectionLost: boolean,
+) {
+  const ledger = createEndpoint('l1', names.ledger);
+  const state = createReadyState([...endpoints, ledger]);
+  const sharedParts = ['bad'];
+  const request = createRequest(routeName, 0, {sharedParts});
+  const [{callNumber}] = listEffects(runInput(state, request, 0), 'startCall');
+  const call = {requestId: request.requestId, callNumber};
+  runInput(state, {kind: 'callSent', ...call}, 1);
+  const answered = {kind: 'callAnswered', limitStatement: undefined} as const;
+  const notice = {isLeaving: false, pause: undefined};
+  if (stage !== 'before the head') {
+    runInput(state, {...answered, notice, ...call}, 2);
+  }
+  const hasResponseStarted = stage === 'after an event';
+  if (hasResponseStarted) {
+    runInput(state, {kind: 'callProgressed', events: 1, ...call}, 3);
+  }
+  const failed = {kind: 'callFailed', failure, detail: '', ...call} as const;
+  const flags = {hasResponseStarted, isConnectionLost};
+  return listEffects(
+    runInput(state, {...failed, ...flags}, 4),
+    'probeEndpoint',
+  );
+}
+
+for (const routeName of Object.keys(routes) as Array<keyof typeof routes>) {
+  for (const stage of stages) {
+    // Guards against a kind of route, or a moment, that counts no crashes.
+    t.test(`a crash ${stage} counts: ${routeName}`, async t => {
+      t.equal(failCall(routeName, stage, 'cut', true).length, 1);
+    });
+  }
+
+  // Guards against answers of a bad version, and other failures of one call, that
+  // are taken for crashes.
+  t.test(`failures that are no crashes: ${routeName}`, async t => {
+    const others = ['refused', 'wrongEndpoint', 'failed', 'cut'] as const;
+    for (const failure of others) {
+      const probes = failCall(routeName, 'after the head', failure, false);
+      t.strictSame(probes, [], failure);
+    }
+  });
+}
--- a/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/crashingPrompts.test.ts
@@ -1,11 +1,15 @@
 import t from 'tap';
 import {createFleet, FleetSize} from '../fleet/createFleet.js';
 import {DispatchFleet} from '../fleet/dispatchFleet.js';
+import {FleetArrival} from '../fleet/fleetEndpoint.js';
 
 const seed = 31;
 /** When the first request with the crashing part is sent, in ms. */
 const crashingFromMs = 4000;
 const endMs = 18_000;
+/** While a zone is cut off, in ms: as the first endpoints crash. */
+const cutFromMs = 4100;
+const cutUntilMs = 9000;
 /** Time by which all VMs must know of the crashes that others have seen, in ms. */
 const contactMs = 3000;
 /** Crashes under one part after which no more requests may reach endpoints. */
@@ -65,15 +69,16 @@
   return parts;
 }
 
-/** Lists when VMs sent requests with a part to endpoints, in ms. */
-function listArrivals(fleet: DispatchFleet, part: string): number[] {
-  const timesMs: number[] = [];
-  for (const {arrivals} of fleet.endpoints.values()) {
-    for (const {atMs, sharedParts} of arrivals) {
-      if (sharedParts.includes(part)) timesMs.push(atMs);
-    }
-  }
-  return timesMs;
+/** Lists the requests with a part that reached endpoints. */
+function listArrivals(
+  fleet: DispatchFleet,
+  part: string,
+  isWanted: (arrival: FleetArrival) => boolean,
+): FleetArrival[] {
+  const all = [...fleet.endpoints.values()].flatMap(({arrivals}) => arrivals);
+  return all.filter(
+    arrival => arrival.sharedParts.includes(part) && isWanted(arrival),
+  );
 }
 
 /** Returns the share of the sound requests sent in a span that were served. */
@@ -98,8 +103,12 @@
 /** Counts the requests with the crashing part that reach endpoints too late. */
 function countLateArrivals(fleet: DispatchFleet): number {
   const {atMs: fifthMs} = fleet.calls.crashes[toleratedCrashes - 1];
-  const times = listArrivals(fleet, crashingPart);
-  return times.filter(atMs => atMs > fifthMs + contactMs).length;
+  const late = listArrivals(
+    fleet,
+    crashingPart,
+    ({atMs}) => atMs > fifthMs + contactMs,
+  );
+  return late.length;
 }
 
 for (const size of fleetSizes.slice(0, 2)) {
@@ -150,8 +159,10 @@
     const {crashes} = fleet.calls;
     t.ok(crashes.length >= 3, 'endpoints have crashed');
     const lastMs = crashes[toleratedCrashes - 1]?.atMs ?? crashes.at(-1)!.atMs;
-    const late = listArrivals(fleet, crashingPart).filter(
-      atMs => atMs > lastMs + contactMs,
+    const late = listArrivals(
+      fleet,
+      crashingPart,
+      ({atMs}) => atMs > lastMs + contactMs,
     );
     t.ok(late.length <= toleratedArrivals, `${late.length} arrive later`);
     const share = getServedShare(fleet, lastMs + 2 * contactMs, endMs - 500);
@@ -161,6 +172,30 @@
   });
 }
 
+for (const size of fleetSizes) {
+  // Guards against what VMs learn too late while a zone is cut off and a VM starts
+  // again. VMs of that zone are excused until they had time to hear of it.
+  t.test(`beside a cut zone and a restart: ${size.name}`, async t => {
+    const fleet = startFleet(size);
+    fleet.calls.crashingPart = crashingPart;
+    fleet.events.schedule(crashingFromMs, () => startCrashing(fleet));
+    fleet.events.schedule(cutFromMs, () => fleet.setZoneCut('zone-1', true));
+    fleet.events.schedule(cutUntilMs, () => fleet.clearCuts());
+    fleet.events.schedule(cutFromMs, () => fleet.killVm('zone-2-0'));
+    fleet.events.schedule(cutFromMs + 1000, () =>
+      fleet.startVm('zone-2-0', 'zone-2'),
+    );
+    fleet.events.runUntil(endMs);
+    const {atMs: fifthMs} = fleet.calls.crashes[toleratedCrashes - 1];
+    const late = listArrivals(fleet, crashingPart, ({atMs, vm}) => {
+      if (atMs <= fifthMs + contactMs) return false;
+      if (vm.startsWith('zone-1-')) return atMs > cutUntilMs + contactMs;
+      return vm !== 'zone-2-0' || atMs > cutFromMs + 1000 + contactMs;
+    });
+    t.ok(late.length <= toleratedArrivals, `${late.length} arrive later`);
+  });
+}
+
 /** Troubles that have nothing to do with prompts. */
 const ordinaryTroubles: Record<string, (fleet: DispatchFleet) => void> = {
   'one endpoint after the other crashes': fleet => {
@@ -198,6 +233,13 @@
     }
     fleet.events.schedule(10_000, () => fleet.clearCuts());
   },
+  'a bad version crashes under each prompt': fleet => {
+    fleet.events.schedule(4000, () => {
+      for (const [index, endpoint] of [...fleet.endpoints.values()].entries()) {
+        endpoint.isFaulty = index % 4 === 0;
+      }
+    });
+  },
   'all endpoints crash as a topic becomes hot': fleet => {
     fleet.events.schedule(6000, () =>
       fleet.startCallers('story', 30, endMs, [commonPart, 'e1']),
--- a/packages/ryeworks-lab/src/fleet/fleetCalls.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetCalls.ts
@@ -125,13 +125,15 @@
     const {crashingPart} = this;
     const isCrashing =
       crashingPart !== undefined && request.sharedParts.includes(crashingPart);
-    if (!isCrashing) {
+    if (!isCrashing && !target.isFaulty) {
       this.submitHead(call);
       answer();
       return;
     }
     const {id} = target.endpoint;
-    this.crashes.push({endpointId: id, atMs: this.events.nowMs});
+    if (isCrashing) {
+      this.crashes.push({endpointId: id, atMs: this.events.nowMs});
+    }
     this.kill(target);
   }
 
--- a/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
@@ -30,6 +30,8 @@
   running = 0;
   /** Whether it refuses all calls. */
   isRefusing = false;
+  /** Whether it crashes as soon as it begins to answer, whatever the prompt. */
+  isFaulty = false;
   /** Whether its process has crashed and no other one has started yet. */
   isDown = false;
   readonly notices = new StatedNotices(fleetDrainMs);
