operators.test.ts: the load lasts past the deadline of the move it watches

Traced by the logs of the VMs, taken while it hung: the move got 1 % of the calls at 13:30:26, 2 % at :42, 5 % at :50 and 20 % at :53; the load of 25 s ended at :52, before a zone had the four failed calls that a verdict needs. The deadline of 30 s passed, the move stayed 'moving, late' without a single call to judge by, and 'moves watch' rightly went on. Which calls go to the new version is drawn at random, so a few runs see too little of it. The load now lasts 35 s; what is asserted is unchanged.

--- a/packages/ryeworks-lab/src/__tests__/operators.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/operators.test.ts
@@ -142,7 +142,8 @@
     plan,
     listUrls: () => deployment.vms.map(vm => vm.callerUrl),
     callsPerSecond: 80,
-    durationMs: 25_000,
+    // Past the deadline of the move: without calls, nothing would end it.
+    durationMs: 35_000,
     seed,
   });
   const watched = await runCli(deployment, ['moves', 'watch', move]);
