--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -1,6 +1,12 @@
 // Starts the project's program as the deploy file does, on loopback addresses.
 import {spawn} from 'node:child_process';
-import {createWriteStream, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  createWriteStream,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import {tmpdir} from 'node:os';
@@ -165,6 +171,16 @@
     this.startProcess(name);
   }
 
+  /** Changes the bounds in the settings file of a machine, and says so. */
+  changeBounds(name, change) {
+    const {file} = this.#machines.get(name);
+    const settings = JSON.parse(readFileSync(file, 'utf8'));
+    Object.assign(settings.bounds, change);
+    writeFileSync(file, JSON.stringify(settings));
+    this.#record.write(`machine ${name}: new bounds ${JSON.stringify(change)}`);
+    this.signal(name, 'SIGHUP');
+  }
+
   startProcess(name) {
     const machine = this.#machines.get(name);
     const {PATH, HOME, LANG} = process.env;
