--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -6,6 +6,7 @@
 
 process.exit(
   await playCase({
+    hasTrouble: process.env.TROUBLE !== '0',
     recordFile: new URL('record.txt', import.meta.url),
     groupSize: 1,
     groupPeriodMs: Number(process.env.PERIOD_MS ?? 900),
--- a/review/lib/crashingPart.mjs
+++ b/review/lib/crashingPart.mjs
@@ -10,7 +10,6 @@
 import {Engine} from './engine.mjs';
 import {Store} from './store.mjs';
 
-const hasTrouble = process.env.TROUBLE !== '0';
 const badPart = 'bad0bad0';
 const zones = {a: 'region'};
 const names = ['edge-a-1', 'edge-a-2'];
@@ -44,13 +43,15 @@
 /**
  * Plays a case. Returns its exit code.
  *
- * Options: the file of the record; how many requests with the part come together
+ * Options: whether the part crashes workers (`hasTrouble`; else a sound part
+ * stands in its place); the file of the record; how many requests with the part come together
  * (`groupSize`), how often (`groupPeriodMs`) and how many times (`groups`); and
  * the shared parts of a sound prompt, by its number (`createSoundParts`). The
  * crashing part follows these.
  */
 export async function playCase(options) {
-  const {createSoundParts, groupPeriodMs, groups, groupSize} = options;
+  const {createSoundParts, groupPeriodMs, groups, groupSize, hasTrouble} =
+    options;
   const record = new Record(options.recordFile);
   const machines = new Machines(record);
   let exitCode = 2;
