--- a/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -28,7 +28,8 @@
 /** Creates the record of a part under which processes have crashed. */
 function createRecord(...processes: string[]): PartRecord {
   const crashes = new Map(processes.map(process => [process, atMs]));
-  return {crashes, lastSeenAtMs: atMs, observedAtMs: atMs};
+  const times = {lastSeenAtMs: atMs, reportedAtMs: atMs, observedAtMs: atMs};
+  return {crashes, ...times};
 }
 
 t.test('the part with most crashes explains those of the others', async t => {
--- a/packages/ryeworks-dispatch/src/crashes/crashReports.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashReports.ts
@@ -19,7 +19,7 @@
  */
 const allReportsIntervalMs = 250;
 /** Maximum number of records in a digest. */
-const maxReports = 32;
+const maxReports = 128;
 /** Maximum number of crashes in a report, the newest ones. */
 const maxProcesses = 24;
 /**
@@ -39,12 +39,16 @@
   return allReportsIntervalMs * vmCount * (0.5 + state.random.next());
 }
 
-/** Orders parts by their number of crashes, most first. */
+/**
+ * Orders parts by their number of crashes, most first, and then by the time of
+ * their last report, so that all of them are reported in turn.
+ */
 function compareRecords(
   [, a]: [string, PartRecord],
   [, b]: [string, PartRecord],
 ): number {
-  return b.crashes.size - a.crashes.size;
+  const difference = b.crashes.size - a.crashes.size;
+  return difference !== 0 ? difference : a.reportedAtMs - b.reportedAtMs;
 }
 
 /**
@@ -68,6 +72,7 @@
   for (const [part, record] of reported.sort(compareRecords)) {
     if (reports.length === maxReports) break;
     const {crashes, lastSeenAtMs} = record;
+    record.reportedAtMs = nowMs;
     const seenAgoMs = Math.round(nowMs - lastSeenAtMs);
     const processes = [...crashes.keys()].slice(-maxProcesses);
     reports.push({part, seenAgoMs, processes});
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -9,6 +9,8 @@
   readonly crashes: Map<string, number>;
   /** When a request with the part last crashed an endpoint or was refused, in ms. */
   lastSeenAtMs: number;
+  /** When this VM last reported it to its peers, in ms. */
+  reportedAtMs: number;
   /** When an answer to this VM last failed by such a crash, in ms. */
   observedAtMs: number;
 }
--- a/packages/ryeworks-dispatch/src/crashes/partRecords.ts
+++ b/packages/ryeworks-dispatch/src/crashes/partRecords.ts
@@ -6,8 +6,11 @@
  * a quarantine goes on.
  */
 export const quarantineMs = 600_000;
-/** Maximum number of parts that are recorded. */
-const maxRecords = 256;
+/**
+ * Maximum number of parts that are recorded: more than a prompt has, so that no
+ * part of it takes the place of another.
+ */
+const maxRecords = 4096;
 /** Maximum number of crashes that are recorded for a part, the newest ones. */
 const maxCrashes = 64;
 
@@ -31,6 +34,7 @@
   const record = {
     crashes: new Map(),
     lastSeenAtMs: Number.NEGATIVE_INFINITY,
+    reportedAtMs: Number.NEGATIVE_INFINITY,
     observedAtMs: Number.NEGATIVE_INFINITY,
   };
   table.records.set(part, record);
