Endpoints that crash together are found, if others of their zone can be reached

Cause: three losses within 25 ms were taken for a failed network path, whatever the probes of the endpoints showed. Change: several losses at once are doubted, not dropped: up to three endpoints of the same zone that have lost nothing are probed. If one accepts a connection, the path works, and the losses count as crashes; else they do not, as before. The evidence decides, not the number.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -276,6 +276,20 @@
     to: 'minCrashes = 1e9',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
+  {
+    promise: 'prompts that crash several endpoints at once are found',
+    file: `${dispatch}/crashes/probeReferences.js`,
+    from: /if \(isListening\)/,
+    to: 'if (false)',
+    test: `${lab}/__tests__/crashingGroups.test.js`,
+  },
+  {
+    promise: 'all parts of prompts are reported in turn',
+    file: `${dispatch}/crashes/crashReports.js`,
+    from: /a\.reportedAtMs - b\.reportedAtMs/,
+    to: '0',
+    test: `${lab}/__tests__/crashingGroups.test.js`,
+  },
   {
     promise: 'VMs tell each other under which prompts endpoints crash',
     file: `${dispatch}/peers/sendDigest.js`,
--- a/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -194,6 +194,44 @@
   t.strictSame(listReported(t, {...crashes, gapMs: 0}), [], 'an outage');
 });
 
+// Guards against crashes that are taken for a failed network path because they
+// happen at once, though another endpoint of the zone can be reached.
+for (const isListening of [true, false]) {
+  t.test(
+    `losses at once, another endpoint listens: ${isListening}`,
+    async t => {
+      const state = createReadyState([
+        ...endpoints,
+        createEndpoint('m6', service),
+      ]);
+      const lost = endpoints.map(() => send(state, ['bad'], 0).call);
+      const used = new Set(lost.map(({endpoint}) => endpoint.id));
+      const flags = {hasResponseStarted: false, isConnectionLost: true};
+      const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+      for (const {callNumber, requestId} of lost) {
+        const call = {requestId, callNumber};
+        runInput(state, {kind: 'callSent', ...call}, atMs);
+        runInput(state, {...failed, ...call, ...flags}, atMs);
+      }
+      const probes = lost.flatMap(({endpoint}) => {
+        const probed = {kind: 'endpointProbed', endpoint} as const;
+        const effects = runInput(state, {...probed, isListening: false}, atMs);
+        return listEffects(effects, 'probeEndpoint');
+      });
+      t.equal(probes.length, 1, 'one reference');
+      t.notOk(used.has(probes[0].endpoint.id), 'that has lost no connection');
+      const {endpoint} = probes[0];
+      runInput(
+        state,
+        {kind: 'endpointProbed', endpoint, isListening},
+        atMs + 99,
+      );
+      const crashed = state.crashes.records.get('bad')?.crashes.size ?? 0;
+      t.equal(crashed, isListening ? used.size : 0);
+    },
+  );
+}
+
 /** How far the answer to a call has come. */
 const stages = ['before the head', 'after the head', 'after an event'] as const;
 
--- a/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
+++ b/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
@@ -4,6 +4,7 @@
 import {EndpointProbed} from '../input.js';
 import {ActiveCall, ActiveRequest} from '../requests/activeRequest.js';
 import {CrashTable, getProcess} from './crashTable.js';
+import {applyReferenceProbe, probeReferences} from './probeReferences.js';
 import {addCrash} from './partRecords.js';
 import {isSound} from './soundParts.js';
 import {scheduleQuarantines} from './scheduleQuarantines.js';
@@ -20,6 +21,8 @@
 const simultaneousMs = 25;
 /** Time for which a loss of connections is remembered, in ms. */
 const lossMemoryMs = 1000;
+/** Maximum number of parts of a prompt in a log line. */
+const maxLoggedParts = 32;
 
 /** Records that a process lost connections; forgets those of long ago. */
 function recordLoss({lostAtMs}: CrashTable, process: string, nowMs: number) {
@@ -65,36 +68,78 @@
   return losses >= minSimultaneousLosses;
 }
 
-/** Records a crash, if the probe of an endpoint shows that it has crashed. */
-export function handleEndpointProbed(
+/** Records that a process has crashed under some parts. */
+function recordCrash(
+  state: DispatchState,
+  process: string,
+  parts: readonly string[],
+  nowMs: number,
+): Effect[] {
+  const table = state.crashes;
+  for (const part of parts) {
+    addCrash(table, part, process, nowMs);
+    const record = table.records.get(part)!;
+    record.lastSeenAtMs = nowMs;
+    record.observedAtMs = nowMs;
+  }
+  scheduleQuarantines(state, nowMs);
+  return [createCount('prompt_crashes')];
+}
+
+/** Records the crashes among the losses that were doubted until now. */
+function recordConfirmedLosses(
   state: DispatchState,
   {endpoint, isListening}: EndpointProbed,
   nowMs: number,
 ): Effect[] {
+  const table = state.crashes;
+  const effects: Effect[] = [];
+  const losses = applyReferenceProbe(table, endpoint, isListening);
+  for (const {parts, process} of losses) {
+    const suspects = parts.filter(part => !isSound(table, part, nowMs));
+    effects.push(
+      createLog('connection_loss_confirmed', {
+        process,
+        reference: endpoint.id,
+        sharedParts: suspects.slice(0, maxLoggedParts).join(),
+      }),
+    );
+    if (suspects.length === 0) continue;
+    effects.push(...recordCrash(state, process, suspects, nowMs));
+  }
+  return effects;
+}
+
+/**
+ * Records a crash, if the probe of an endpoint shows that it has crashed. If
+ * others have lost connections at the same moment, more probes decide.
+ */
+export function handleEndpointProbed(
+  state: DispatchState,
+  input: EndpointProbed,
+  nowMs: number,
+): Effect[] {
+  const {endpoint, isListening} = input;
   const table = state.crashes;
   const process = getProcess(endpoint);
+  const effects = recordConfirmedLosses(state, input, nowMs);
   const loss = table.uncheckedLosses.get(process);
-  if (loss === undefined) return [];
+  if (loss === undefined) return effects;
   table.uncheckedLosses.delete(process);
   const isSimultaneous = isOutage(table, loss.atMs);
-  const isCrash = !isListening && !isSimultaneous;
   const parts = [...loss.parts].filter(part => !isSound(table, part, nowMs));
-  const effects: Effect[] = [
+  effects.push(
     createLog('connection_loss_checked', {
       endpoint: endpoint.id,
       isListening,
       isSimultaneous,
-      sharedParts: parts.join(),
+      sharedParts: parts.slice(0, maxLoggedParts).join(),
     }),
-  ];
-  if (!isCrash || parts.length === 0) return effects;
-  for (const part of parts) {
-    addCrash(table, part, process, nowMs);
-    const record = table.records.get(part)!;
-    record.lastSeenAtMs = nowMs;
-    record.observedAtMs = nowMs;
-  }
-  scheduleQuarantines(state, nowMs);
-  effects.push(createCount('prompt_crashes'));
+  );
+  if (isListening || parts.length === 0) return effects;
+  const next = isSimultaneous
+    ? probeReferences(state, endpoint, parts, nowMs)
+    : recordCrash(state, process, parts, nowMs);
+  effects.push(...next);
   return effects;
 }
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -36,6 +36,17 @@
   reportedAtMs: number;
 }
 
+/**
+ * Endpoints of a zone that have lost connections at the same moment: they have
+ * crashed if the network path to the zone works.
+ */
+export interface ZoneDoubt {
+  /** The suspected parts of the prompts on each process. */
+  readonly lostParts: Map<string, readonly string[]>;
+  /** Processes of the zone whose probes have not been answered. */
+  readonly references: Set<string>;
+}
+
 /** What a VM knows of prompts under which endpoints crash. */
 export interface CrashTable {
   /** Records of parts that no answer has shown to be sound, by part. */
@@ -49,6 +60,8 @@
   readonly soundReportedUntilMs: Map<string, number>;
   /** Losses of connections that are being checked, by process. */
   readonly uncheckedLosses: Map<string, ConnectionLoss>;
+  /** Losses that a failed network path may explain, by availability zone. */
+  readonly doubtsByZone: Map<string, ZoneDoubt>;
   /** When each process last lost connections of this VM, in ms. */
   readonly lostAtMs: Map<string, number>;
   /** Whether the quarantines are going to be updated. */
@@ -73,6 +86,7 @@
     recentPrompts: new Map(),
     soundReportedUntilMs: new Map(),
     uncheckedLosses: new Map(),
+    doubtsByZone: new Map(),
     lostAtMs: new Map(),
     isUpdateScheduled: false,
     storedKey: undefined,
