--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -9,6 +9,8 @@
   readonly crashes: Map<string, number>;
   /** When a request with the part last crashed an endpoint or was refused, in ms. */
   lastSeenAtMs: number;
+  /** When this VM last reported it to its peers, in ms. */
+  reportedAtMs: number;
   /** When an answer to this VM last failed by such a crash, in ms. */
   observedAtMs: number;
 }
@@ -34,6 +36,17 @@
   reportedAtMs: number;
 }
 
+/**
+ * Endpoints of a zone that have lost connections at the same moment: they have
+ * crashed if the network path to the zone works.
+ */
+export interface ZoneDoubt {
+  /** The suspected parts of the prompts on each process. */
+  readonly lostParts: Map<string, readonly string[]>;
+  /** Processes of the zone whose probes have not been answered. */
+  readonly references: Set<string>;
+}
+
 /** What a VM knows of prompts under which endpoints crash. */
 export interface CrashTable {
   /** Records of parts that no answer has shown to be sound, by part. */
@@ -47,6 +60,8 @@
   readonly soundReportedUntilMs: Map<string, number>;
   /** Losses of connections that are being checked, by process. */
   readonly uncheckedLosses: Map<string, ConnectionLoss>;
+  /** Losses that a failed network path may explain, by availability zone. */
+  readonly doubtsByZone: Map<string, ZoneDoubt>;
   /** When each process last lost connections of this VM, in ms. */
   readonly lostAtMs: Map<string, number>;
   /** Whether the quarantines are going to be updated. */
@@ -71,6 +86,7 @@
     recentPrompts: new Map(),
     soundReportedUntilMs: new Map(),
     uncheckedLosses: new Map(),
+    doubtsByZone: new Map(),
     lostAtMs: new Map(),
     isUpdateScheduled: false,
     storedKey: undefined,
