What an endpoint states outlives its entry

Callers saw: an endpoint leaves, its entry is removed, and its answers say so (Server-Leaving).

Cause: handleCallAnswered dropped what an answer states if the endpoint had no entry. Notices were kept from before the removal only, by id, and a limit not at all; and what a call to the process before a restart brought in was applied to the process that had taken its place.

Evidence, formerEndpoints.test.ts before the change: not ok 1 - a leaving that was stated after the removal not ok 2 - a leaving of the process before a restart not ok 4, 5 - the same for a pause not ok 7, 8, 9 - the same for a limit, and for one stated before the removal not ok 10 - calls that run through a removal count after the return

Fix: the entry of a process (id and start) is kept when it is removed or replaced, for ten minutes and for 2,000 processes; a call knows its process, and what it learns goes there. A process that is listed again gets its entry back, with what it has stated, its limit and its calls in flight. At another address only the statistics begin anew.

Two mutations are caught.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -183,6 +183,20 @@
     to: 'if (false)',
     test: `${dispatch}/__tests__/callObstacles.test.js`,
   },
+  {
+    promise: 'what a process states after its entry was removed is kept',
+    file: `${dispatch}/endpoints/formerEntries.js`,
+    from: /return findFormerEntry\(table, process\);/,
+    to: 'return undefined;',
+    test: `${dispatch}/__tests__/formerEndpoints.test.js`,
+  },
+  {
+    promise: 'a process that is listed again is known',
+    file: `${dispatch}/endpoints/formerEntries.js`,
+    from: /formerEntries\.set\(key, entry\);/,
+    to: '',
+    test: `${dispatch}/__tests__/formerEndpoints.test.js`,
+  },
   {
     promise: 'an endpoint that wants a pause gets no calls until its end',
     file: `${dispatch}/endpoints/callObstacles.js`,
--- a/packages/ryeworks-dispatch/src/__tests__/formerEndpoints.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/formerEndpoints.test.ts
@@ -143,5 +143,5 @@
     const {id} = endpoint;
     runInput(state, {kind: 'endpointRemoved', id}, laterMs);
   }
-  t.equal(state.endpoints.formerNotices.size, 2000);
+  t.equal(state.endpoints.formerEntries.size, 2000);
 });
--- a/packages/ryeworks-dispatch/src/endpoints/applyEndpointNotice.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/applyEndpointNotice.ts
@@ -39,13 +39,13 @@
       remainingMs: Math.round(notices.pausedUntilMs - nowMs),
       unreadable: pause.kind === 'unreadable' ? pause.text : '',
     }),
-    ...withdrawUnsentCalls(state, endpoint.id, nowMs),
+    ...withdrawUnsentCalls(state, entry, nowMs),
   ];
 }
 
 /** Records whether an endpoint states that it is leaving. */
 function applyLeaving(
-  {endpoint, notices}: EndpointEntry,
+  {endpoint, notices, removedAtMs}: EndpointEntry,
   isLeaving: boolean,
   attemptId: string,
   nowMs: number,
@@ -63,7 +63,7 @@
     createLog('endpoint_leaving', {
       endpoint: endpoint.id,
       source: attemptId,
-      isListed: !endpoint.isDraining,
+      isListed: removedAtMs === undefined && !endpoint.isDraining,
     }),
   ];
 }
--- a/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
@@ -1,7 +1,7 @@
-import {removeOldest} from '@ryeworks/utils';
 import {RateLimit} from '../rateLimits/rateLimit.js';
 import {Endpoint} from './endpoint.js';
-import {createNoticeRecord, NoticeRecord, isSameStart} from './noticeRecord.js';
+import {addFormerEntry, consumeFormerEntry} from './formerEntries.js';
+import {createNoticeRecord, NoticeRecord} from './noticeRecord.js';
 
 /** Weight of a new outcome in the failure rate. */
 const outcomeWeight = 0.1;
@@ -9,9 +9,6 @@
 const initialCooldownMs = 250;
 const maxCooldownMs = 1000;
 
-/** Number of removed endpoints whose notices are kept. */
-const maxFormerNotices = 2000;
-
 /** Consecutive cut calls that do not yet start a cool-down. */
 export const toleratedCuts = 1;
 
@@ -41,6 +38,8 @@
   notices: NoticeRecord;
   /** Whether its entry in the store disappeared, possibly only for a while. */
   isMissing: boolean;
+  /** When it was removed from the table, in ms; undefined while it is there. */
+  removedAtMs: number | undefined;
 }
 
 /** All endpoints that this VM can use, by id and by service. */
@@ -48,19 +47,19 @@
   readonly byId: Map<string, EndpointEntry>;
   readonly byService: Map<string, Map<string, EndpointEntry>>;
   /**
-   * Notices of endpoints that are not in the table, by id: an entry that was
-   * removed may come back, for example from an older copy of the store.
+   * Entries that were removed, by process, the oldest first: one may come back,
+   * for example from an older copy of the store.
    */
-  readonly formerNotices: Map<string, NoticeRecord>;
+  readonly formerEntries: Map<string, EndpointEntry>;
 }
 
 /** Creates an empty table. */
 export function createEndpointTable(): EndpointTable {
-  return {byId: new Map(), byService: new Map(), formerNotices: new Map()};
+  return {byId: new Map(), byService: new Map(), formerEntries: new Map()};
 }
 
 /** Creates the entry of an endpoint that has not been used yet. */
-function createEntry(endpoint: Endpoint, notices: NoticeRecord): EndpointEntry {
+function createEntry(endpoint: Endpoint): EndpointEntry {
   return {
     endpoint,
     inFlight: 0,
@@ -71,8 +70,9 @@
     cooldownUntilMs: 0,
     limit: undefined,
     unlimitedAtMs: Number.NEGATIVE_INFINITY,
-    notices,
+    notices: createNoticeRecord(endpoint.startedAtMs),
     isMissing: false,
+    removedAtMs: undefined,
   };
 }
 
@@ -87,56 +87,67 @@
 }
 
 /**
- * Returns the notices of an endpoint that is added: those of its former entry,
- * unless it was restarted.
+ * Returns the entry of a process that is listed again. What it has stated and its
+ * calls belong to the process, the statistics to the address.
  */
-function resumeNoticeRecord(
-  {formerNotices}: EndpointTable,
-  {id, startedAtMs}: Endpoint,
-): NoticeRecord {
-  const former = formerNotices.get(id);
-  formerNotices.delete(id);
-  if (former === undefined || !isSameStart(former, startedAtMs)) {
-    return createNoticeRecord(startedAtMs);
-  }
+function resumeEntry(former: EndpointEntry, endpoint: Endpoint): EndpointEntry {
+  const {address} = former.endpoint;
+  const {inFlight, limit, notices, unlimitedAtMs} = former;
   // A start time that was known stays: it tells of the next restart.
-  if (startedAtMs !== 0) former.startedAtMs = startedAtMs;
-  return former;
+  if (endpoint.startedAtMs !== 0) notices.startedAtMs = endpoint.startedAtMs;
+  const statistics =
+    address === endpoint.address ? former : createEntry(endpoint);
+  return Object.assign(statistics, {
+    endpoint,
+    inFlight,
+    limit,
+    notices,
+    unlimitedAtMs,
+    isMissing: false,
+    removedAtMs: undefined,
+  });
 }
 
-/** Adds an endpoint or updates its entry; a restart resets the statistics. */
-export function updateEndpoint(table: EndpointTable, endpoint: Endpoint): void {
+/**
+ * Adds an endpoint or updates its entry; a restart resets the statistics. Returns
+ * the entry of a process that was in the table before and is back, otherwise
+ * undefined.
+ */
+export function updateEndpoint(
+  table: EndpointTable,
+  endpoint: Endpoint,
+  nowMs: number,
+): EndpointEntry | undefined {
   const existing = table.byId.get(endpoint.id);
   if (existing !== undefined && !isRestarted(existing.endpoint, endpoint)) {
     existing.endpoint = endpoint;
     existing.isMissing = false;
-    return;
+    return undefined;
   }
-  if (existing !== undefined) removeEndpoint(table, endpoint.id);
-  const entry = createEntry(endpoint, resumeNoticeRecord(table, endpoint));
+  if (existing !== undefined) removeEndpoint(table, endpoint.id, nowMs);
+  const former = consumeFormerEntry(table, endpoint, nowMs);
+  const entry =
+    former === undefined
+      ? createEntry(endpoint)
+      : resumeEntry(former, endpoint);
   table.byId.set(endpoint.id, entry);
   const serviceEntries = table.byService.get(endpoint.service) ?? new Map();
   serviceEntries.set(endpoint.id, entry);
   table.byService.set(endpoint.service, serviceEntries);
+  return former === undefined ? undefined : entry;
 }
 
-/** Keeps the notices of an endpoint that is removed, the newest ones only. */
-function addFormerNotices(
-  {formerNotices}: EndpointTable,
+/** Removes an endpoint from the table; its entry is kept for a while. */
+export function removeEndpoint(
+  table: EndpointTable,
   id: string,
-  notices: NoticeRecord,
+  nowMs: number,
 ): void {
-  formerNotices.set(id, notices);
-  if (formerNotices.size > maxFormerNotices) removeOldest(formerNotices);
-}
-
-/** Removes an endpoint from the table. */
-export function removeEndpoint(table: EndpointTable, id: string): void {
   const existing = table.byId.get(id);
   if (existing === undefined) return;
   table.byId.delete(id);
-  addFormerNotices(table, id, existing.notices);
   table.byService.get(existing.endpoint.service)?.delete(id);
+  addFormerEntry(table, existing, nowMs);
 }
 
 /** Returns the endpoints of a service. */
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -9,6 +9,7 @@
 } from '../input.js';
 import {handleEarlyRequests} from '../requests/handleRequestReceived.js';
 import {hasRecentDigest} from '../peers/peerTable.js';
+import {resumeLimit} from '../rateLimits/applyLimit.js';
 import {
   isLossLikely,
   isOutdatedEra,
@@ -16,7 +17,11 @@
   returnGracePeriodMs,
 } from '../store/storeEra.js';
 import {Endpoint} from './endpoint.js';
-import {removeEndpoint, updateEndpoint} from './endpointTable.js';
+import {
+  EndpointEntry,
+  removeEndpoint,
+  updateEndpoint,
+} from './endpointTable.js';
 
 /** Time between two checks of the missing endpoints, in ms. */
 const missingSweepPeriodMs = 200;
@@ -73,7 +78,7 @@
     state.timers.set('sweepMissing', '', nowMs + missingSweepPeriodMs);
     return reportChange('missing', entry.endpoint);
   }
-  removeEndpoint(state.endpoints, id);
+  removeEndpoint(state.endpoints, id, nowMs);
   return reportChange('removed', entry.endpoint);
 }
 
@@ -105,6 +110,15 @@
   return effects;
 }
 
+/** Returns the name of an endpoint's change for reports. */
+function findChange(
+  previous: Endpoint | undefined,
+  resumed: EndpointEntry | undefined,
+): string {
+  if (previous !== undefined) return 'changed';
+  return resumed === undefined ? 'added' : 'returned';
+}
+
 /**
  * Adds or updates one endpoint and dispatches requests that can now run there.
  */
@@ -114,15 +128,15 @@
   nowMs: number,
 ): Effect[] {
   const previous = state.endpoints.byId.get(endpoint.id)?.endpoint;
-  updateEndpoint(state.endpoints, endpoint);
+  const resumed = updateEndpoint(state.endpoints, endpoint, nowMs);
+  if (resumed !== undefined) resumeLimit(state, resumed, nowMs);
   const isUnchanged =
     previous !== undefined &&
     previous.isDraining === endpoint.isDraining &&
     previous.startedAtMs === endpoint.startedAtMs;
   if (isUnchanged) return [];
-  const change = previous === undefined ? 'added' : 'changed';
   return [
-    ...reportChange(change, endpoint),
+    ...reportChange(findChange(previous, resumed), endpoint),
     ...admitWaiting(state, endpoint.service, nowMs),
   ];
 }
@@ -177,7 +191,7 @@
       isAnyMissing = true;
       continue;
     }
-    removeEndpoint(state.endpoints, id);
+    removeEndpoint(state.endpoints, id, nowMs);
     effects.push(...reportChange('removed', entry.endpoint));
   }
   if (isAnyMissing) {
--- a/packages/ryeworks-dispatch/src/endpoints/leavingReports.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/leavingReports.ts
@@ -1,10 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
-import {
-  hasStatedLeaving,
-  isSameStart,
-  recordLeavingReport,
-} from './noticeRecord.js';
+import {findProcessEntry} from './formerEntries.js';
+import {hasStatedLeaving, recordLeavingReport} from './noticeRecord.js';
 
 /**
  * Creates the reports of a digest: the start times of the endpoints that have
@@ -30,9 +27,8 @@
 ): Effect[] {
   const effects: Effect[] = [];
   for (const [id, startedAtMs] of Object.entries(reports)) {
-    const entry = state.endpoints.byId.get(id);
+    const entry = findProcessEntry(state.endpoints, {id, startedAtMs});
     if (entry === undefined) continue;
-    if (!isSameStart(entry.notices, startedAtMs)) continue;
     if (!recordLeavingReport(entry.notices, nowMs)) continue;
     effects.push(
       createCount('endpoint_notices', {notice: 'leaving_reported'}),
--- a/packages/ryeworks-dispatch/src/rateLimits/applyLimit.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/applyLimit.ts
@@ -28,6 +28,22 @@
   state.limitedEndpoints.add(entry.endpoint.id);
 }
 
+/**
+ * Keeps to the limit of an endpoint whose entry has come back, as to one that was
+ * just learned of.
+ */
+export function resumeLimit(
+  state: DispatchState,
+  entry: EndpointEntry,
+  nowMs: number,
+): void {
+  const {limit} = entry;
+  if (limit === undefined) return;
+  const {liftedAtMs, observedAtMs, ownObservedAtMs, perSecond} = limit;
+  addLimit(state, entry, perSecond, observedAtMs, nowMs);
+  Object.assign(entry.limit!, {liftedAtMs, ownObservedAtMs});
+}
+
 /** Records that an endpoint names a limit. */
 export function applyNamedLimit(
   state: DispatchState,
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -10,6 +10,8 @@
 export interface ActiveCall {
   readonly callNumber: number;
   readonly endpointId: string;
+  /** When the endpoint's process started, in ms since 1970; 0 if unknown. */
+  readonly processStartedAtMs: number;
   readonly startedAtMs: number;
   /** Whether it was written to the endpoint. */
   isSent: boolean;
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -5,7 +5,7 @@
 import {createCount, createLog, Effect} from '../effect.js';
 import {refundUnits} from '../limits/customerUsage.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
-import {getEndpointEntry} from './findCall.js';
+import {findCalledEntry} from './findCall.js';
 
 /** Outcome of a request, for logs and counters. */
 export interface RequestOutcome {
@@ -19,9 +19,10 @@
   call: ActiveCall,
   nowMs: number,
 ): Effect[] {
-  const entry = getEndpointEntry(state, call);
+  const entry = findCalledEntry(state, call);
   if (entry === undefined) return [];
   entry.inFlight = Math.max(0, entry.inFlight - 1);
+  if (entry.removedAtMs !== undefined) return [];
   return assignFreedSlot(state, entry, nowMs);
 }
 
--- a/packages/ryeworks-dispatch/src/requests/findCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/findCall.ts
@@ -1,5 +1,6 @@
 import {DispatchState} from '../dispatchState.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {findProcessEntry} from '../endpoints/formerEntries.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 
 /** A request and one of its calls. */
@@ -28,3 +29,14 @@
 ): EndpointEntry | undefined {
   return state.endpoints.byId.get(call.endpointId);
 }
+
+/**
+ * Returns the entry of the process that a call was started at, even if it was
+ * removed or another process has taken its place.
+ */
+export function findCalledEntry(
+  state: DispatchState,
+  {endpointId: id, processStartedAtMs: startedAtMs}: ActiveCall,
+): EndpointEntry | undefined {
+  return findProcessEntry(state.endpoints, {id, startedAtMs});
+}
--- a/packages/ryeworks-dispatch/src/requests/handleCallAnswered.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallAnswered.ts
@@ -3,9 +3,12 @@
 import {applyEndpointNotice} from '../endpoints/applyEndpointNotice.js';
 import {CallAnswered} from '../input.js';
 import {applyLimitStatement} from '../rateLimits/applyLimitStatement.js';
-import {findCall, getEndpointEntry} from './findCall.js';
+import {findCall, findCalledEntry} from './findCall.js';
 
-/** Applies what the head of an answer states about its endpoint. */
+/**
+ * Applies what the head of an answer states about its endpoint, even if that was
+ * removed: its entry may come back while the process lasts.
+ */
 export function handleCallAnswered(
   state: DispatchState,
   input: CallAnswered,
@@ -13,7 +16,7 @@
 ): Effect[] {
   const found = findCall(state, input);
   if (found === undefined) return [];
-  const entry = getEndpointEntry(state, found.call);
+  const entry = findCalledEntry(state, found.call);
   if (entry === undefined) return [];
   const {limitStatement, notice} = input;
   const {attemptId} = found.request;
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -20,6 +20,7 @@
   request.calls.push({
     callNumber: request.callsStarted,
     endpointId: entry.endpoint.id,
+    processStartedAtMs: entry.notices.startedAtMs,
     startedAtMs: nowMs,
     isSent: false,
     hasFirstEvent: false,
--- a/packages/ryeworks-dispatch/src/requests/withdrawUnsentCalls.ts
+++ b/packages/ryeworks-dispatch/src/requests/withdrawUnsentCalls.ts
@@ -1,6 +1,8 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
+import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
+import {findCalledEntry} from './findCall.js';
 import {retryRequest} from './retryRequest.js';
 import {releaseFailedCall} from './standbyCall.js';
 
@@ -34,13 +36,13 @@
  */
 export function withdrawUnsentCalls(
   state: DispatchState,
-  endpointId: string,
+  entry: EndpointEntry,
   nowMs: number,
 ): Effect[] {
   const effects: Effect[] = [];
   for (const request of [...state.requests.values()]) {
     const unsent = request.calls.find(
-      call => call.endpointId === endpointId && !call.isSent,
+      call => !call.isSent && findCalledEntry(state, call) === entry,
     );
     if (unsent === undefined) continue;
     effects.push(...withdrawCall(state, request, unsent, nowMs));
