A copy of the store takes back neither a draining nor a removal

Callers could see: an endpoint that the store had listed as draining, or whose entry it had removed, gets requests once the store comes back from an older copy that lists it as available, until its entry is written or removed again.

Cause: an entry was taken as it was listed, whatever an earlier era had said of the same process.

Fix: the notices of a process hold the first era in which the store listed it as draining and the era in which it was removed. A later era that lists it otherwise comes from an older copy: the draining stays until another process starts, and a removal counts like a peer's report that it is leaving, for 5 s and never against the last endpoint, as it may have been cut off and be back. Within one era the store is believed as before; so is a process without a start time.

After: the file passes, two mutations are caught.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -197,6 +197,20 @@
     to: '',
     test: `${dispatch}/__tests__/formerEndpoints.test.js`,
   },
+  {
+    promise: 'a copy of the store does not take back a draining',
+    file: `${dispatch}/endpoints/earlierEras.js`,
+    from: /isKnown && isEarlier/,
+    to: 'false',
+    test: `${dispatch}/__tests__/formerEndpoints.test.js`,
+  },
+  {
+    promise: 'a copy of the store does not bring back what has left',
+    file: `${dispatch}/endpoints/earlierEras.js`,
+    from: /removedEra >= getListedEra\(state\)/,
+    to: 'true',
+    test: `${dispatch}/__tests__/formerEndpoints.test.js`,
+  },
   {
     promise: 'an endpoint that wants a pause gets no calls until its end',
     file: `${dispatch}/endpoints/callObstacles.js`,
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -16,6 +16,12 @@
   recordListing,
   returnGracePeriodMs,
 } from '../store/storeEra.js';
+import {
+  applyEarlierRemoval,
+  getListedEra,
+  recordDraining,
+  resumeDraining,
+} from './earlierEras.js';
 import {Endpoint} from './endpoint.js';
 import {
   EndpointEntry,
@@ -78,8 +84,18 @@
     state.timers.set('sweepMissing', '', nowMs + missingSweepPeriodMs);
     return reportChange('missing', entry.endpoint);
   }
-  removeEndpoint(state.endpoints, id, nowMs);
-  return reportChange('removed', entry.endpoint);
+  return applyRemoval(state, entry, nowMs);
+}
+
+/** Removes the endpoint of an entry. */
+function applyRemoval(
+  state: DispatchState,
+  {endpoint, notices}: EndpointEntry,
+  nowMs: number,
+): Effect[] {
+  notices.removedEra = getListedEra(state);
+  removeEndpoint(state.endpoints, endpoint.id, nowMs);
+  return reportChange('removed', endpoint);
 }
 
 /**
@@ -110,6 +126,16 @@
   return effects;
 }
 
+/** Applies what is known of a process that is listed again. */
+function handleReturn(
+  state: DispatchState,
+  resumed: EndpointEntry,
+  nowMs: number,
+): Effect[] {
+  resumeLimit(state, resumed, nowMs);
+  return applyEarlierRemoval(state, resumed, nowMs);
+}
+
 /** Returns the name of an endpoint's change for reports. */
 function findChange(
   previous: Endpoint | undefined,
@@ -124,18 +150,23 @@
  */
 function applyEndpoint(
   state: DispatchState,
-  endpoint: Endpoint,
+  listed: Endpoint,
   nowMs: number,
 ): Effect[] {
-  const previous = state.endpoints.byId.get(endpoint.id)?.endpoint;
+  const {byId} = state.endpoints;
+  const previous = byId.get(listed.id)?.endpoint;
+  const endpoint = resumeDraining(state, listed);
   const resumed = updateEndpoint(state.endpoints, endpoint, nowMs);
-  if (resumed !== undefined) resumeLimit(state, resumed, nowMs);
+  recordDraining(state, byId.get(endpoint.id)!);
+  const effects =
+    resumed === undefined ? [] : handleReturn(state, resumed, nowMs);
   const isUnchanged =
     previous !== undefined &&
     previous.isDraining === endpoint.isDraining &&
     previous.startedAtMs === endpoint.startedAtMs;
-  if (isUnchanged) return [];
+  if (isUnchanged) return effects;
   return [
+    ...effects,
     ...reportChange(findChange(previous, resumed), endpoint),
     ...admitWaiting(state, endpoint.service, nowMs),
   ];
@@ -185,14 +216,13 @@
 ): Effect[] {
   const effects: Effect[] = [];
   let isAnyMissing = false;
-  for (const [id, entry] of [...state.endpoints.byId]) {
+  for (const entry of [...state.endpoints.byId.values()]) {
     if (!entry.isMissing) continue;
     if (isExpiryLikely(state, nowMs)) {
       isAnyMissing = true;
       continue;
     }
-    removeEndpoint(state.endpoints, id, nowMs);
-    effects.push(...reportChange('removed', entry.endpoint));
+    effects.push(...applyRemoval(state, entry, nowMs));
   }
   if (isAnyMissing) {
     state.timers.set('sweepMissing', '', nowMs + missingSweepPeriodMs);
--- a/packages/ryeworks-dispatch/src/endpoints/noticeRecord.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/noticeRecord.ts
@@ -1,4 +1,4 @@
-/** What answers and peers have stated about one process of an endpoint. */
+/** What answers, peers and the store have stated about one process of an endpoint. */
 export interface NoticeRecord {
   /** When the process started, in ms since 1970; 0 if unknown. */
   startedAtMs: number;
@@ -7,12 +7,16 @@
    * Infinity if none did.
    */
   leavingSinceMs: number;
-  /** When a peer last reported that, in ms; -Infinity if none did. */
+  /** When a peer or the store last told that, in ms; -Infinity if none did. */
   leavingReportedAtMs: number;
   /** When an answer to this VM last did not state it, in ms. */
   stayingAtMs: number;
   /** End of the pause that it asked this VM for, in ms; 0 if none. */
   pausedUntilMs: number;
+  /** First era in which the store listed it as draining; undefined if in none. */
+  drainingEra: number | undefined;
+  /** Era in which the store removed it; undefined if it has not. */
+  removedEra: number | undefined;
 }
 
 /** Time for which a peer's report that an endpoint is leaving applies, in ms. */
@@ -31,6 +35,8 @@
     leavingReportedAtMs: Number.NEGATIVE_INFINITY,
     stayingAtMs: Number.NEGATIVE_INFINITY,
     pausedUntilMs: 0,
+    drainingEra: undefined,
+    removedEra: undefined,
   };
 }
 
