--- a/admin/checkProofs.js
+++ b/admin/checkProofs.js
@@ -21,7 +21,9 @@
 /** Creates a temporary copy of the compiled packages for one mutation. */
 function createCopy() {
   const copy = mkdtempSync(join(tmpdir(), 'ryeworks-proofs-'));
-  cpSync('packages', join(copy, 'packages'), {recursive: true});
+  for (const folder of ['packages', 'platform']) {
+    cpSync(folder, join(copy, folder), {recursive: true});
+  }
   const modules = join(copy, 'node_modules');
   mkdirSync(join(modules, '@ryeworks'), {recursive: true});
   for (const entry of readdirSync('node_modules')) {
--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -211,6 +211,13 @@
     to: 'true',
     test: `${dispatch}/__tests__/formerEndpoints.test.js`,
   },
+  {
+    promise: 'what changes while a list is read is in the watch after it',
+    file: 'platform/dist/storeClient.js',
+    from: /position \?\?= \{/,
+    to: 'position = {',
+    test: 'platform/dist/__tests__/storeClient.test.js',
+  },
   {
     promise: 'an endpoint that wants a pause gets no calls until its end',
     file: `${dispatch}/endpoints/callObstacles.js`,
