callHttp rejects a malformed address or path

Callers could see: a VM ends. An address with port 99999, as a peer may name it, rejected the call with a RangeError, and 20 ms (the time limit) later its timer threw a ReferenceError, which nothing catches.

Cause: the timers were started before the request; what they call did not exist if the request could not be created.

Evidence, callHttp.test.ts before the change: not ok 1 - 127.0.0.1:99999 not ok 5 - 127.0.0.1:80 (a path with a blank) not ok 6 - should be equal (errors thrown in a timer)

Fix: the request is created first, and what keeps it from that is the HttpCallError that all callers expect.

--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,7 +1,12 @@
-import {IncomingHttpHeaders, IncomingMessage, request} from 'node:http';
+import {
+  ClientRequest,
+  IncomingHttpHeaders,
+  IncomingMessage,
+  request,
+} from 'node:http';
 import {gunzipSync} from 'node:zlib';
 import {AnswerTimers} from './answerTimers.js';
-import {parseHostPort} from './hostPort.js';
+import {hasValidPort, parseHostPort} from './hostPort.js';
 
 /** An HTTP call, with or without a JSON body. */
 export interface HttpCall {
@@ -43,13 +48,30 @@
   return JSON.parse(text.toString('utf8'));
 }
 
+/** Prepares the request of a call; throws if its address or path is malformed. */
+function createRequest(call: HttpCall, name: string): ClientRequest {
+  const {acceptsGzip, address, method, path} = call;
+  if (!hasValidPort(address)) {
+    throw new HttpCallError(`${name}: malformed address`);
+  }
+  const headers = {
+    'content-type': 'application/json',
+    ...(acceptsGzip ? {'accept-encoding': 'gzip'} : {}),
+  };
+  const options = {...parseHostPort(address), method, path, headers};
+  try {
+    return request({...options, agent: false});
+  } catch (error) {
+    throw new HttpCallError(`${name}: ${(error as Error).message}`);
+  }
+}
+
 /**
  * Makes a call over a new connection, so that an idle connection that has
  * silently stopped working is never used.
  */
 export function callHttp(call: HttpCall): Promise<HttpAnswer> {
   const {address, method, path, timeoutMs} = call;
-  const {host, port} = parseHostPort(address);
   const name = `${method} ${address}${path}`;
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
@@ -61,18 +83,9 @@
       reject(new HttpCallError(`${name}: ${reason}, ${progress}`));
       outgoing.destroy();
     };
+    // Before the timers, which would use it if it could not be created.
+    const outgoing = createRequest(call, name);
     const timers = new AnswerTimers(timeoutMs, fail);
-    const outgoing = request({
-      host,
-      port,
-      method,
-      path,
-      agent: false,
-      headers: {
-        'content-type': 'application/json',
-        ...(call.acceptsGzip ? {'accept-encoding': 'gzip'} : {}),
-      },
-    });
     outgoing.on('error', error => fail(error.message));
     outgoing.on('response', response => {
       timers.handleBeginning();
