Each call counts once as evidence of a move

What was wrong: a call with a slow first event counted when that arrived, as slow, and at its end once more, as not slow; one that was cut counted twice, too. A version that answers always slowly showed half of its answers slow, and twenty answers of a version in its first step could be ten.

Evidence, moves.test.ts before the change: not ok 9 - each call counts once as evidence "answered": 1 expected, 2 found (done and cut)

Fix: a call knows what it has counted for; a later outcome adds the difference.

--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -231,3 +231,29 @@
     t.equal(listEffects(effects, 'writeMoveResult').length, writes);
   }
 });
+
+// Guards against a slow call that weighs as two answers, one of them not slow.
+t.test('each call counts once as evidence', async t => {
+  const ends = {
+    done: {kind: 'callDone', status: 200},
+    cut: {
+      kind: 'callFailed',
+      failure: 'cut',
+      hasResponseStarted: true,
+      detail: 'test',
+    },
+  } as const;
+  for (const [name, end] of Object.entries(ends)) {
+    const state = createReadyState([createEndpoint('e1', names.ledger)]);
+    runInput(state, {kind: 'movesRead', era: 1, orders: [order]}, 0);
+    const {requestId} = createRequest('booking', 0);
+    runInput(state, {...createRequest('booking', 0), requestId}, 0);
+    const call = {requestId, callNumber: 1};
+    runInput(state, {kind: 'callSent', ...call}, 1);
+    runInput(state, {kind: 'callProgressed', ...call, events: 1}, 2000);
+    runInput(state, {...end, ...call}, 2100);
+    const failed = name === 'cut' ? 1 : 0;
+    const {own} = state.moves.get(names.ledger)!.oldEvidence;
+    t.same(own, {answered: 1, failed, slow: 1}, name);
+  }
+});
--- a/packages/ryeworks-dispatch/src/endpoints/recordFailure.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/recordFailure.ts
@@ -1,6 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {CallFailure} from '../input.js';
 import {recordMoveEvidence} from '../moves/recordMoveEvidence.js';
+import {ActiveCall} from '../requests/activeRequest.js';
 import {
   EndpointEntry,
   recordOutcome,
@@ -33,6 +34,7 @@
 export function recordFailure(
   state: DispatchState,
   entry: EndpointEntry,
+  call: ActiveCall,
   failure: CallFailure,
   nowMs: number,
 ): void {
@@ -49,12 +51,12 @@
     },
     failed: () => {
       recordOutcome(entry, false);
-      recordMoveEvidence(state, evidence);
+      recordMoveEvidence(state, call, evidence);
     },
     cut: () => {
       recordOutcome(entry, false);
       recordUnanswered(entry, toleratedCuts, nowMs);
-      recordMoveEvidence(state, evidence);
+      recordMoveEvidence(state, call, evidence);
     },
   };
   handlers[failure]();
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -76,10 +76,10 @@
     move.newEvidence,
     sumEvidence(state, move, true),
   );
-  if (move.isBad || increase.answered === 0) return [];
+  const {answered, failed, slow} = increase;
+  if (move.isBad || answered + failed + slow === 0) return [];
   const old = move.oldEvidence.total;
   const rates = estimateFailureRates(old.answered, old.failed);
-  const {answered, failed, slow} = increase;
   const isFailing = addObservations(move.failureTest, answered, failed, rates);
   const isSlow = addObservations(move.slownessTest, answered, slow, slowRates);
   if (!isFailing && !isSlow) return [];
--- a/packages/ryeworks-dispatch/src/moves/recordMoveEvidence.ts
+++ b/packages/ryeworks-dispatch/src/moves/recordMoveEvidence.ts
@@ -1,5 +1,6 @@
 import {DispatchState} from '../dispatchState.js';
 import {VersionCounts} from '../peers/peerMessage.js';
+import {ActiveCall} from '../requests/activeRequest.js';
 
 /** Outcome of one call, counted for the version of its endpoint. */
 export interface CallOutcome {
@@ -9,23 +10,38 @@
   readonly isSlow: boolean;
 }
 
-/** Returns the counts with one answer added. */
-function addAnswer(counts: VersionCounts, outcome: CallOutcome): VersionCounts {
+/** Returns what a call counts for after an outcome: each count is 0 or 1. */
+function addOutcome(
+  {failed, slow}: VersionCounts,
+  outcome: CallOutcome,
+): VersionCounts {
   return {
-    answered: counts.answered + 1,
-    failed: counts.failed + (outcome.isFailed ? 1 : 0),
-    slow: counts.slow + (outcome.isSlow ? 1 : 0),
+    answered: 1,
+    failed: outcome.isFailed ? 1 : failed,
+    slow: outcome.isSlow ? 1 : slow,
   };
 }
 
-/** Records the outcome of a call if its service is being moved. */
+/**
+ * Records an outcome of a call if its service is being moved. A call that has
+ * several, such as a late first event and an end, counts once.
+ */
 export function recordMoveEvidence(
   state: DispatchState,
+  call: ActiveCall,
   outcome: CallOutcome,
 ): void {
   const move = state.moves.get(outcome.service);
   if (move === undefined) return;
   const isNew = outcome.version === move.order.toVersion;
   const counts = isNew ? move.newEvidence : move.oldEvidence;
-  counts.own = addAnswer(counts.own, outcome);
+  const {own} = counts;
+  const before = call.evidence;
+  call.evidence = addOutcome(before, outcome);
+  const {answered, failed, slow} = call.evidence;
+  counts.own = {
+    answered: own.answered + answered - before.answered,
+    failed: own.failed + failed - before.failed,
+    slow: own.slow + slow - before.slow,
+  };
 }
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -1,4 +1,5 @@
 import {Route} from '../desired/desiredState.js';
+import {VersionCounts} from '../peers/peerMessage.js';
 
 /** Phase of a request: waiting in a queue, or being called at an endpoint. */
 export const requestPhase = {waiting: 'waiting', calling: 'calling'} as const;
@@ -25,6 +26,8 @@
   isPaused: boolean;
   /** Whether the log tells of its current silence. */
   isSilenceLogged: boolean;
+  /** What it has counted for as evidence of a move so far; each is 0 or 1. */
+  evidence: VersionCounts;
 }
 
 /** A caller's request that this VM accepted and that has not ended. */
--- a/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/expireSilentCall.ts
@@ -52,7 +52,7 @@
   if (entry === undefined) return;
   const {service, version} = entry.endpoint;
   const evidence = {service, version, isFailed: true, isSlow: false};
-  recordMoveEvidence(state, evidence);
+  recordMoveEvidence(state, call, evidence);
 }
 
 /**
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -72,7 +72,7 @@
   scheduleSilenceTimeout(state, request, nowMs);
   if (entry === undefined) return effects;
   const elapsedMs = nowMs - call.startedAtMs;
-  recordSlowFirstEvent(state, request, entry, elapsedMs);
+  recordSlowFirstEvent(state, request, call, entry, elapsedMs);
   recordFirstEvent(entry, elapsedMs, request.promptTokens);
   const labels = {tier: `${request.tier}`};
   return [
@@ -102,6 +102,7 @@
 function recordSlowFirstEvent(
   state: DispatchState,
   request: ActiveRequest,
+  call: ActiveCall,
   entry: EndpointEntry,
   elapsedMs: number,
 ): void {
@@ -111,7 +112,12 @@
     (meanMs === 0 || elapsedMs > meanMs * slowFactor);
   const {service, version} = entry.endpoint;
   if (isSlow) {
-    recordMoveEvidence(state, {service, version, isFailed: false, isSlow});
+    recordMoveEvidence(state, call, {
+      service,
+      version,
+      isFailed: false,
+      isSlow,
+    });
   }
 }
 
@@ -129,7 +135,7 @@
   if (entry !== undefined) {
     recordOutcome(entry, true);
     const {service, version} = entry.endpoint;
-    recordMoveEvidence(state, {
+    recordMoveEvidence(state, call, {
       service,
       version,
       isFailed: false,
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -116,7 +116,7 @@
   const {call, request} = found;
   const {failure} = input;
   const entry = getEndpointEntry(state, call);
-  if (entry !== undefined) recordFailure(state, entry, failure, nowMs);
+  if (entry !== undefined) recordFailure(state, entry, call, failure, nowMs);
   const wasSent = failure !== callFailure.notSent;
   if (wasSent && provesNotRun[failure]) request.possibleRuns -= 1;
   markAvoided(request, call.endpointId, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -3,6 +3,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {noCounts} from '../moves/moveTable.js';
 import {consumePermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from './activeRequest.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
@@ -28,6 +29,7 @@
     events: 0,
     isPaused: false,
     isSilenceLogged: false,
+    evidence: noCounts,
   });
   scheduleSilenceTimeout(state, request, nowMs);
 }
