An operator is told what the last read after a lost answer showed

What was wrong: applyList made the error "is still at version 4, the change may yet arrive" and caught it itself, in all five attempts; the operator read "it is not known whether moves was changed", though it was.

Evidence, applyList.test.ts before the change: not ok 1 - expected to reject (/moves is still at version 4/)

Fix: reading and deciding are apart; the error of the last read is thrown.

--- a/packages/ryeworks/src/lists/applyList.ts
+++ b/packages/ryeworks/src/lists/applyList.ts
@@ -1,5 +1,6 @@
-import {PlatformPort} from '@ryeworks/platform';
+import {PlatformObject, PlatformPort} from '@ryeworks/platform';
 import {PlatformAnswerLostError, VersionConflictError} from '@ryeworks/types';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {isDeepStrictEqual} from 'node:util';
 import {describeChanges} from './describeChanges.js';
 
@@ -8,6 +9,30 @@
 /** Interval between these reads, in ms. */
 const readBackDelayMs = 500;
 
+/** What a document holds; the version is 0 if it does not exist. */
+type StoredDocument = Pick<PlatformObject, 'value' | 'version'>;
+
+/** Reads a document; returns undefined if the platform does not answer. */
+async function readStored(
+  platform: PlatformPort,
+  name: string,
+): Promise<StoredDocument | undefined> {
+  try {
+    const stored = await platform.getObject('config', name);
+    return stored ?? {value: undefined, version: 0};
+  } catch {
+    return undefined;
+  }
+}
+
+/** Creates the error for a document that could not be read back. */
+function createUnknownError(name: string): Error {
+  return new PlatformAnswerLostError(
+    `it is not known whether ${name} was changed. ` +
+      `Look at "ryeworks ${name} get" once the platform answers.`,
+  );
+}
+
 /**
  * Determines whether a write whose answer was lost took effect, by reading the
  * document back and never by writing it again. Returns the new version if the
@@ -19,30 +44,28 @@
   content: object,
   baseVersion: number,
 ): Promise<number> {
+  let error = createUnknownError(name);
   for (let attempt = 0; attempt < readBackAttempts; attempt++) {
-    try {
-      const stored = await platform.getObject('config', name);
-      const version = stored?.version ?? 0;
-      if (isDeepStrictEqual(stored?.value, content)) return version;
-      if (version !== baseVersion) {
-        throw new VersionConflictError(
-          `the answer was lost and ${name} now holds another change, ` +
-            `version ${version}. Look at "ryeworks ${name} get".`,
-        );
-      }
-      throw new PlatformAnswerLostError(
-        `the answer was lost; ${name} is still at version ${baseVersion}. ` +
-          'The change may yet arrive: look again before repeating it.',
+    if (attempt > 0) await sleep(readBackDelayMs);
+    const stored = await readStored(platform, name);
+    if (stored === undefined) {
+      error = createUnknownError(name);
+      continue;
+    }
+    const {value, version} = stored;
+    if (isDeepStrictEqual(value, content)) return version;
+    if (version !== baseVersion) {
+      throw new VersionConflictError(
+        `the answer was lost and ${name} now holds another change, ` +
+          `version ${version}. Look at "ryeworks ${name} get".`,
       );
-    } catch (error) {
-      if (error instanceof VersionConflictError) throw error;
-      await new Promise(resolve => setTimeout(resolve, readBackDelayMs));
     }
+    error = new PlatformAnswerLostError(
+      `the answer was lost; ${name} is still at version ${baseVersion}. ` +
+        'The change may yet arrive: look again before repeating it.',
+    );
   }
-  throw new PlatformAnswerLostError(
-    `it is not known whether ${name} was changed. ` +
-      `Look at "ryeworks ${name} get" once the platform answers.`,
-  );
+  throw error;
 }
 
 /**
