Waiting for a process that was killed before ends at once

ProcessGroup.waitForExit looked at the exit code only, which a process that a signal ended has not, and waited for an event that had passed.

--- a/packages/ryeworks-lab/src/deployment/processGroup.ts
+++ b/packages/ryeworks-lab/src/deployment/processGroup.ts
@@ -13,6 +13,11 @@
   readonly child: ChildProcess;
 }
 
+/** Returns whether a process has ended, by itself or by a signal. */
+function hasExited({exitCode, signalCode}: ChildProcess): boolean {
+  return exitCode !== null || signalCode !== null;
+}
+
 /** Starts processes and kills only those, by process ID. */
 export class ProcessGroup {
   private readonly processes = new Map<string, ManagedProcess>();
@@ -56,7 +61,7 @@
   async waitForExit(name: string): Promise<number | null> {
     const child = this.processes.get(name)?.child;
     if (child === undefined) return null;
-    if (child.exitCode !== null) return child.exitCode;
+    if (hasExited(child)) return child.exitCode;
     return new Promise(resolve => child.once('exit', code => resolve(code)));
   }
 
@@ -64,7 +69,7 @@
   async killAll(): Promise<void> {
     const exits: Promise<unknown>[] = [];
     for (const {child} of this.processes.values()) {
-      if (child.exitCode !== null || child.signalCode !== null) continue;
+      if (hasExited(child)) continue;
       exits.push(new Promise(resolve => child.once('exit', resolve)));
       child.kill('SIGCONT');
       child.kill('SIGKILL');
