The test of customers' tiers can fail

"a customer's tier is compared before the route's tier" had two routes of the same tier: with the ranks mutated to compare the route's tier first it passed. Now the customer of the higher tier asks on the route of the lower one, and the same mutation fails it: not ok 3 - a customer's tier is compared before the route's tier It is among the proofs. The product was right.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -239,6 +239,13 @@
     to: 'false',
     test: `${dispatch}/__tests__/callObstacles.test.js`,
   },
+  {
+    promise: "a customer's tier is compared before the route's",
+    file: `${dispatch}/requests/handleRequestReceived.js`,
+    from: /customerTier \* ranksPerTier \+ route\.tier/,
+    to: 'route.tier * ranksPerTier + customerTier',
+    test: `${dispatch}/__tests__/admission.test.js`,
+  },
   {
     promise: 'requests of a starved tier are refused at once',
     file: `${dispatch}/admission/starvedRanks.js`,
--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -74,27 +74,34 @@
   );
 });
 
+// Guards against a rank that compares the route's tier first, or only the time: the
+// customer of the higher tier asks later and on the route of the lower tier.
 t.test("a customer's tier is compared before the route's tier", async t => {
   const customers = [
     {name: 'gold', apiKeys: ['gold'], tier: 0, limit: undefined},
     {name: 'plain', apiKeys: ['plain'], tier: 1, limit: undefined},
   ];
+  // Requests of both routes get the only slot; those of the highest tier get more.
+  const highest = {
+    ...routes.booking,
+    name: 'top',
+    pathPrefix: '/top/',
+    tier: 0,
+  };
   const state = createReadyState(
     [createEndpoint('e1', names.ledger, {slots: 1})],
     createDesiredState(1, {
       customers,
-      routes: [routes.booking, routes.reading],
+      routes: [highest, routes.booking, {...routes.reading, tier: 2}],
     }),
   );
-  const running = [0, 1, 2].map(() =>
-    createRequest('booking', 0, {apiKey: 'plain'}),
-  );
-  for (const request of running) dispatchRequest(state, request, 0);
+  const running = createRequest('booking', 0, {apiKey: 'plain'});
+  dispatchRequest(state, running, 0);
   const plain = createRequest('booking', 1, {apiKey: 'plain'});
   dispatchRequest(state, plain, 1);
   const gold = createRequest('reading', 2, {apiKey: 'gold'});
   dispatchRequest(state, gold, 2);
-  const calls = listEffects(finishFirstCall(state, running[0], 3), 'startCall');
+  const calls = listEffects(finishFirstCall(state, running, 3), 'startCall');
   t.equal(calls[0]?.requestId, gold.requestId);
 });
 
