A leader of moves does not wait for ever for a write

If the result of a write never came, the leader made no further decision: the move stood still, and a bad version was not withdrawn.

Can it happen: the process's own calls have time limits and always report a result, so that it takes a fault of another part; none is known. The core depended on it.

Fix: after 30 s the write counts as one whose result is unknown: the document is read and decided anew (platform.write_failed with result=unknown). A late write is safe, as each expects the version that it was based on.

--- a/packages/ryeworks-scheduler/src/moves/movesState.ts
+++ b/packages/ryeworks-scheduler/src/moves/movesState.ts
@@ -66,6 +66,8 @@
   readonly progress: Map<string, MoveProgress>;
   /** Call ID of the leader's pending write; empty if there is none. */
   pendingCallId: string;
+  /** When that write was started, in ms. */
+  pendingSinceMs: number;
   nextCallNumber: number;
 }
 
@@ -78,6 +80,7 @@
     tests: new Map(),
     progress: new Map(),
     pendingCallId: '',
+    pendingSinceMs: 0,
     nextCallNumber: 1,
   };
 }
--- a/packages/ryeworks-scheduler/src/moves/updateMoves.ts
+++ b/packages/ryeworks-scheduler/src/moves/updateMoves.ts
@@ -9,6 +9,11 @@
 const updatePeriodMs = 500;
 /** Time until the next check after a write was started, in ms. */
 const checkDelayAfterWriteMs = 5000;
+/**
+ * Time after which the result of a write no longer comes, in ms: above the time
+ * limits of a call to the platform.
+ */
+const maxWriteMs = 30_000;
 
 /** Counts the observations of the new version in the current step. */
 function countObservedInStep(state: SchedulerState, move: VersionMove): number {
@@ -43,6 +48,17 @@
   });
 }
 
+/**
+ * Ends the wait for a write whose result does not come, as if it were unknown. A
+ * write that was done later fails the next one, which expects the version before.
+ */
+function expireWrite(state: SchedulerState, nowMs: number): Effect[] {
+  const {pendingCallId: callId, pendingSinceMs} = state.moves;
+  if (nowMs - pendingSinceMs < maxWriteMs) return [];
+  const ended = {kind: 'platformCallEnded', callId, result: 'unknown'} as const;
+  return handlePlatformCallEnded(state, ended, nowMs);
+}
+
 /**
  * Advances or withdraws moves if this VM is their leader. The write succeeds
  * only if the moves document still has the version that the decision is based
@@ -57,7 +73,7 @@
   const {documents, moves, options, timers} = state;
   timers.set('updateMoves', '', nowMs + updatePeriodMs);
   if (getMovesLeader(state) !== options.vm) return [];
-  if (moves.pendingCallId !== '') return [];
+  if (moves.pendingCallId !== '') return expireWrite(state, nowMs);
   const effects: Effect[] = [];
   const next: VersionMove[] = [];
   let isChanged = false;
@@ -79,6 +95,7 @@
   if (!isChanged) return [];
   const callId = `moves-${moves.nextCallNumber++}`;
   moves.pendingCallId = callId;
+  moves.pendingSinceMs = nowMs;
   timers.set('updateMoves', '', nowMs + checkDelayAfterWriteMs);
   const content: MovesList = {moves: next};
   effects.push({
