The answer to a retry is kept at its holder only

What was wrong: a retry that gets the answer of the first request kept that answer under its own id, too, on the VM that holds it or on another. Nobody asks for it there; the copy counted against the cache and drove other answers out, even the first one, whose next retry is then told outcomeUnknown.

Fix: a request that is attached to another's answer keeps none.

--- a/packages/ryeworksd/src/answers/answerBuffer.ts
+++ b/packages/ryeworksd/src/answers/answerBuffer.ts
@@ -18,9 +18,19 @@
   onEnd: () => void = () => {};
 
   /**
-   * If `isCached` is true, body chunks are kept for sinks that are added later.
+   * If `cached` is true, body chunks are kept for sinks that are added later.
    */
-  constructor(readonly isCached: boolean) {}
+  constructor(private cached: boolean) {}
+
+  /** Whether body chunks are kept. */
+  get isCached(): boolean {
+    return this.cached;
+  }
+
+  /** Keeps nothing of an answer that has not begun, as another one is kept. */
+  clearCached(): void {
+    this.cached = false;
+  }
 
   /** Adds a sink and writes the cached part of the answer to it. */
   addSink(sink: AnswerSink): void {
@@ -51,7 +61,7 @@
 
   writeBody(chunk: Buffer): void {
     if (this.hasEnded) return;
-    if (this.isCached) {
+    if (this.cached) {
       this.chunks.push(chunk);
       this.sizeBytes += chunk.length;
     }
--- a/packages/ryeworksd/src/createEffectHandlers.ts
+++ b/packages/ryeworksd/src/createEffectHandlers.ts
@@ -38,12 +38,13 @@
       openRequests.delete(requestId);
     },
     // Forwards the answer to the request `holderRequestId`, which a peer or this
-    // VM holds.
+    // VM holds and keeps.
     attachAnswer: effect => {
       const {holder, holderAddress, holderRequestId, requestId} = effect;
       const answer = openRequests.get(requestId)?.answer;
       openRequests.delete(requestId);
       if (answer === undefined) return;
+      answer.clearCached();
       if (holder !== context.vm) {
         void peerClient.attach(holderAddress, holderRequestId, answer);
         return;
