updateMean and sleep stand once

The running mean of both decision cores is that of the utils package; the endpoints' one keeps that a mean of 0 has no samples.

--- a/packages/ryeworks-dispatch/src/endpoints/latency.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/latency.ts
@@ -1,3 +1,4 @@
+import {updateMean} from '@ryeworks/utils';
 import {EndpointEntry} from './endpointTable.js';
 
 /**
@@ -17,11 +18,9 @@
   return (fixedCostTokens + promptTokens) / standard;
 }
 
-/**
- * Returns a running mean updated with a sample; a mean of 0 has no samples yet.
- */
-function updateMean(mean: number, sample: number, weight: number): number {
-  return mean === 0 ? sample : mean + (sample - mean) * weight;
+/** Adds a sample to a running mean; a mean of 0 has no samples yet. */
+function addSample(mean: number, sample: number, weight: number): number {
+  return mean === 0 ? sample : updateMean(mean, sample, weight);
 }
 
 /** Records the time to the first event of a response and ends any cool-down. */
@@ -33,12 +32,12 @@
   entry.consecutiveUnanswered = 0;
   entry.cooldownUntilMs = 0;
   const sample = elapsedMs / getPromptFactor(promptTokens);
-  entry.firstEventMs = updateMean(entry.firstEventMs, sample, firstEventWeight);
+  entry.firstEventMs = addSample(entry.firstEventMs, sample, firstEventWeight);
 }
 
 /** Records the mean time between the events of a response. */
 export function recordEventGap(entry: EndpointEntry, gapMs: number): void {
-  entry.eventGapMs = updateMean(entry.eventGapMs, gapMs, eventGapWeight);
+  entry.eventGapMs = addSample(entry.eventGapMs, gapMs, eventGapWeight);
 }
 
 /**
--- a/packages/ryeworks-scheduler/src/admission/endpointStats.ts
+++ b/packages/ryeworks-scheduler/src/admission/endpointStats.ts
@@ -1,3 +1,5 @@
+import {updateMean} from '@ryeworks/utils';
+
 /** Weight of a new sample in the running means. */
 const sampleWeight = 0.05;
 /** Smallest factor by which one cut reduces the concurrency of an endpoint. */
@@ -92,9 +94,9 @@
   };
 }
 
-/** Returns a running mean updated with a sample. */
-function updateMean(mean: number, sample: number): number {
-  return mean + (sample - mean) * sampleWeight;
+/** Adds a sample to a running mean. */
+function addToMean(mean: number, sample: number): number {
+  return updateMean(mean, sample, sampleWeight);
 }
 
 /** Returns how many prompt tokens an endpoint prefills per ms. */
@@ -150,14 +152,14 @@
   stats.coolingDownUntilMs = 0;
   if (sample.promptTokens > 0 && sample.firstTokenMs > 0) {
     const {meanPromptTokens, meanFirstTokenMs} = stats;
-    stats.meanPromptTokens = updateMean(meanPromptTokens, sample.promptTokens);
-    stats.meanFirstTokenMs = updateMean(meanFirstTokenMs, sample.firstTokenMs);
+    stats.meanPromptTokens = addToMean(meanPromptTokens, sample.promptTokens);
+    stats.meanFirstTokenMs = addToMean(meanFirstTokenMs, sample.firstTokenMs);
   }
   if (sample.interTokenMs > 0) {
     const gaps = sample.outputTokens - 1;
-    stats.meanTokenGaps = updateMean(stats.meanTokenGaps, gaps);
+    stats.meanTokenGaps = addToMean(stats.meanTokenGaps, gaps);
     const outputMs = gaps * sample.interTokenMs;
-    stats.meanOutputMs = updateMean(stats.meanOutputMs, outputMs);
+    stats.meanOutputMs = addToMean(stats.meanOutputMs, outputMs);
   }
   const latencyRatio = getLatencyRatio(stats, targets);
   if (latencyRatio > cutAboveLatencyRatio) {
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -11,3 +11,4 @@
 export * from './sequentialTest.js';
 export * from './startIoTimer.js';
 export * from './timerQueue.js';
+export * from './updateMean.js';
--- a/packages/ryeworksd/src/platform/platformWatcher.ts
+++ b/packages/ryeworksd/src/platform/platformWatcher.ts
@@ -15,6 +15,7 @@
   VmRecord,
   ZoneStatus,
 } from '@ryeworks/types';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {SchedulerLoop} from '../core/schedulerLoop.js';
 
 /** Maximum time that one watch call waits for a change, in ms. */
@@ -124,7 +125,7 @@
       } catch (error) {
         if (error instanceof VersionConflictError) return;
         if (error instanceof PlatformAnswerLostError) return;
-        await this.sleep(retryDelayMs);
+        await sleep(retryDelayMs);
       }
     }
   }
@@ -136,7 +137,7 @@
         return;
       } catch (error) {
         this.logger.warn('platform_read_failed', {kind, reason: `${error}`});
-        await this.sleep(retryDelayMs);
+        await sleep(retryDelayMs);
       }
     }
   }
@@ -152,7 +153,7 @@
         );
         if (list !== undefined) this.submitList(kind, list);
       } catch {
-        await this.sleep(retryDelayMs);
+        await sleep(retryDelayMs);
       }
     }
   }
@@ -206,8 +207,4 @@
       });
     }
   }
-
-  private sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, delayMs));
-  }
 }
