--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -3,6 +3,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {noCounts} from '../moves/moveTable.js';
 import {consumePermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from './activeRequest.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
@@ -20,6 +21,7 @@
   request.calls.push({
     callNumber: request.callsStarted,
     endpointId: entry.endpoint.id,
+    processStartedAtMs: entry.notices.startedAtMs,
     startedAtMs: nowMs,
     isSent: false,
     hasFirstEvent: false,
@@ -27,6 +29,7 @@
     events: 0,
     isPaused: false,
     isSilenceLogged: false,
+    evidence: noCounts,
   });
   scheduleSilenceTimeout(state, request, nowMs);
 }
