A stop takes late requests only if their time limit ends before it does

Callers saw: at a VM that callers go on using while it stops, requests sent 5 to 6 s after the signal are passed on and get 502 (or a cut stream) at the end of the grace period. Cause: canFinish guessed how long a request takes: 1500 ms for plain calls, streams from the mean time between events and the number of tokens.

After the balancer's two checks (2.5 s), a request is taken only if its time limit, the route's or the caller's, ends 100 ms before the stop does; else it gets 503 with a Retry-After at once, and has not run. No endpoint can make that guess wrong. A request that waits, or that an endpoint turned away, 1.5 s before the end, has not run and may last longer, is refused (reason=stopping) instead of passed on and cut.

--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -9,6 +9,7 @@
 import {EndpointEntry, listEndpoints} from '../endpoints/endpointTable.js';
 import {countPeersWithRecentDigest} from '../peers/peerTable.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
+import {refuseBeforeStop} from '../requests/canFinish.js';
 import {failRequest} from '../requests/endRequest.js';
 import {askForPermits, isServiceLimited} from '../rateLimits/requestPermits.js';
 import {admitWaiting} from './admitWaiting.js';
@@ -202,6 +203,8 @@
   nowMs: number,
 ): Effect[] {
   request.phase = 'waiting';
+  const refused = refuseBeforeStop(state, request, nowMs);
+  if (refused !== undefined) return refused;
   request.permitAsks = 0;
   request.nextPermitAskAtMs = nowMs;
   const queue = getQueue(state, request.service);
@@ -249,6 +252,8 @@
   nowMs: number,
 ): Effect[] {
   if (request.possibleRuns > 0) return [];
+  const refused = refuseBeforeStop(state, request, nowMs);
+  if (refused !== undefined) return refused;
   const closedMs = findClosedMs(state, request, entries, nowMs);
   if (closedMs !== undefined) {
     return refuseClosed(state, request, closedMs, nowMs);
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -15,14 +15,12 @@
 import {getReportDelayMs} from '../peers/relayDigests.js';
 import {highestTier} from '../tier.js';
 import {ActiveRequest} from './activeRequest.js';
-import {canFinish} from './canFinish.js';
+import {canFinish, stoppingRetryAfterMs} from './canFinish.js';
 
 /** Retry-after time if a VM is not ready or a route has no service, in ms. */
 const notReadyRetryAfterMs = 500;
 /** Maximum time that a request waits for the VM to become ready, in ms. */
 const maxStartWaitMs = 250;
-/** Retry-after time of a VM that is stopping, to retry at another VM, in ms. */
-const stoppingRetryAfterMs = 50;
 /** Minimum retry-after time when a customer's limit is used up, in ms. */
 const minLimitRetryAfterMs = 200;
 /**
@@ -211,7 +209,7 @@
   }
   const route = findRoute(state.desiredState.routes, input.host, input.path);
   if (route === undefined) return refuseRequest(state, input, 'unknownService');
-  if (!canFinish(state, route, input, nowMs)) {
+  if (!canFinish(state, getTimeoutAtMs(route, input), nowMs)) {
     return refuseRequest(state, input, 'notReady', stoppingRetryAfterMs);
   }
   const customer = state.desiredState.customersByKey.get(input.apiKey ?? '');
