A stop keeps to the grace period of the settings in force

Callers saw: after the grace period in the settings became shorter, a stop took and passed on requests as if it had the earlier one, and the platform's SIGKILL cut them without an answer. Cause: finishRequests took stopGraceMs of the start; applySettings passed other bounds only.

The stop is a module of its own (stop/gracefulStop.ts). It keeps to the settings in force at the signal, and to a shorter period that comes during the stop; a longer one that comes then is not used, as the platform may still end the process after the earlier one. At most a sixth of the period is reserved for its end, so that short ones cut nothing before the last sixth. graceful_stop_started and stopped tell the period, its source, the time left and what is open; setting_applied and setting_needs_restart tell each field that has changed (a table that TypeScript keeps complete). They replace settings_applied, which told four values each time.

--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -125,16 +125,14 @@
   ];
 }
 
-/** Starts a graceful stop. */
+/** Starts a graceful stop, or changes the end of the one in progress. */
 function handleStopRequested(
   state: DispatchState,
   {endAtMs}: StopRequested,
   nowMs: number,
 ): Effect[] {
-  state.stop = {startedAtMs: nowMs, endAtMs};
-  return [
-    createLog('graceful_stop_started', {activeRequests: state.requests.size}),
-  ];
+  state.stop = {startedAtMs: state.stop?.startedAtMs ?? nowMs, endAtMs};
+  return [];
 }
 
 /** Applies the bounds of changed settings. */
@@ -142,16 +140,8 @@
   state: DispatchState,
   {bounds}: BoundsChanged,
 ): Effect[] {
-  const {drainMs, limitBounds, retryBounds} = bounds;
   state.options = {...state.options, ...getBounds(bounds)};
-  return [
-    createLog('settings_applied', {
-      retryRatio: retryBounds.ratio,
-      retryAllowance: retryBounds.allowance,
-      limitAllowance: limitBounds.allowance,
-      drainMs,
-    }),
-  ];
+  return [];
 }
 
 /** Purposes of timers whose subject is a request. */
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -255,7 +255,7 @@
   readonly message: PeerMessage;
 }
 
-/** A graceful stop was requested. */
+/** A graceful stop was requested, or is to end at another time. */
 export interface StopRequested {
   readonly kind: 'stopRequested';
   /** Time by which the process must have exited, in ms. */
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -23,7 +23,6 @@
   systemClock,
 } from '@ryeworks/utils';
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {CallerServer} from './callers/callerServer.js';
 import {createAnswerHandlers} from './callers/createAnswerHandlers.js';
 import {OpenRequests} from './callers/openRequest.js';
@@ -41,17 +40,14 @@
 import {PeerSocket} from './peers/peerSocket.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
 import {startStatusServers} from './reports/startStatusServers.js';
+import {
+  listChangedSettings,
+  settingEffect,
+} from './settings/settingsEffects.js';
+import {GracefulStop} from './stop/gracefulStop.js';
 import {createStoreHandlers} from './store/createStoreHandlers.js';
 import {StoreWatcher} from './store/storeWatcher.js';
 
-/** Time from the stop signal until idle connections are closed, in ms. */
-const idleCloseDelayMs = 2500;
-/** Interval at which a stopping process checks for open requests, in ms. */
-const stopPollMs = 25;
-/** Time reserved at the end of the grace period for shutting down, in ms. */
-const stopMarginMs = 300;
-/** Part of that time for the last answers to be sent, in ms. */
-const lastAnswersMs = 100;
 /** File descriptor of standard output. */
 const logFd = 1;
 
@@ -76,11 +72,12 @@
   peerSocket: PeerSocket;
   callerServer: CallerServer;
   storeWatcher: StoreWatcher;
+  gracefulStop: GracefulStop;
 }
 
 /** A running gateway, which forwards callers' requests to endpoints. */
 export interface Gateway {
-  /** Applies those of the new settings that need no restart. */
+  /** Applies those of the new settings that need no restart, and logs changes. */
   applySettings(settings: GatewaySettings): void;
   /** Logs a warning, for example about settings that cannot be read. */
   reportWarning(event: string, detail: string): void;
@@ -89,8 +86,10 @@
   /**
    * Finishes the requests in progress, then stops the gateway. Later calls wait
    * for the same stop.
+   *
+   * @param signalledAtMs when the stop was requested, in ms; now by default
    */
-  stop(): Promise<void>;
+  stop(signalledAtMs?: number): Promise<void>;
 }
 
 /** Creates the initial state of the dispatch core. */
@@ -184,6 +183,10 @@
       ({clock, logger, loop}: Components) =>
         new StoreWatcher(store, createStoreHandlers(loop, logger, clock)),
     ).singleton(),
+    gracefulStop: asFunction(
+      (components: Components) =>
+        new GracefulStop(components, settings.stopGraceMs),
+    ).singleton(),
   });
   return container;
 }
@@ -240,50 +243,23 @@
   });
 }
 
-/**
- * Finishes the open requests of a stopping gateway. New requests are still
- * served until the load balancer stops sending them. Each connection is closed
- * after the next answer whose headers are sent on it. Idle connections are closed
- * after `idleCloseDelayMs`, or after half of the grace period if that is shorter.
- * From then on, returns as soon as every used connection is closed, at the latest
- * `stopMarginMs` before the end of the grace period, when it ends the requests that
- * are still open.
- */
-async function finishRequests(components: Components): Promise<void> {
-  const {callerServer, clock, loop, settings} = components;
-  const startedMs = clock.readNowMs();
-  const deadlineMs = startedMs + settings.stopGraceMs - stopMarginMs;
-  loop.submit({kind: 'stopRequested', endAtMs: deadlineMs});
-  callerServer.startStopping();
-  await sleep(Math.min(idleCloseDelayMs, settings.stopGraceMs / 2));
-  while (clock.readNowMs() < deadlineMs) {
-    callerServer.closeIdle();
-    await sleep(stopPollMs);
-    if (!callerServer.isUsed) return;
-  }
-  endOpenRequests(components);
-  await sleep(lastAnswersMs);
-}
-
-/**
- * Ends the requests that are open at the end of the grace period. Those whose
- * answer has not begun are refused, or told that their outcome is unknown.
- */
-function endOpenRequests({loop, openRequests, state}: Components): void {
-  for (const [requestId, openRequest] of [...openRequests]) {
-    if (state.earlyRequests.has(requestId)) {
-      openRequest.sendError('notReady', 0);
-      continue;
+/** Applies changed settings, and logs which have changed. */
+function applySettings(
+  {gracefulStop, logger, loop}: Components,
+  before: GatewaySettings,
+  after: GatewaySettings,
+): void {
+  const changed = listChangedSettings(before, after);
+  for (const {effect, field, from, to} of changed) {
+    if (effect === settingEffect.nextStart) {
+      logger.warn('setting_needs_restart', {field, from, to});
+    } else {
+      logger.info('setting_applied', {field, from, to});
     }
-    if (!state.requests.has(requestId)) {
-      // Its answer is being sent, or a fault has made the core forget it.
-      if (!openRequest.hasStarted) openRequest.sendError('outcomeUnknown', 0);
-      continue;
-    }
-    const reason = 'stopped';
-    const isCallStarted = true;
-    loop.submit({kind: 'requestInterrupted', requestId, reason, isCallStarted});
   }
+  if (changed.length === 0) return;
+  gracefulStop.applyGrace(after.stopGraceMs);
+  loop.submit({kind: 'boundsChanged', bounds: after});
 }
 
 /** Starts a gateway on a deployment. */
@@ -329,16 +305,21 @@
     },
     disposables,
   );
-  const stop = async () => {
-    await finishRequests(components);
-    logger.info('stopped', {openRequests: components.openRequests.size});
+  const {clock, gracefulStop} = components;
+  const stop = async (signalledAtMs: number) => {
+    await gracefulStop.finishRequests(signalledAtMs);
     await disposables.dispose();
   };
+  let latest = settings;
   let stopped: Promise<void> | undefined;
   return {
-    applySettings: bounds => loop.submit({kind: 'boundsChanged', bounds}),
+    applySettings: changed => {
+      applySettings(components, latest, changed);
+      latest = changed;
+    },
     reportWarning: (event, detail) => logger.warn(event, {detail}),
     reportUncaughtError: error => reportFault(components, error, 'uncaught'),
-    stop: () => (stopped ??= stop()),
+    stop: (signalledAtMs = clock.readNowMs()) =>
+      (stopped ??= stop(signalledAtMs)),
   };
 }
