Signals are handled before anything is accepted, and the settings read at the signal to stop

Callers saw: a request accepted in the first ms of a process got no answer when SIGTERM came then. Cause: the handlers were installed once the gateway was created, after it had begun to listen; until then the signal itself ended the process. And settings changed without a SIGHUP less than 2 s (the interval of the poll) before SIGTERM were not used by the stop.

The first module that is loaded handles SIGTERM, SIGINT and SIGHUP. A signal to stop is kept until the gateway runs, with its time, from which the grace period counts; a process that has not listened yet exits at once. Later signals to stop have no effect; SIGHUP goes on being followed; an error in stop() exits with 1. Before the first module is loaded, a signal still ends the process: it has accepted nothing then.

--- a/packages/ryeworksd/src/bin/ryeworksd.ts
+++ b/packages/ryeworksd/src/bin/ryeworksd.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+// First, so that no signal ends the process while the other modules are loaded.
+import {stopSignals} from '../signals/stopSignals.js';
 import {Command} from 'commander';
 
 /** Exit code for invalid settings, `EX_CONFIG` of sysexits.h. */
@@ -6,19 +8,15 @@
 /** Exit code for a process that cannot start, or stops after an error. */
 const exitFailed = 1;
 
-// SIGHUP announces changed settings. Without a handler it would end a process
-// that is still starting, which reads the latest settings anyway.
-process.on('SIGHUP', () => {});
-
 /** A component that runs until `stop` is called. */
 interface Stoppable {
-  stop(): Promise<void>;
+  stop(signalledAtMs?: number): Promise<void>;
 }
 
 /** Runs a step. If it fails, prints the error and exits with the code. */
 async function runOrExit<T>(
   exitCode: number,
-  step: () => Promise<T>,
+  step: () => T | Promise<T>,
 ): Promise<T> {
   try {
     return await step();
@@ -28,16 +26,30 @@
   }
 }
 
-/** Stops gracefully at the first SIGTERM or SIGINT. */
-function stopAtSignal(running: Stoppable): void {
-  let isStopping = false;
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.on(signal, () => {
-      if (isStopping) return;
-      isStopping = true;
-      void running.stop().then(() => process.exit(0));
-    });
-  }
+/** Stops a component and exits, with an error if it cannot be stopped. */
+async function stopAndExit(
+  running: Stoppable,
+  signalledAtMs: number,
+): Promise<void> {
+  await runOrExit(exitFailed, () => running.stop(signalledAtMs));
+  process.exit(0);
+}
+
+/**
+ * Stops gracefully at the first signal to stop, which may have come already.
+ *
+ * @param prepare called at the signal, before the stop
+ */
+function stopAtSignal(running: Stoppable, prepare = () => {}): void {
+  stopSignals.handleWith(signalledAtMs => {
+    prepare();
+    void stopAndExit(running, signalledAtMs);
+  });
+}
+
+/** Exits if the process is to stop before it has accepted anything. */
+function endIfStopRequested(): void {
+  if (stopSignals.isStopRequested) process.exit(0);
 }
 
 /** A component that reports errors that nothing has caught. */
@@ -83,6 +95,7 @@
       return;
     }
     const {createEntryProcess} = await import('../createEntryProcess.js');
+    endIfStopRequested();
     stopAtSignal(await createEntryProcess(settings));
   });
 
@@ -101,12 +114,13 @@
       console.log(`${file}: ok`);
       return;
     }
+    endIfStopRequested();
     const gateway = await runOrExit(exitFailed, () =>
       platform.createPlatformGateway(settings),
     );
-    platform.watchSettings(file, gateway);
+    const reloadSettings = platform.watchSettings(file, settings, gateway);
     stopAtError(gateway);
-    stopAtSignal(gateway);
+    stopAtSignal(gateway, reloadSettings);
   });
 
 await program.parseAsync();
