--- a/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
@@ -1,5 +1,10 @@
 import t from 'tap';
-import {CallFailure, DispatchState, RequestReceived} from '../index.js';
+import {
+  CallFailure,
+  DispatchState,
+  handleInput,
+  RequestReceived,
+} from '../index.js';
 import {
   createDesiredState,
   createDigest,
@@ -233,6 +238,21 @@
   t.equal(state.endpoints.byId.get('e2')!.inFlight, 0);
 });
 
+// Guards against a request lost by this VM that looks like a caller that left.
+t.test('a connection that this VM closed is no caller that left', async t => {
+  const state = createReadyState(ledger);
+  const request = createRequest('booking', 0);
+  runInput(state, request, 0);
+  const {requestId} = request;
+  const gone = {kind: 'callerGone', requestId, isClosedHere: true} as const;
+  const effects = handleInput(state, gone, 5);
+  const labels = {cause: 'connection_closed'};
+  t.match(listEffects(effects, 'count'), [{labels}]);
+  t.match(listEffects(effects, 'log'), [
+    {fields: {outcome: 'connectionClosed'}},
+  ]);
+});
+
 t.test('a starting VM lets requests wait, then answers notReady', async t => {
   const state = createState();
   const early = createRequest('booking', 0);
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -36,10 +36,12 @@
   readonly sharedParts: readonly string[];
 }
 
-/** The caller closed its connection before the response was complete. */
+/** The caller's connection closed before the response was complete. */
 export interface CallerGone {
   readonly kind: 'callerGone';
   readonly requestId: string;
+  /** Whether this VM closed the connection, not the caller; false if not set. */
+  readonly isClosedHere?: boolean;
 }
 
 /** This VM cannot go on with a request: a fault, or the end of the process. */
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -165,7 +165,7 @@
   recordEventGap(entry, spanMs / call.events);
 }
 
-/** Ends a request whose caller closed the connection. */
+/** Ends a request whose connection to the caller has closed. */
 export function handleCallerGone(
   state: DispatchState,
   input: CallerGone,
@@ -174,11 +174,14 @@
   state.earlyRequests.delete(input.requestId);
   const request = state.requests.get(input.requestId);
   if (request === undefined) return [];
+  const isClosedHere = input.isClosedHere ?? false;
+  const cause = isClosedHere ? 'connection_closed' : 'caller_gone';
+  const outcome = isClosedHere ? 'connectionClosed' : 'callerGone';
   const reason = request.phase;
   return [
     ...cancelCalls(request),
-    createCount('requests_unanswered', {cause: 'caller_gone'}),
-    ...finishRequest(state, request, {outcome: 'callerGone', reason}, nowMs),
+    createCount('requests_unanswered', {cause}),
+    ...finishRequest(state, request, {outcome, reason}, nowMs),
   ];
 }
 
--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -5,6 +5,8 @@
 interface CallerConnection {
   /** One function for each request in progress, which ends its tracking. */
   readonly openAnswers: Set<() => void>;
+  /** Whether the caller has closed it. */
+  hasCallerLeft: boolean;
   /** Bytes that had been read when the last answer was complete. */
   answeredBytes: number;
   /** Whether it was idle when the connections were last checked. */
@@ -31,12 +33,16 @@
   /** Adds a connection until it is closed. */
   add(socket: Socket): void {
     const openAnswers = new Set<() => void>();
-    this.connections.set(socket, {
+    const connection: CallerConnection = {
       openAnswers,
+      hasCallerLeft: false,
       answeredBytes: 0,
       wasIdle: false,
-    });
-    socket.once('close', () => {
+    };
+    this.connections.set(socket, connection);
+    socket.once('end', () => (connection.hasCallerLeft = true));
+    socket.once('close', hadError => {
+      if (hadError) connection.hasCallerLeft = true;
       this.connections.delete(socket);
       // Node reports the end of the first answer only, not of answers that wait
       // for it because the caller has sent several requests at once.
@@ -45,13 +51,13 @@
   }
 
   /**
-   * Adds a request in progress. Calls `handleEnd` once: when its answer was
-   * sent, or when its connection has closed.
+   * Adds a request in progress. Calls `handleEnd` once, when its answer was sent
+   * or when its connection has closed, and tells it whether the caller has left.
    */
   addRequest(
     socket: Socket,
     response: ServerResponse,
-    handleEnd: () => void,
+    handleEnd: (hasCallerLeft: boolean) => void,
   ): void {
     const connection = this.connections.get(socket);
     const end = () => {
@@ -60,7 +66,7 @@
         connection.answeredBytes = socket.bytesRead;
         connection.wasIdle = false;
       }
-      handleEnd();
+      handleEnd(connection?.hasCallerLeft ?? true);
     };
     connection?.openAnswers.add(end);
     response.once('close', end);
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -171,8 +171,8 @@
     const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
     response.sendDate = false;
     const requestId = `${this.nextRequestNumber++}`;
-    this.connections.addRequest(request.socket, response, () =>
-      this.handleAnswerEnd(requestId, request, response),
+    this.connections.addRequest(request.socket, response, hasCallerLeft =>
+      this.handleAnswerEnd(requestId, request, response, hasCallerLeft),
     );
     if (countHeaderBytes(request) > maxHeaderBytes) {
       this.refuse(request, response, 'headersTooLarge');
@@ -222,6 +222,7 @@
     requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
+    hasCallerLeft: boolean,
   ): void {
     const {loop, openRequests, reportUnanswered, wire} = this.options;
     const openRequest = openRequests.get(requestId);
@@ -244,7 +245,8 @@
     } else if (openRequest === undefined) {
       reportUnanswered(unansweredCause.requestUnfinished, attemptId);
     } else {
-      loop.submit({kind: 'callerGone', requestId});
+      const isClosedHere = !hasCallerLeft;
+      loop.submit({kind: 'callerGone', requestId, isClosedHere});
     }
   }
 
