--- a/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/requests.test.ts
@@ -238,6 +238,24 @@
   t.equal(state.endpoints.byId.get('e2')!.inFlight, 0);
 });
 
+// Guards against a request that is refused as overload, although endpoints are free,
+// or that is sent after its time limit, because it waited on its connection.
+for (const [waitedMs, started, errors] of [
+  [1500, 1, []],
+  [8000, 0, ['overloaded']],
+] as ReadonlyArray<[number, number, string[]]>) {
+  t.test(`a request that waited ${waitedMs} ms on its connection`, async t => {
+    const state = createReadyState(ledger);
+    const request = createRequest('booking', 0);
+    const effects = runInput(state, request, waitedMs);
+    t.equal(listEffects(effects, 'startCall').length, started);
+    t.same(
+      listEffects(effects, 'answerError').map(({error}) => error),
+      errors,
+    );
+  });
+}
+
 // Guards against a request lost by this VM that looks like a caller that left.
 t.test('a connection that this VM closed is no caller that left', async t => {
   const state = createReadyState(ledger);
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -160,6 +160,12 @@
   nowMs: number,
 ): ActiveRequest {
   const isResumableStream = route.kind === callKind.stream && route.isResumable;
+  const maxWaitMs = decideMaxWaitMs(
+    state,
+    service,
+    route.latencyTargetMs,
+    input.promptTokens,
+  );
   return {
     requestId: input.requestId,
     attemptId: input.attemptId,
@@ -169,12 +175,8 @@
     tier: route.tier,
     rank: getRank(customer, route),
     receivedAtMs: input.receivedAtMs,
-    maxWaitMs: decideMaxWaitMs(
-      state,
-      service,
-      route.latencyTargetMs,
-      input.promptTokens,
-    ),
+    // What it waited before it came here is no wait for an endpoint.
+    maxWaitMs: nowMs - input.receivedAtMs + maxWaitMs,
     timeoutAtMs: getTimeoutAtMs(route, input),
     promptTokens: input.promptTokens,
     sharedParts: input.sharedParts,
@@ -214,6 +216,9 @@
   if (!canFinish(state, route, input, nowMs)) {
     return refuseRequest(state, input, 'notReady', stoppingRetryAfterMs);
   }
+  if (getTimeoutAtMs(route, input) <= nowMs) {
+    return refuseRequest(state, input, 'overloaded');
+  }
   const customer = state.desiredState.customersByKey.get(input.apiKey ?? '');
   if (customer === undefined && !route.isAnonymous) {
     return refuseRequest(state, input, 'unauthenticated');
--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -1,10 +1,9 @@
-import {ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
+import {QueuedOutcome, QueuedRequest, RequestQueue} from './requestQueue.js';
 
 /** A caller's connection. */
 interface CallerConnection {
-  /** One function for each request in progress, which ends its tracking. */
-  readonly openAnswers: Set<() => void>;
+  readonly queue: RequestQueue;
   /** Whether the caller has closed it. */
   hasCallerLeft: boolean;
   /** Bytes that had been read when the last answer was complete. */
@@ -13,6 +12,19 @@
   wasIdle: boolean;
 }
 
+/** How a request has ended. */
+export interface RequestEnd {
+  readonly outcome: QueuedOutcome;
+  /** Whether the caller has closed the connection. */
+  readonly hasCallerLeft: boolean;
+}
+
+/** A request on a connection. */
+export interface ConnectionRequest extends Omit<QueuedRequest, 'handleEnd'> {
+  /** Called once, when it is answered or can't be answered any more. */
+  readonly handleEnd: (end: RequestEnd) => void;
+}
+
 /**
  * The connections of the callers and their requests in progress. A request is in
  * progress from its last header until its answer was passed to the kernel. Node
@@ -21,6 +33,7 @@
  */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
+  private isStopping = false;
 
   /** Whether there is a connection on which bytes have been received. */
   get areUsed(): boolean {
@@ -32,9 +45,10 @@
 
   /** Adds a connection until it is closed. */
   add(socket: Socket): void {
-    const openAnswers = new Set<() => void>();
+    const queue = new RequestQueue(socket);
+    if (this.isStopping) queue.startStopping();
     const connection: CallerConnection = {
-      openAnswers,
+      queue,
       hasCallerLeft: false,
       answeredBytes: 0,
       wasIdle: false,
@@ -44,32 +58,40 @@
     socket.once('close', hadError => {
       if (hadError) connection.hasCallerLeft = true;
       this.connections.delete(socket);
-      // Node reports the end of the first answer only, not of answers that wait
-      // for it because the caller has sent several requests at once.
-      for (const end of [...openAnswers]) end();
+      queue.close();
     });
   }
 
-  /**
-   * Adds a request in progress. Calls `handleEnd` once, when its answer was sent
-   * or when its connection has closed, and tells it whether the caller has left.
-   */
-  addRequest(
-    socket: Socket,
-    response: ServerResponse,
-    handleEnd: (hasCallerLeft: boolean) => void,
-  ): void {
+  /** Adds a request, which is begun when those before it are answered. */
+  addRequest(connectionRequest: ConnectionRequest): void {
+    const {begin, handleEnd, headerBytes, request, response} =
+      connectionRequest;
+    const {socket} = request;
     const connection = this.connections.get(socket);
-    const end = () => {
-      if (connection?.openAnswers.delete(end) === false) return;
-      if (connection !== undefined) {
+    // Its connection has closed.
+    if (connection === undefined) return;
+    connection.queue.add({
+      request,
+      response,
+      headerBytes,
+      begin,
+      handleEnd: outcome => {
         connection.answeredBytes = socket.bytesRead;
         connection.wasIdle = false;
-      }
-      handleEnd(connection?.hasCallerLeft ?? true);
-    };
-    connection?.openAnswers.add(end);
-    response.once('close', end);
+        handleEnd({outcome, hasCallerLeft: connection.hasCallerLeft});
+      },
+    });
+  }
+
+  /** Returns the requests on a connection; undefined if it has closed. */
+  getQueue(socket: Socket): RequestQueue | undefined {
+    return this.connections.get(socket)?.queue;
+  }
+
+  /** Reads no more than what was sent ahead on each connection. */
+  startStopping(): void {
+    this.isStopping = true;
+    for (const {queue} of this.connections.values()) queue.startStopping();
   }
 
   /**
@@ -80,11 +102,11 @@
    */
   closeIdle(): void {
     for (const [socket, connection] of [...this.connections]) {
-      const {answeredBytes, openAnswers, wasIdle} = connection;
+      const {answeredBytes, queue, wasIdle} = connection;
       connection.wasIdle =
         answeredBytes > 0 &&
         answeredBytes === socket.bytesRead &&
-        openAnswers.size === 0;
+        queue.isEmpty;
       if (wasIdle && connection.wasIdle) socket.destroy();
     }
   }
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -6,9 +6,10 @@
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
 import {HostPort} from '@ryeworks/utils';
-import {CallerConnections} from './callerConnections.js';
+import {CallerConnections, RequestEnd} from './callerConnections.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
+import {queuedOutcome} from './requestQueue.js';
 import {
   formatUnreadableAnswer,
   getUnreadableRefusal,
@@ -21,6 +22,8 @@
  * desired state is checked separately for each request.
  */
 const maxParserHeaderBytes = 65_536;
+/** Code of the error for headers that are not complete in time. */
+const headersTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Interval between checks for callers that send too slowly, in ms. */
 const slowCallerCheckMs = 500;
 /** Bounds that apply until the desired state is known. */
@@ -45,6 +48,8 @@
 const unansweredCause = {
   /** The caller left before its request was complete. */
   requestUnfinished: 'request_unfinished',
+  /** Its connection ended while it waited behind another; it has not run. */
+  notBegun: 'not_begun',
   /** The caller left before it had read an answer that was ended. */
   answerUnread: 'answer_unread',
   /** The process has ended. */
@@ -100,12 +105,7 @@
         noDelay: true,
         requestTimeout: 0,
       },
-      (request, response) => {
-        this.handleRequest(request, response).catch(error => {
-          options.reportFault(error);
-          response.destroy();
-        });
-      },
+      (request, response) => this.addRequest(request, response),
     );
     this.server.on('connection', socket => this.connections.add(socket));
     this.server.on('clientError', (error: ReadError, socket) =>
@@ -134,13 +134,14 @@
   }
 
   /**
-   * From now on, closes each connection after the next answer whose headers are
-   * sent on it.
+   * From now on, closes each connection after the answer to the last request that
+   * was read on it, if the headers of that answer are not sent yet.
    */
   startStopping(): void {
     this.isStopping = true;
+    this.connections.startStopping();
     for (const openRequest of this.options.openRequests.values())
-      openRequest.closeAfterAnswer();
+      this.decideClosing(openRequest);
   }
 
   /** Closes connections that have no request in progress. */
@@ -163,18 +164,43 @@
     );
   }
 
+  /** Handles a request once those before it on its connection are answered. */
+  private addRequest(request: IncomingMessage, response: ServerResponse): void {
+    const {clock, reportFault} = this.options;
+    const receivedAtMs = clock.readNowMs();
+    const requestId = `${this.nextRequestNumber++}`;
+    const headerBytes = countHeaderBytes(request);
+    response.sendDate = false;
+    this.connections.addRequest({
+      request,
+      response,
+      headerBytes,
+      begin: () => {
+        this.handleRequest(
+          requestId,
+          request,
+          response,
+          headerBytes,
+          receivedAtMs,
+        ).catch(error => {
+          reportFault(error);
+          response.destroy();
+        });
+      },
+      handleEnd: end => this.handleEnd(requestId, request, response, end),
+    });
+    if (this.isStopping) this.decideClosingBefore(request);
+  }
+
   private async handleRequest(
+    requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
+    headerBytes: number,
+    receivedAtMs: number,
   ): Promise<void> {
-    const receivedAtMs = this.options.clock.readNowMs();
     const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
-    response.sendDate = false;
-    const requestId = `${this.nextRequestNumber++}`;
-    this.connections.addRequest(request.socket, response, hasCallerLeft =>
-      this.handleAnswerEnd(requestId, request, response, hasCallerLeft),
-    );
-    if (countHeaderBytes(request) > maxHeaderBytes) {
+    if (headerBytes > maxHeaderBytes) {
       this.refuse(request, response, 'headersTooLarge');
       return;
     }
@@ -182,7 +208,7 @@
     try {
       body = await readBody(request, maxBodyBytes);
     } catch {
-      // No answer can be sent; `handleAnswerEnd` reports it.
+      // No answer can be sent; `handleEnd` reports it.
       return;
     }
     if (body === undefined) {
@@ -201,44 +227,53 @@
       socket.destroy();
       return;
     }
-    if (this.unreadable.has(socket)) return;
-    this.unreadable.add(socket);
+    const queue = this.connections.getQueue(socket);
     const refusal = getUnreadableRefusal(error);
     const {code, message} = error;
+    // The rest of the headers was sent, but is not read.
+    if (code === headersTimeoutCode && queue?.isHeldBack) return;
+    if (this.unreadable.has(socket)) return;
+    this.unreadable.add(socket);
     this.options.reportUnreadable(refusal.reason, code ?? message);
-    if (this.hasOpenRequest(socket)) return;
-    socket.write(formatUnreadableAnswer(refusal));
-    socket.destroySoon();
+    queue?.endReading(() => {
+      socket.write(formatUnreadableAnswer(refusal));
+      socket.destroySoon();
+    });
   }
 
-  private hasOpenRequest(socket: Socket): boolean {
-    for (const {request} of this.options.openRequests.values()) {
-      if (request.socket === socket) return true;
+  /** Lets a stopping VM close a connection after the last answer on it. */
+  private decideClosing(openRequest: OpenRequest): void {
+    const queue = this.connections.getQueue(openRequest.request.socket);
+    openRequest.closeAfterAnswer(!queue?.hasNext);
+  }
+
+  /** The same for the request in progress before one that was just read. */
+  private decideClosingBefore({socket}: IncomingMessage): void {
+    for (const openRequest of this.options.openRequests.values()) {
+      if (openRequest.request.socket === socket)
+        this.decideClosing(openRequest);
     }
-    return false;
   }
 
-  private handleAnswerEnd(
+  private handleEnd(
     requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
-    hasCallerLeft: boolean,
+    {hasCallerLeft, outcome}: RequestEnd,
   ): void {
     const {loop, openRequests, reportUnanswered, wire} = this.options;
     const openRequest = openRequests.get(requestId);
     openRequests.delete(requestId);
-    const {socket} = request;
-    if (this.unreadable.has(socket) && !this.hasOpenRequest(socket)) {
-      socket.destroySoon();
-    }
-    if (response.writableFinished || openRequest?.isAborted) return;
+    if (outcome === queuedOutcome.sent || openRequest?.isAborted) return;
     const isRefused = openRequest === undefined && response.headersSent;
     if (isRefused) return;
     const {attemptId} = wire.readRequestInfo(
       request.url ?? '/',
       request.headers,
     );
-    if (this.isClosed) {
+    if (outcome === queuedOutcome.notBegun) {
+      reportUnanswered(unansweredCause.notBegun, attemptId);
+    } else if (this.isClosed) {
       reportUnanswered(unansweredCause.stopped, attemptId);
     } else if (response.writableEnded) {
       reportUnanswered(unansweredCause.answerUnread, attemptId);
@@ -271,7 +306,7 @@
       body,
       response,
     );
-    if (this.isStopping) openRequest.closeAfterAnswer();
+    if (this.isStopping) this.decideClosing(openRequest);
     openRequests.set(requestId, openRequest);
     loop.submit({
       kind: 'requestReceived',
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -70,11 +70,11 @@
   }
 
   /**
-   * Closes the caller's connection after this answer. Has no effect once the
-   * headers of the answer are sent.
+   * Closes the caller's connection after this answer, or keeps it after all. Has
+   * no effect once the headers of the answer are sent.
    */
-  closeAfterAnswer(): void {
-    this.isClosing = true;
+  closeAfterAnswer(isClosing = true): void {
+    this.isClosing = isClosing;
   }
 
   /**
