--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -7,6 +7,11 @@
 import {WireFormat} from '../deploymentInterfaces.js';
 import {HostPort} from '@ryeworks/utils';
 import {CallerConnections, RequestEnd} from './callerConnections.js';
+import {
+  countHeaderBytes,
+  findHeadFault,
+  hasUnknownExpectation,
+} from './headFault.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
 import {queuedOutcome} from './requestQueue.js';
@@ -24,6 +29,8 @@
 const maxParserHeaderBytes = 65_536;
 /** Code of the error for headers that are not complete in time. */
 const headersTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** HTTP status of a request whose `Expect` header names something unknown. */
+const expectationFailedStatus = 417;
 /** Interval between checks for callers that send too slowly, in ms. */
 const slowCallerCheckMs = 500;
 /** Bounds that apply until the desired state is known. */
@@ -76,13 +83,6 @@
   readonly reportFault: (error: unknown) => void;
 }
 
-/** Returns the size of a request's headers, in bytes. */
-function countHeaderBytes(request: IncomingMessage): number {
-  let size = 0;
-  for (const part of request.rawHeaders) size += part.length + 2;
-  return size;
-}
-
 /**
  * HTTP server for callers. Uses `node:http` rather than fastify: bodies and
  * answers are forwarded unchanged, so the parsing and replies of a framework
@@ -104,9 +104,17 @@
         connectionsCheckingInterval: slowCallerCheckMs,
         noDelay: true,
         requestTimeout: 0,
+        // Node would refuse such a request before its turn.
+        requireHostHeader: false,
       },
       (request, response) => this.addRequest(request, response),
     );
+    this.server.on('checkExpectation', (request, response) =>
+      this.addRequest(request, response),
+    );
+    this.server.on('connect', (_request, socket) =>
+      this.handleConnect(socket as Socket),
+    );
     this.server.on('connection', socket => this.connections.add(socket));
     this.server.on('clientError', (error: ReadError, socket) =>
       this.handleReadError(error, socket as Socket),
@@ -200,8 +208,13 @@
     receivedAtMs: number,
   ): Promise<void> {
     const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
-    if (headerBytes > maxHeaderBytes) {
-      this.refuse(request, response, 'headersTooLarge');
+    if (hasUnknownExpectation(request)) {
+      this.refuseExpectation(request, response);
+      return;
+    }
+    const headFault = findHeadFault(request, headerBytes, maxHeaderBytes);
+    if (headFault !== undefined) {
+      this.refuse(request, response, headFault);
       return;
     }
     let body: Buffer | undefined;
@@ -241,6 +254,18 @@
     });
   }
 
+  /**
+   * Closes a connection that a caller wants to use as a tunnel, when the requests
+   * before are answered. Node handles its errors no more.
+   */
+  private handleConnect(socket: Socket): void {
+    socket.on('error', () => {});
+    this.unreadable.add(socket);
+    this.connections
+      .getQueue(socket)
+      ?.endReading(() => void socket.destroySoon());
+  }
+
   /** Lets a stopping VM close a connection after the last answer on it. */
   private decideClosing(openRequest: OpenRequest): void {
     const queue = this.connections.getQueue(openRequest.request.socket);
@@ -316,7 +341,18 @@
     });
   }
 
-  /** Refuses a request that exceeds the bounds and closes its connection. */
+  /** Refuses a request whose `Expect` header names something unknown. */
+  private refuseExpectation(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const reason = 'unknownExpectation';
+    this.options.reportUnreadable(reason, `${request.headers.expect}`);
+    const headers = {connection: 'close', 'content-length': '0'};
+    response.writeHead(expectationFailedStatus, headers).end();
+  }
+
+  /** Refuses a request that cannot be accepted as it is, and closes its connection. */
   private refuse(
     request: IncomingMessage,
     response: ServerResponse,
