--- a/packages/ryeworks-lab/src/__tests__/gracefulStop.test.ts
+++ b/packages/ryeworks-lab/src/__tests__/gracefulStop.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {createServer, RequestListener} from 'node:http';
 import {AddressInfo, connect, Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import t from 'tap';
@@ -19,18 +19,20 @@
 const readPauseMs = 2000;
 /** Longest time that the stop may take after the last caller, in ms. */
 const maxStopMs = 5000;
+/** Time for which an endpoint runs a request, in ms. */
+const runMs = 300;
 const body = 'x'.repeat(1000);
 
-/** Adds a plain service whose answers are large. */
-async function addLargeService(deployment: Deployment): Promise<void> {
-  const server = createServer((request, response) => {
-    request.resume();
-    response.end(Buffer.alloc(answerBytes, 'a'));
-  });
+/** Adds a plain service. */
+async function addService(
+  deployment: Deployment,
+  answer: RequestListener,
+): Promise<void> {
+  const server = createServer(answer);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   t.teardown(() => server.close());
-  const endpoint = 'large-service';
+  const endpoint = 'plain-endpoint';
   const {port} = server.address() as AddressInfo;
   const content = {
     endpoint,
@@ -55,15 +57,8 @@
   start: string;
 }
 
-/** Opens a connection and sends the start of a request. */
-function sendRequest(url: URL, bodyPart: string): Caller {
-  const socket = connect(Number(url.port), url.hostname);
-  const caller: Caller = {socket, receivedBytes: 0, start: ''};
-  socket.on('data', chunk => {
-    caller.receivedBytes += chunk.length;
-    if (caller.start === '') caller.start = chunk.toString('latin1');
-  });
-  socket.on('error', () => {});
+/** Creates a request, or the start of one. */
+function createRequest(url: URL, bodyPart: string): string {
   const path = `/services/${plan.plainService.service}/jobs`;
   const headers = [
     `POST ${path} HTTP/1.1`,
@@ -72,7 +67,19 @@
     'ryeworks-attempt: 1',
     `content-length: ${body.length}`,
   ];
-  socket.write(`${headers.join('\r\n')}\r\n\r\n${bodyPart}`);
+  return `${headers.join('\r\n')}\r\n\r\n${bodyPart}`;
+}
+
+/** Opens a connection and sends something on it. */
+function sendRequest(url: URL, text: string): Caller {
+  const socket = connect(Number(url.port), url.hostname);
+  const caller: Caller = {socket, receivedBytes: 0, start: ''};
+  socket.on('data', chunk => {
+    caller.receivedBytes += chunk.length;
+    if (caller.start === '') caller.start = chunk.toString('latin1');
+  });
+  socket.on('error', () => {});
+  socket.write(text);
   return caller;
 }
 
@@ -80,13 +87,16 @@
 t.test('a stop ends after slow callers have their answers', async t => {
   const deployment = await Deployment.start(plan);
   t.teardown(() => deployment.stop());
-  await addLargeService(deployment);
+  await addService(deployment, (request, response) => {
+    request.resume();
+    response.end(Buffer.alloc(answerBytes, 'a'));
+  });
   await sleep(1500);
   const [vm] = deployment.vms;
   const url = new URL(vm.callerUrl);
-  const slowReader = sendRequest(url, body);
+  const slowReader = sendRequest(url, createRequest(url, body));
   slowReader.socket.pause();
-  const slowSender = sendRequest(url, body.slice(1));
+  const slowSender = sendRequest(url, createRequest(url, body.slice(1)));
   await sleep(500);
 
   deployment.processes.signal(vm.name, 'SIGTERM');
@@ -99,3 +109,37 @@
   t.ok(slowReader.receivedBytes > answerBytes, 'the answer is complete');
   t.match(slowSender.start, /503 .*ryeworks-ran: not-run/s, 'refused');
 });
+
+// Guards against requests sent together of which a stop drops those behind the
+// first, although they run.
+t.test('requests sent together before a stop are answered', async t => {
+  const deployment = await Deployment.start(plan);
+  t.teardown(() => deployment.stop());
+  let running = 0;
+  let maxRunning = 0;
+  let runs = 0;
+  await addService(deployment, async (request, response) => {
+    request.resume();
+    runs += 1;
+    maxRunning = Math.max(maxRunning, ++running);
+    await sleep(runMs);
+    running -= 1;
+    response.end('done');
+  });
+  await sleep(1500);
+  const [vm] = deployment.vms;
+  const url = new URL(vm.callerUrl);
+  const caller = sendRequest(url, createRequest(url, body).repeat(3));
+  let received = '';
+  caller.socket.on('data', chunk => (received += chunk));
+  await sleep(runMs / 2);
+  deployment.processes.signal(vm.name, 'SIGTERM');
+  await deployment.processes.waitForExit(vm.name);
+  const answers = received.split('HTTP/1.1 ').slice(1);
+  t.equal(answers.length, 3, received);
+  const passedOn = answers.filter(answer => answer.startsWith('200'));
+  t.equal(passedOn.length, runs, 'what has run is answered');
+  t.ok(runs >= 1);
+  t.equal(maxRunning, 1, 'one at a time');
+  t.match(answers[2], /connection: close/i);
+});
