--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -6,9 +6,15 @@
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
 import {HostPort} from '@ryeworks/utils';
-import {CallerConnections} from './callerConnections.js';
+import {CallerConnections, RequestEnd} from './callerConnections.js';
+import {
+  countHeaderBytes,
+  findHeadFault,
+  hasUnknownExpectation,
+} from './headFault.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
+import {queuedOutcome} from './requestQueue.js';
 import {
   formatUnreadableAnswer,
   getUnreadableRefusal,
@@ -21,6 +27,10 @@
  * desired state is checked separately for each request.
  */
 const maxParserHeaderBytes = 65_536;
+/** Code of the error for headers that are not complete in time. */
+const headersTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** HTTP status of a request whose `Expect` header names something unknown. */
+const expectationFailedStatus = 417;
 /** Interval between checks for callers that send too slowly, in ms. */
 const slowCallerCheckMs = 500;
 /** Bounds that apply until the desired state is known. */
@@ -45,6 +55,8 @@
 const unansweredCause = {
   /** The caller left before its request was complete. */
   requestUnfinished: 'request_unfinished',
+  /** Its connection ended while it waited behind another; it has not run. */
+  notBegun: 'not_begun',
   /** The caller left before it had read an answer that was ended. */
   answerUnread: 'answer_unread',
   /** The process has ended. */
@@ -71,13 +83,6 @@
   readonly reportFault: (error: unknown) => void;
 }
 
-/** Returns the size of a request's headers, in bytes. */
-function countHeaderBytes(request: IncomingMessage): number {
-  let size = 0;
-  for (const part of request.rawHeaders) size += part.length + 2;
-  return size;
-}
-
 /**
  * HTTP server for callers. Uses `node:http` rather than fastify: bodies and
  * answers are forwarded unchanged, so the parsing and replies of a framework
@@ -99,13 +104,16 @@
         connectionsCheckingInterval: slowCallerCheckMs,
         noDelay: true,
         requestTimeout: 0,
+        // Node would refuse such a request before its turn.
+        requireHostHeader: false,
       },
-      (request, response) => {
-        this.handleRequest(request, response).catch(error => {
-          options.reportFault(error);
-          response.destroy();
-        });
-      },
+      (request, response) => this.addRequest(request, response),
+    );
+    this.server.on('checkExpectation', (request, response) =>
+      this.addRequest(request, response),
+    );
+    this.server.on('connect', (_request, socket) =>
+      this.handleConnect(socket as Socket),
     );
     this.server.on('connection', socket => this.connections.add(socket));
     this.server.on('clientError', (error: ReadError, socket) =>
@@ -134,13 +142,14 @@
   }
 
   /**
-   * From now on, closes each connection after the next answer whose headers are
-   * sent on it.
+   * From now on, closes each connection after the answer to the last request that
+   * was read on it, if the headers of that answer are not sent yet.
    */
   startStopping(): void {
     this.isStopping = true;
+    this.connections.startStopping();
     for (const openRequest of this.options.openRequests.values())
-      openRequest.closeAfterAnswer();
+      this.decideClosing(openRequest);
   }
 
   /** Closes connections that have no request in progress. */
@@ -163,26 +172,56 @@
     );
   }
 
+  /** Handles a request once those before it on its connection are answered. */
+  private addRequest(request: IncomingMessage, response: ServerResponse): void {
+    const {clock, reportFault} = this.options;
+    const receivedAtMs = clock.readNowMs();
+    const requestId = `${this.nextRequestNumber++}`;
+    const headerBytes = countHeaderBytes(request);
+    response.sendDate = false;
+    this.connections.addRequest({
+      request,
+      response,
+      headerBytes,
+      begin: () => {
+        this.handleRequest(
+          requestId,
+          request,
+          response,
+          headerBytes,
+          receivedAtMs,
+        ).catch(error => {
+          reportFault(error);
+          response.destroy();
+        });
+      },
+      handleEnd: end => this.handleEnd(requestId, request, response, end),
+    });
+    if (this.isStopping) this.decideClosingBefore(request);
+  }
+
   private async handleRequest(
+    requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
+    headerBytes: number,
+    receivedAtMs: number,
   ): Promise<void> {
-    const receivedAtMs = this.options.clock.readNowMs();
     const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
-    response.sendDate = false;
-    const requestId = `${this.nextRequestNumber++}`;
-    this.connections.addRequest(request.socket, response, () =>
-      this.handleAnswerEnd(requestId, request, response),
-    );
-    if (countHeaderBytes(request) > maxHeaderBytes) {
-      this.refuse(request, response, 'headersTooLarge');
+    if (hasUnknownExpectation(request)) {
+      this.refuseExpectation(request, response);
+      return;
+    }
+    const headFault = findHeadFault(request, headerBytes, maxHeaderBytes);
+    if (headFault !== undefined) {
+      this.refuse(request, response, headFault);
       return;
     }
     let body: Buffer | undefined;
     try {
       body = await readBody(request, maxBodyBytes);
     } catch {
-      // No answer can be sent; `handleAnswerEnd` reports it.
+      // No answer can be sent; `handleEnd` reports it.
       return;
     }
     if (body === undefined) {
@@ -201,50 +240,73 @@
       socket.destroy();
       return;
     }
-    if (this.unreadable.has(socket)) return;
-    this.unreadable.add(socket);
+    const queue = this.connections.getQueue(socket);
     const refusal = getUnreadableRefusal(error);
     const {code, message} = error;
+    // The rest of the headers was sent, but is not read.
+    if (code === headersTimeoutCode && queue?.isHeldBack) return;
+    if (this.unreadable.has(socket)) return;
+    this.unreadable.add(socket);
     this.options.reportUnreadable(refusal.reason, code ?? message);
-    if (this.hasOpenRequest(socket)) return;
-    socket.write(formatUnreadableAnswer(refusal));
-    socket.destroySoon();
+    queue?.endReading(() => {
+      socket.write(formatUnreadableAnswer(refusal));
+      socket.destroySoon();
+    });
+  }
+
+  /**
+   * Closes a connection that a caller wants to use as a tunnel, when the requests
+   * before are answered. Node handles its errors no more.
+   */
+  private handleConnect(socket: Socket): void {
+    socket.on('error', () => {});
+    this.unreadable.add(socket);
+    this.connections
+      .getQueue(socket)
+      ?.endReading(() => void socket.destroySoon());
+  }
+
+  /** Lets a stopping VM close a connection after the last answer on it. */
+  private decideClosing(openRequest: OpenRequest): void {
+    const queue = this.connections.getQueue(openRequest.request.socket);
+    openRequest.closeAfterAnswer(!queue?.hasNext);
   }
 
-  private hasOpenRequest(socket: Socket): boolean {
-    for (const {request} of this.options.openRequests.values()) {
-      if (request.socket === socket) return true;
+  /** The same for the request in progress before one that was just read. */
+  private decideClosingBefore({socket}: IncomingMessage): void {
+    for (const openRequest of this.options.openRequests.values()) {
+      if (openRequest.request.socket === socket)
+        this.decideClosing(openRequest);
     }
-    return false;
   }
 
-  private handleAnswerEnd(
+  private handleEnd(
     requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
+    {hasCallerLeft, outcome}: RequestEnd,
   ): void {
     const {loop, openRequests, reportUnanswered, wire} = this.options;
     const openRequest = openRequests.get(requestId);
     openRequests.delete(requestId);
-    const {socket} = request;
-    if (this.unreadable.has(socket) && !this.hasOpenRequest(socket)) {
-      socket.destroySoon();
-    }
-    if (response.writableFinished || openRequest?.isAborted) return;
+    if (outcome === queuedOutcome.sent || openRequest?.isAborted) return;
     const isRefused = openRequest === undefined && response.headersSent;
     if (isRefused) return;
     const {attemptId} = wire.readRequestInfo(
       request.url ?? '/',
       request.headers,
     );
-    if (this.isClosed) {
+    if (outcome === queuedOutcome.notBegun) {
+      reportUnanswered(unansweredCause.notBegun, attemptId);
+    } else if (this.isClosed) {
       reportUnanswered(unansweredCause.stopped, attemptId);
     } else if (response.writableEnded) {
       reportUnanswered(unansweredCause.answerUnread, attemptId);
     } else if (openRequest === undefined) {
       reportUnanswered(unansweredCause.requestUnfinished, attemptId);
     } else {
-      loop.submit({kind: 'callerGone', requestId});
+      const isClosedHere = !hasCallerLeft;
+      loop.submit({kind: 'callerGone', requestId, isClosedHere});
     }
   }
 
@@ -269,7 +331,7 @@
       body,
       response,
     );
-    if (this.isStopping) openRequest.closeAfterAnswer();
+    if (this.isStopping) this.decideClosing(openRequest);
     openRequests.set(requestId, openRequest);
     loop.submit({
       kind: 'requestReceived',
@@ -279,7 +341,18 @@
     });
   }
 
-  /** Refuses a request that exceeds the bounds and closes its connection. */
+  /** Refuses a request whose `Expect` header names something unknown. */
+  private refuseExpectation(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const reason = 'unknownExpectation';
+    this.options.reportUnreadable(reason, `${request.headers.expect}`);
+    const headers = {connection: 'close', 'content-length': '0'};
+    response.writeHead(expectationFailedStatus, headers).end();
+  }
+
+  /** Refuses a request that cannot be accepted as it is, and closes its connection. */
   private refuse(
     request: IncomingMessage,
     response: ServerResponse,
