Answers with a transfer coding: a reset is seen, and encoded bytes are refused

Cause: only an answer without the header counted as one that its connection ends, so that a reset, which Node reports as a regular end, was not looked for. The header is not forwarded, so that callers took encoded bytes for the body.

An answer is framed if it has a length or is in chunks, and nothing else; a coding that changes the bytes fails the call (call_failed, transfer_coding).

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -42,6 +42,19 @@
 /** HTTP statuses from which a caller concludes that a request did not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+const chunkedCoding = 'chunked';
+/** Transfer codings that leave the bytes of a body as they are. */
+const plainCodings: ReadonlySet<string> = new Set([
+  '',
+  'identity',
+  chunkedCoding,
+]);
+
+/** Returns the transfer coding of an answer, in lower case; empty if none. */
+function getTransferCoding({headers}: Pick<AnswerHead, 'headers'>): string {
+  return (headers['transfer-encoding'] ?? '').trim().toLowerCase();
+}
+
 /** Dependencies of one call to an endpoint. */
 export interface EndpointCallOptions {
   readonly effect: StartCall;
@@ -177,6 +190,10 @@
     // did not state that, nor a status that is none.
     const isForwardable =
       status >= minAnswerStatus && !notRunStatuses.has(status);
+    if (!plainCodings.has(getTransferCoding(response))) {
+      this.fail('cut', 'transfer_coding');
+      return;
+    }
     if (answerClass === 'unverified' || !isForwardable) {
       this.fail('cut', `${answerClass}_${status}`);
       return;
@@ -333,7 +350,7 @@
     const {headers} = this.head;
     return (
       headers['content-length'] === undefined &&
-      headers['transfer-encoding'] === undefined
+      getTransferCoding(this.head) !== chunkedCoding
     );
   }
 
