A whole answer counts also if bytes that are no answer come with its end

Callers got a 502 for an answer that the endpoint had given whole, if bytes that are no answer came with its last segment; a request that may not be repeated was lost to its caller.

Cause: the error of the parser at the bytes behind the answer is emitted before the end of the answer, and ended the call.

Once the answer is complete, an error of the parser says nothing about it; its end is still emitted. Bytes that came later were discarded already.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -136,8 +136,11 @@
     this.request = call;
     call.on('error', (error: Error & {code?: string}) => {
       const detail = error.code ?? error.message;
+      const isUnreadable = detail.startsWith(parseErrorPrefix);
+      // Bytes behind a complete answer belong to no request.
+      if (isUnreadable && this.response?.complete) return;
       if (!this.isSent) this.fail('notSent', detail);
-      else if (detail.startsWith(parseErrorPrefix)) this.fail('cut', detail);
+      else if (isUnreadable) this.fail('cut', detail);
       else this.failLost(detail);
     });
     call.on('information', () => this.countInterimResponse());
