An answer in small chunks takes no more memory than its bytes

Callers lost their requests when a process ended: ten endpoints that sent held answers (or failures) in chunks of one byte took more than 200 MB.

Cause: what is held of an answer was bounded in bytes, but each chunk was kept by itself, and one byte takes some hundred bytes of memory.

Small chunks are copied into blocks of up to 16 KiB, so that the memory follows the bound on the bytes.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,5 +1,5 @@
 import {CallAnswered, CallFailure, Input, StartCall} from '@ryeworks/dispatch';
-import {parseHostPort} from '@ryeworks/utils';
+import {ByteCollector, parseHostPort} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {
   eventStreamType,
@@ -93,8 +93,7 @@
   private readonly splitter = new EventSplitter();
   private readonly boundary = new EventBoundary();
   /** Parts of the body that are held in memory. */
-  private held: Buffer[] = [];
-  private heldBytes = 0;
+  private readonly held = new ByteCollector();
   /** Number of forwarded events; in mode `bytes`, of forwarded chunks. */
   private events = 0;
   private lastReportAtMs = Number.NEGATIVE_INFINITY;
@@ -375,8 +374,7 @@
   }
 
   private createHeldAnswer(): HeldAnswer {
-    const body = Buffer.concat(this.held, this.heldBytes);
-    return {...this.createForwardedHead(), body};
+    return {...this.createForwardedHead(), body: this.held.removeBytes()};
   }
 
   /**
@@ -385,17 +383,15 @@
    * failure is held up to a larger size, beyond which the call fails.
    */
   private holdChunk(chunk: Buffer): void {
-    this.held.push(chunk);
-    this.heldBytes += chunk.length;
+    this.held.addChunk(chunk);
+    const {sizeBytes} = this.held;
     const isFailure = this.isFailure();
-    if (isFailure && this.heldBytes > maxFailureBytes) {
+    if (isFailure && sizeBytes > maxFailureBytes) {
       this.fail('cut', 'failure_too_large');
     }
-    if (this.heldBytes <= maxHeldAnswerBytes || isFailure) return;
+    if (sizeBytes <= maxHeldAnswerBytes || isFailure) return;
     this.mode = 'bytes';
-    const body = Buffer.concat(this.held, this.heldBytes);
-    this.held = [];
-    this.forwardBytes(body);
+    this.forwardBytes(this.held.removeBytes());
   }
 
   /**
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -1,3 +1,4 @@
+export * from './byteCollector.js';
 export * from './callHttp.js';
 export * from './clock.js';
 export * from './disposableStore.js';
