A body in small chunks takes no more memory than its bytes

Callers lost their requests when a process ended: ten callers that sent bodies in chunks of one byte, below the allowed 4 MB, took more than 200 MB.

--- a/packages/ryeworks-gateway/src/callers/readBody.ts
+++ b/packages/ryeworks-gateway/src/callers/readBody.ts
@@ -1,3 +1,4 @@
+import {ByteCollector} from '@ryeworks/utils';
 import {IncomingMessage} from 'node:http';
 
 /** Error of a caller that disconnected before its request was complete. */
@@ -14,20 +15,20 @@
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
+  const collector = new ByteCollector();
   let size = 0;
   return new Promise((resolve, reject) => {
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size <= maxBytes) {
-        chunks.push(chunk);
+        collector.addChunk(chunk);
         return;
       }
       request.removeAllListeners('data');
       request.pause();
       resolve(undefined);
     });
-    request.once('end', () => resolve(Buffer.concat(chunks, size)));
+    request.once('end', () => resolve(collector.removeBytes()));
     request.once('error', error => reject(new RequestCutError(error.message)));
     request.once('close', () =>
       reject(new RequestCutError(`after ${size} bytes of the body`)),
