Answers of the store and of peers have a bound

A store or a peer whose answer never ends took the memory of each VM that called it, and the requests of all their callers with it.

Cause: callHttp kept what it read until a time limit of 15 s, and unpacked a compressed answer whole.

--- a/packages/ryeworks-utils/src/callHttp.ts
+++ b/packages/ryeworks-utils/src/callHttp.ts
@@ -1,8 +1,15 @@
 import {IncomingHttpHeaders, IncomingMessage, request} from 'node:http';
 import {gunzipSync} from 'node:zlib';
 import {AnswerTimers} from './answerTimers.js';
+import {ByteCollector} from './byteCollector.js';
 import {parseHostPort} from './hostPort.js';
 
+/**
+ * Largest body of an answer, as received and unpacked, in bytes. A list has many
+ * objects, each of at most 1 MiB.
+ */
+const maxBodyBytes = 16_777_216;
+
 /** An HTTP call, with or without a JSON body. */
 export interface HttpCall {
   /** `host:port`. */
@@ -39,7 +46,9 @@
 function parseBody({headers}: IncomingMessage, bytes: Buffer): unknown {
   if (bytes.length === 0) return undefined;
   const isCompressed = headers['content-encoding'] === 'gzip';
-  const text = isCompressed ? gunzipSync(bytes) : bytes;
+  const text = isCompressed
+    ? gunzipSync(bytes, {maxOutputLength: maxBodyBytes})
+    : bytes;
   return JSON.parse(text.toString('utf8'));
 }
 
@@ -52,7 +61,7 @@
   const {host, port} = parseHostPort(address);
   const name = `${method} ${address}${path}`;
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    const received = new ByteCollector();
     let receivedBytes = 0;
     let expectedBytes = 'unknown';
     const fail = (reason: string) => {
@@ -78,8 +87,9 @@
       timers.handleBeginning();
       expectedBytes = response.headers['content-length'] ?? expectedBytes;
       response.on('data', (chunk: Buffer) => {
-        chunks.push(chunk);
         receivedBytes += chunk.length;
+        if (receivedBytes > maxBodyBytes) return fail('answer too large');
+        received.addChunk(chunk);
         timers.handleProgress();
       });
       response.on('error', error => fail(error.message));
@@ -88,7 +98,7 @@
         timers.stop();
         try {
           const {headers, statusCode: status = 0} = response;
-          const body = parseBody(response, Buffer.concat(chunks));
+          const body = parseBody(response, received.removeBytes());
           resolve({status, headers, body, sizeBytes: receivedBytes});
         } catch (error) {
           fail(`unreadable answer: ${(error as Error).message}`);
