What the end of the grace period cuts is told before the process exits

Cause: the connections emit their ends after the server has closed, and the process exits in between.

The requests in progress are reported before their connections are closed.

--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -66,6 +66,13 @@
     response.once('close', end);
   }
 
+  /** Ends the tracking of all requests, whose connections are about to close. */
+  endRequests(): void {
+    for (const {openAnswers} of this.connections.values()) {
+      for (const end of [...openAnswers]) end();
+    }
+  }
+
   /**
    * Closes the used connections that were idle at the last call, too. Between the
    * calls, requests that had already arrived are read: if a connection is closed
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -151,6 +151,8 @@
   /** Stops listening and closes every connection. */
   close(): Promise<void> {
     this.isClosed = true;
+    // The process may exit before the connections emit their ends.
+    this.connections.endRequests();
     return new Promise(resolve => {
       this.server.close(() => resolve());
       this.server.closeAllConnections();
