--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -94,6 +94,11 @@
     for (const {queue} of this.connections.values()) queue.startStopping();
   }
 
+  /** Ends the tracking of all requests, whose connections are about to close. */
+  endRequests(): void {
+    for (const {queue} of this.connections.values()) queue.close();
+  }
+
   /**
    * Closes the used connections that were idle at the last call, too. Between the
    * calls, requests that had already arrived are read: if a connection is closed
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,5 +1,5 @@
 import {CallAnswered, CallFailure, Input, StartCall} from '@ryeworks/dispatch';
-import {parseHostPort} from '@ryeworks/utils';
+import {ByteCollector, parseHostPort} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {
   eventStreamType,
@@ -42,6 +42,19 @@
 /** HTTP statuses from which a caller concludes that a request did not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+const chunkedCoding = 'chunked';
+/** Transfer codings that leave the bytes of a body as they are. */
+const plainCodings: ReadonlySet<string> = new Set([
+  '',
+  'identity',
+  chunkedCoding,
+]);
+
+/** Returns the transfer coding of an answer, in lower case; empty if none. */
+function getTransferCoding({headers}: Pick<AnswerHead, 'headers'>): string {
+  return (headers['transfer-encoding'] ?? '').trim().toLowerCase();
+}
+
 /** Dependencies of one call to an endpoint. */
 export interface EndpointCallOptions {
   readonly effect: StartCall;
@@ -80,8 +93,7 @@
   private readonly splitter = new EventSplitter();
   private readonly boundary = new EventBoundary();
   /** Parts of the body that are held in memory. */
-  private held: Buffer[] = [];
-  private heldBytes = 0;
+  private readonly held = new ByteCollector();
   /** Number of forwarded events; in mode `bytes`, of forwarded chunks. */
   private events = 0;
   private lastReportAtMs = Number.NEGATIVE_INFINITY;
@@ -123,8 +135,11 @@
     this.request = call;
     call.on('error', (error: Error & {code?: string}) => {
       const detail = error.code ?? error.message;
+      const isUnreadable = detail.startsWith(parseErrorPrefix);
+      // Bytes behind a complete answer belong to no request.
+      if (isUnreadable && this.response?.complete) return;
       if (!this.isSent) this.fail('notSent', detail);
-      else if (detail.startsWith(parseErrorPrefix)) this.fail('cut', detail);
+      else if (isUnreadable) this.fail('cut', detail);
       else this.failLost(detail);
     });
     call.on('information', () => this.countInterimResponse());
@@ -177,6 +192,10 @@
     // did not state that, nor a status that is none.
     const isForwardable =
       status >= minAnswerStatus && !notRunStatuses.has(status);
+    if (!plainCodings.has(getTransferCoding(response))) {
+      this.fail('cut', 'transfer_coding');
+      return;
+    }
     if (answerClass === 'unverified' || !isForwardable) {
       this.fail('cut', `${answerClass}_${status}`);
       return;
@@ -333,7 +352,7 @@
     const {headers} = this.head;
     return (
       headers['content-length'] === undefined &&
-      headers['transfer-encoding'] === undefined
+      getTransferCoding(this.head) !== chunkedCoding
     );
   }
 
@@ -355,8 +374,7 @@
   }
 
   private createHeldAnswer(): HeldAnswer {
-    const body = Buffer.concat(this.held, this.heldBytes);
-    return {...this.createForwardedHead(), body};
+    return {...this.createForwardedHead(), body: this.held.removeBytes()};
   }
 
   /**
@@ -365,17 +383,15 @@
    * failure is held up to a larger size, beyond which the call fails.
    */
   private holdChunk(chunk: Buffer): void {
-    this.held.push(chunk);
-    this.heldBytes += chunk.length;
+    this.held.addChunk(chunk);
+    const {sizeBytes} = this.held;
     const isFailure = this.isFailure();
-    if (isFailure && this.heldBytes > maxFailureBytes) {
+    if (isFailure && sizeBytes > maxFailureBytes) {
       this.fail('cut', 'failure_too_large');
     }
-    if (this.heldBytes <= maxHeldAnswerBytes || isFailure) return;
+    if (sizeBytes <= maxHeldAnswerBytes || isFailure) return;
     this.mode = 'bytes';
-    const body = Buffer.concat(this.held, this.heldBytes);
-    this.held = [];
-    this.forwardBytes(body);
+    this.forwardBytes(this.held.removeBytes());
   }
 
   /**
