--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,7 +1,7 @@
 const scheduler = 'packages/ryeworks-scheduler/dist';
 const dispatch = 'packages/ryeworks-dispatch/dist';
 const lab = 'packages/ryeworks-lab/dist';
-const gateway = 'packages/ryeworks-gateway/dist';
+const utils = 'packages/ryeworks-utils/dist';
 
 /**
  * Mutations of the compiled decision cores. Each one disables the mechanism behind a
@@ -322,23 +322,23 @@
   },
   {
     promise: 'a request sent ahead is not begun before its turn',
-    file: `${gateway}/callers/requestQueue.js`,
+    file: `${utils}/requestQueue.js`,
     from: /if \(this\.current === undefined\) \{\s+this\.start/,
     to: 'if (true) {\n            this.start',
-    test: `${gateway}/__tests__/requestQueue.test.js`,
+    test: `${utils}/__tests__/requestQueue.test.js`,
   },
   {
     promise: 'what a caller sends ahead is bounded',
-    file: `${gateway}/callers/requestQueue.js`,
+    file: `${utils}/requestQueue.js`,
     from: /\|\| this\.waitingBytes > maxAheadBytes/,
     to: '',
-    test: `${gateway}/__tests__/requestQueue.test.js`,
+    test: `${utils}/__tests__/requestQueue.test.js`,
   },
   {
     promise: 'no request sent ahead begins behind the last answer of a stop',
-    file: `${gateway}/callers/requestQueue.js`,
+    file: `${utils}/requestQueue.js`,
     from: /if \(!this\.socket\.writable\) \{/,
     to: 'if (false) {',
-    test: `${gateway}/__tests__/requestQueue.test.js`,
+    test: `${utils}/__tests__/requestQueue.test.js`,
   },
 ];
--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -1,5 +1,5 @@
 import {Socket} from 'node:net';
-import {QueuedOutcome, QueuedRequest, RequestQueue} from './requestQueue.js';
+import {QueuedOutcome, QueuedRequest, RequestQueue} from '@ryeworks/utils';
 
 /** A caller's connection. */
 interface CallerConnection {
@@ -64,8 +64,7 @@
 
   /** Adds a request, which is begun when those before it are answered. */
   addRequest(connectionRequest: ConnectionRequest): void {
-    const {begin, handleEnd, headerBytes, request, response} =
-      connectionRequest;
+    const {begin, handleEnd, request, response} = connectionRequest;
     const {socket} = request;
     const connection = this.connections.get(socket);
     // Its connection has closed.
@@ -73,7 +72,6 @@
     connection.queue.add({
       request,
       response,
-      headerBytes,
       begin,
       handleEnd: outcome => {
         connection.answeredBytes = socket.bytesRead;
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -2,19 +2,13 @@
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
-import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
-import {HostPort} from '@ryeworks/utils';
+import {Clock, HostPort, queuedOutcome} from '@ryeworks/utils';
 import {CallerConnections, RequestEnd} from './callerConnections.js';
-import {
-  countHeaderBytes,
-  findHeadFault,
-  hasUnknownExpectation,
-} from './headFault.js';
+import {findHeadFault, hasUnknownExpectation} from './headFault.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {readBody} from './readBody.js';
-import {queuedOutcome} from './requestQueue.js';
 import {
   formatUnreadableAnswer,
   getUnreadableRefusal,
@@ -177,23 +171,17 @@
     const {clock, reportFault} = this.options;
     const receivedAtMs = clock.readNowMs();
     const requestId = `${this.nextRequestNumber++}`;
-    const headerBytes = countHeaderBytes(request);
     response.sendDate = false;
     this.connections.addRequest({
       request,
       response,
-      headerBytes,
       begin: () => {
-        this.handleRequest(
-          requestId,
-          request,
-          response,
-          headerBytes,
-          receivedAtMs,
-        ).catch(error => {
-          reportFault(error);
-          response.destroy();
-        });
+        this.handleRequest(requestId, request, response, receivedAtMs).catch(
+          error => {
+            reportFault(error);
+            response.destroy();
+          },
+        );
       },
       handleEnd: end => this.handleEnd(requestId, request, response, end),
     });
@@ -204,7 +192,6 @@
     requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
-    headerBytes: number,
     receivedAtMs: number,
   ): Promise<void> {
     const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
@@ -212,7 +199,7 @@
       this.refuseExpectation(request, response);
       return;
     }
-    const headFault = findHeadFault(request, headerBytes, maxHeaderBytes);
+    const headFault = findHeadFault(request, maxHeaderBytes);
     if (headFault !== undefined) {
       this.refuse(request, response, headFault);
       return;
--- a/packages/ryeworks-gateway/src/callers/headFault.ts
+++ b/packages/ryeworks-gateway/src/callers/headFault.ts
@@ -1,13 +1,7 @@
 import {ErrorKind} from '@ryeworks/types';
+import {countHeaderBytes} from '@ryeworks/utils';
 import {IncomingMessage} from 'node:http';
 
-/** Returns the size of a request's headers, in bytes. */
-export function countHeaderBytes(request: IncomingMessage): number {
-  let size = 0;
-  for (const part of request.rawHeaders) size += part.length + 2;
-  return size;
-}
-
 /** Returns whether a request expects anything but to be told to go on. */
 export function hasUnknownExpectation({
   headers: {expect},
@@ -17,11 +11,11 @@
 
 /** Returns why the headers of a request are refused; undefined if they are not. */
 export function findHeadFault(
-  {headers, httpVersion}: IncomingMessage,
-  headerBytes: number,
+  request: IncomingMessage,
   maxHeaderBytes: number,
 ): ErrorKind | undefined {
-  if (headerBytes > maxHeaderBytes) return 'headersTooLarge';
+  const {headers, httpVersion} = request;
+  if (countHeaderBytes(request) > maxHeaderBytes) return 'headersTooLarge';
   const needsHost = httpVersion === '1.1';
   if (needsHost && headers.host === undefined) return 'malformedRequest';
   return undefined;
--- a/packages/ryeworks-gateway/src/__tests__/requestQueue.test.ts
+++ b/packages/ryeworks-utils/src/__tests__/requestQueue.test.ts
@@ -2,7 +2,7 @@
 import {AddressInfo, connect, Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import t, {Test} from 'tap';
-import {RequestQueue} from '../callers/requestQueue.js';
+import {RequestQueue} from '../requestQueue.js';
 
 /** Most that a queue reads: what may be sent ahead, and two reads of Node. */
 const maxReadBytes = 16_384 + 2 * 65_536;
@@ -22,7 +22,6 @@
     queue.add({
       request,
       response,
-      headerBytes: 30,
       begin: () => {
         request.resume();
         begun.push({url: request.url!, response});
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -7,6 +7,7 @@
 export * from './randomSource.js';
 export * from './rankByKey.js';
 export * from './removeOldest.js';
+export * from './requestQueue.js';
 export * from './resetSocket.js';
 export * from './sequentialTest.js';
 export * from './startIoTimer.js';
--- a/packages/ryeworks-gateway/src/callers/requestQueue.ts
+++ b/packages/ryeworks-utils/src/requestQueue.ts
@@ -30,14 +30,19 @@
 export interface QueuedRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  /** Size of its headers, in bytes. */
-  readonly headerBytes: number;
   /** Called when the requests before it are answered. */
   readonly begin: () => void;
   /** Called once, when it is answered or can't be answered any more. */
   readonly handleEnd: (outcome: QueuedOutcome) => void;
 }
 
+/** Returns the size of a request's headers, in bytes. */
+export function countHeaderBytes(request: IncomingMessage): number {
+  let size = 0;
+  for (const part of request.rawHeaders) size += part.length + 2;
+  return size;
+}
+
 /**
  * The requests on a caller's connection. Each one is begun when the one before it
  * is answered, so that nothing has run that cannot be answered.
@@ -94,7 +99,8 @@
       this.waitingBytes += previous.request.readableLength;
     }
     this.waiting.push(queued);
-    this.waitingBytes += queued.headerBytes + requestOverheadBytes;
+    this.waitingBytes +=
+      countHeaderBytes(queued.request) + requestOverheadBytes;
     if (this.isStopping || this.waitingBytes > maxAheadBytes) this.pause();
   }
 
--- a/packages/ryeworksd/src/callers/createCallerServer.ts
+++ b/packages/ryeworksd/src/callers/createCallerServer.ts
@@ -3,8 +3,10 @@
 import {getHash} from '@ryeworks/utils';
 import Fastify, {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import {createHash, randomBytes} from 'node:crypto';
+import {Socket} from 'node:net';
 import {addStatusRoute} from './addStatusRoute.js';
 import {CallerServerContext} from './callerServerContext.js';
+import {createQueuedServer, refuseUnreadable} from './createQueuedServer.js';
 import {CallHeaders, readCallHeaders} from './readCallHeaders.js';
 import {CompletionRequest, readCompletion} from './readCompletion.js';
 import {createErrorBody, createErrorHeaders, ReplySink} from './replySink.js';
@@ -200,13 +202,17 @@
 export function createCallerServer(
   context: CallerServerContext,
 ): FastifyInstance {
+  const {openReplies} = context;
   const server = Fastify({
     bodyLimit: context.settings.maxBodyBytes,
     genReqId: createRequestId,
-    requestTimeout: 30_000,
+    serverFactory: handleRequest =>
+      createQueuedServer(handleRequest, openReplies),
+    clientErrorHandler: ({code}, socket) =>
+      refuseUnreadable(openReplies, code ?? '', socket as Socket),
   });
   server.addHook('onRequest', (_request, reply, done) => {
-    context.openReplies.add(reply.raw);
+    openReplies.add(reply.raw);
     done();
   });
   server.removeAllContentTypeParsers();
