--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,6 +1,8 @@
 const scheduler = 'packages/ryeworks-scheduler/dist';
 const dispatch = 'packages/ryeworks-dispatch/dist';
 const lab = 'packages/ryeworks-lab/dist';
+const gateway = 'packages/ryeworks-gateway/dist';
+const entry = 'packages/ryeworksd/dist';
 
 /**
  * Mutations of the compiled decision cores. Each one disables the mechanism behind a
@@ -319,4 +321,47 @@
     to: 'if (true)',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
+  {
+    promise:
+      'a stop takes a late request only if it must end before the process',
+    file: `${dispatch}/requests/canFinish.js`,
+    from: /timeoutAtMs \+ lateTimerMs <= stop\.endAtMs/,
+    to: 'timeoutAtMs <= stop.endAtMs + 1000',
+    test: `${dispatch}/__tests__/stops.test.js`,
+  },
+  {
+    promise: 'a request that waits at the end of a stop is refused',
+    file: `${dispatch}/admission/refuseOrQueue.js`,
+    from: /if \(request\.possibleRuns > 0\)\s+return \[\];\s+const refused = [^;]*;/,
+    to: 'if (request.possibleRuns > 0) return []; const refused = undefined;',
+    test: `${dispatch}/__tests__/stops.test.js`,
+  },
+  {
+    promise: 'a request turned away at the end of a stop is refused',
+    file: `${dispatch}/admission/refuseOrQueue.js`,
+    from: /request\.phase = 'waiting';\s+const refused = [^;]*;/,
+    to: "request.phase = 'waiting'; const refused = undefined;",
+    test: `${dispatch}/__tests__/stops.test.js`,
+  },
+  {
+    promise: 'a stop keeps to a grace period that has changed',
+    file: `${gateway}/stop/gracefulStop.js`,
+    from: /this\.graceMs = graceMs;\s+this\.graceFrom = graceSource\.change;/,
+    to: 'this.graceFrom = graceSource.change;',
+    test: `${gateway}/__tests__/gracefulStop.test.js`,
+  },
+  {
+    promise: 'a stop does not become longer than the platform has said',
+    file: `${gateway}/stop/gracefulStop.js`,
+    from: /isStopping && graceMs > this\.graceMs/,
+    to: 'false',
+    test: `${gateway}/__tests__/gracefulStop.test.js`,
+  },
+  {
+    promise: 'a signal to stop that comes early is kept',
+    file: `${entry}/signals/stopSignals.js`,
+    from: /if \(this\.signalledAtMs !== undefined\)\s+stop\(this\.signalledAtMs\);/,
+    to: '',
+    test: `${entry}/__tests__/stopSignals.test.js`,
+  },
 ];
