--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,15 +1,11 @@
+import {shellMutations} from './shellMutations.js';
+
 const scheduler = 'packages/ryeworks-scheduler/dist';
 const dispatch = 'packages/ryeworks-dispatch/dist';
 const lab = 'packages/ryeworks-lab/dist';
-const utils = 'packages/ryeworks-utils/dist';
-const gateway = 'packages/ryeworks-gateway/dist';
-const entry = 'packages/ryeworksd/dist';
 
-/**
- * Mutations of the compiled decision cores. Each one disables the mechanism behind a
- * promise, so that the given scenario or test must fail.
- */
-export const proofMutations = [
+/** Mutations of the decision cores. */
+const coreMutations = [
   {
     promise: 'a call with an idempotency key runs at most once (claims)',
     file: `${scheduler}/requests/handleRequestReceived.js`,
@@ -378,27 +374,6 @@
     to: 'if (true)',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
-  {
-    promise: 'a request sent ahead is not begun before its turn',
-    file: `${utils}/requestQueue.js`,
-    from: /if \(this\.current === undefined\) \{\s+this\.start/,
-    to: 'if (true) {\n            this.start',
-    test: `${utils}/__tests__/requestQueue.test.js`,
-  },
-  {
-    promise: 'what a caller sends ahead is bounded',
-    file: `${utils}/requestQueue.js`,
-    from: /\|\| this\.waitingBytes > maxAheadBytes/,
-    to: '',
-    test: `${utils}/__tests__/requestQueue.test.js`,
-  },
-  {
-    promise: 'no request sent ahead begins behind the last answer of a stop',
-    file: `${utils}/requestQueue.js`,
-    from: /if \(!this\.socket\.writable\) \{/,
-    to: 'if (false) {',
-    test: `${utils}/__tests__/requestQueue.test.js`,
-  },
   {
     promise:
       'a stop takes a late request only if it must end before the process',
@@ -421,25 +396,10 @@
     to: "request.phase = 'waiting'; const refused = undefined;",
     test: `${dispatch}/__tests__/stops.test.js`,
   },
-  {
-    promise: 'a stop keeps to a grace period that has changed',
-    file: `${gateway}/stop/gracefulStop.js`,
-    from: /this\.graceMs = graceMs;\s+this\.graceFrom = graceSource\.change;/,
-    to: 'this.graceFrom = graceSource.change;',
-    test: `${gateway}/__tests__/gracefulStop.test.js`,
-  },
-  {
-    promise: 'a stop does not become longer than the platform has said',
-    file: `${gateway}/stop/gracefulStop.js`,
-    from: /isStopping && graceMs > this\.graceMs/,
-    to: 'false',
-    test: `${gateway}/__tests__/gracefulStop.test.js`,
-  },
-  {
-    promise: 'a signal to stop that comes early is kept',
-    file: `${entry}/signals/stopSignals.js`,
-    from: /if \(this\.signalledAtMs !== undefined\)\s+stop\(this\.signalledAtMs\);/,
-    to: '',
-    test: `${entry}/__tests__/stopSignals.test.js`,
-  },
 ];
+
+/**
+ * Mutations of the compiled decision cores. Each one disables the mechanism behind a
+ * promise, so that the given scenario or test must fail.
+ */
+export const proofMutations = [...coreMutations, ...shellMutations];
--- /dev/null
+++ b/admin/shellMutations.js
@@ -0,0 +1,49 @@
+const utils = 'packages/ryeworks-utils/dist';
+const gateway = 'packages/ryeworks-gateway/dist';
+const entry = 'packages/ryeworksd/dist';
+
+/** Mutations of the shells around the decision cores; see `proofMutations`. */
+export const shellMutations = [
+  {
+    promise: 'a request sent ahead is not begun before its turn',
+    file: `${utils}/requestQueue.js`,
+    from: /if \(this\.current === undefined\) \{\s+this\.start/,
+    to: 'if (true) {\n            this.start',
+    test: `${utils}/__tests__/requestQueue.test.js`,
+  },
+  {
+    promise: 'what a caller sends ahead is bounded',
+    file: `${utils}/requestQueue.js`,
+    from: /\|\| this\.waitingBytes > maxAheadBytes/,
+    to: '',
+    test: `${utils}/__tests__/requestQueue.test.js`,
+  },
+  {
+    promise: 'no request sent ahead begins behind the last answer of a stop',
+    file: `${utils}/requestQueue.js`,
+    from: /if \(!this\.socket\.writable\) \{/,
+    to: 'if (false) {',
+    test: `${utils}/__tests__/requestQueue.test.js`,
+  },
+  {
+    promise: 'a stop keeps to a grace period that has changed',
+    file: `${gateway}/stop/gracefulStop.js`,
+    from: /this\.graceMs = graceMs;\s+this\.graceFrom = graceSource\.change;/,
+    to: 'this.graceFrom = graceSource.change;',
+    test: `${gateway}/__tests__/gracefulStop.test.js`,
+  },
+  {
+    promise: 'a stop does not become longer than the platform has said',
+    file: `${gateway}/stop/gracefulStop.js`,
+    from: /isStopping && graceMs > this\.graceMs/,
+    to: 'false',
+    test: `${gateway}/__tests__/gracefulStop.test.js`,
+  },
+  {
+    promise: 'a signal to stop that comes early is kept',
+    file: `${entry}/signals/stopSignals.js`,
+    from: /if \(this\.signalledAtMs !== undefined\)\s+stop\(this\.signalledAtMs\);/,
+    to: '',
+    test: `${entry}/__tests__/stopSignals.test.js`,
+  },
+];
