--- a/packages/ryeworks-logger/src/__tests__/prometheusMetrics.test.ts
+++ b/packages/ryeworks-logger/src/__tests__/prometheusMetrics.test.ts
@@ -24,3 +24,12 @@
   const text = await metrics.format();
   t.match(text, /ryeworks_request_ms_count\{tier="1"\} 5000/);
 });
+
+// Guards against a gauge that keeps the value of its first reading.
+t.test('gauges are read at each request', async t => {
+  let value = 1;
+  const metrics = createPrometheusMetrics({}, {}, {held_bytes: () => value});
+  t.match(await metrics.format(), /^ryeworks_held_bytes 1$/m);
+  value = 2;
+  t.match(await metrics.format(), /^ryeworks_held_bytes 2$/m);
+});
--- a/packages/ryeworks-logger/src/createPrometheusMetrics.ts
+++ b/packages/ryeworks-logger/src/createPrometheusMetrics.ts
@@ -6,6 +6,9 @@
 /** Label names of each counter or histogram, by metric name. */
 export type MetricDefinitions = Readonly<Record<string, readonly string[]>>;
 
+/** Functions that read the current value of each gauge, by metric name. */
+export type GaugeReaders = Readonly<Record<string, () => number>>;
+
 /** Label values of one observation. */
 export type MetricLabels = Readonly<Record<string, string>>;
 
@@ -48,8 +51,9 @@
 async function createRegisteredMetrics(
   counterLabels: MetricDefinitions,
   histogramLabels: MetricDefinitions,
+  gaugeReaders: GaugeReaders,
 ): Promise<RegisteredMetrics> {
-  const {Counter, Histogram, Registry} = await import('prom-client');
+  const {Counter, Gauge, Histogram, Registry} = await import('prom-client');
   const registry = new Registry();
   const registers = [registry];
   const counters = new Map<string, Counter>();
@@ -66,6 +70,17 @@
     const histogram = new Histogram({...options, buckets: bucketsMs});
     histograms.set(name, histogram);
   }
+  for (const [name, read] of Object.entries(gaugeReaders)) {
+    const help = name.replaceAll('_', ' ');
+    new Gauge({
+      name: `ryeworks_${name}`,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  }
   return {registry, counters, histograms};
 }
 
@@ -78,6 +93,7 @@
 export function createPrometheusMetrics(
   counterLabels: MetricDefinitions,
   histogramLabels: MetricDefinitions,
+  gaugeReaders: GaugeReaders = {},
 ): PrometheusMetrics {
   const pendingByKey = new Map<string, PendingSeries>();
   let registeredMetrics: Promise<RegisteredMetrics> | undefined;
@@ -112,6 +128,7 @@
     registeredMetrics ??= createRegisteredMetrics(
       counterLabels,
       histogramLabels,
+      gaugeReaders,
     );
     const metrics = await registeredMetrics;
     flushPending(metrics);
