Dispatch: each call says whether another one may follow it

The gateway keeps the body of every request until its end, as only the core knows whether it may be sent again. A call now says that no other follows once an endpoint has accepted it. lastRun.test.ts holds it against the calls that the core makes.

--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -19,6 +19,11 @@
    * resumed.
    */
   readonly isResumable: boolean;
+  /**
+   * Whether no other call follows once an endpoint has accepted this one, so that
+   * the request's body is not needed any more.
+   */
+  readonly isLastRun: boolean;
 }
 
 /** Cancels one call of a request. */
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -67,6 +67,20 @@
   ];
 }
 
+/**
+ * Returns whether the last call of a request, once an endpoint has accepted it, is
+ * followed by no other. An earlier call that goes on may still prove not to run.
+ */
+function isLastRun({
+  calls,
+  isRetryable,
+  possibleRuns,
+  route,
+}: ActiveRequest): boolean {
+  if (!isRetryable) return true;
+  return calls.length === 1 && possibleRuns + 1 >= route.maxAttempts;
+}
+
 /** Returns the effects that send the last call of a request and report it. */
 function createCallEffects(
   state: DispatchState,
@@ -88,6 +102,7 @@
       timeLeftMs: request.timeoutAtMs - nowMs,
       isStream,
       isResumable: isStream && route.isResumable,
+      isLastRun: isLastRun(request),
     },
     createCount('calls_started', {tier: `${request.tier}`}),
     createLog('call_started', {
