One budget of memory for what is held for callers and endpoints

Seen by callers: bodies at max_body_bytes that come in a burst, or that 200 callers send slowly, killed the process (memory_mb), and with it all channels with requests that endpoints were running. A caller that stopped in its body was never answered.

Cause: each body was read whole and kept twice until the end of its request, nothing limited the sum, and bodies had no time limit.

Fix: a budget of memory_mb less 128 MB counts bodies, held answers and answers that wait for their readers. When it is short, sockets of large bodies are paused and read on one after the other, oldest first, as far as they fit to their end; new large bodies are refused with 503 and Retry-After before they are read; small ones only when the whole budget is used. A body is kept once, in blocks, and let go once an endpoint has accepted a call that no other follows. A body that does not go on for header_timeout_ms, or is not complete by its deadline, is answered 408. Held answers are passed on at once while memory is short. Memory that is not limited changes nothing but the copy and the time limit.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,6 +1,7 @@
 const scheduler = 'packages/ryeworks-scheduler/dist';
 const dispatch = 'packages/ryeworks-dispatch/dist';
 const lab = 'packages/ryeworks-lab/dist';
+const gateway = 'packages/ryeworks-gateway/dist';
 
 /**
  * Mutations of the compiled decision cores. Each one disables the mechanism behind a
@@ -319,4 +320,25 @@
     to: 'if (true)',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
+  {
+    promise: 'no large body is begun while memory is short',
+    file: `${gateway}/callers/readBody.js`,
+    from: /return !this\.budget\.isShort && /,
+    to: 'return true || ',
+    test: `${gateway}/__tests__/readBody.test.js`,
+  },
+  {
+    promise: 'bodies near the limit are read one after the other',
+    file: `${gateway}/callers/readBody.js`,
+    from: /if \(!this\.budget\.canHoldLarge\(rest\)\)/,
+    to: 'if (true)',
+    test: `${gateway}/__tests__/readBody.test.js`,
+  },
+  {
+    promise: 'a body is kept until no other call can follow',
+    file: `${dispatch}/requests/startCall.js`,
+    from: /if \(!isRetryable\)\s+return true;/,
+    to: 'return true;',
+    test: `${dispatch}/__tests__/lastRun.test.js`,
+  },
 ];
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -4,11 +4,13 @@
 import {Socket} from 'node:net';
 import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
-import {WireFormat} from '../deploymentInterfaces.js';
+import {RequestInfo, WireFormat} from '../deploymentInterfaces.js';
+import {HeldBody} from '../memory/heldBody.js';
+import {MemoryBudget} from '../memory/memoryBudget.js';
 import {HostPort} from '@ryeworks/utils';
 import {CallerConnections} from './callerConnections.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
-import {readBody} from './readBody.js';
+import {BodyReader} from './readBody.js';
 import {
   formatUnreadableAnswer,
   getUnreadableRefusal,
@@ -37,6 +39,8 @@
  * sends for longer may not get the refusal.
  */
 const maxDiscardMs = 5000;
+/** Retry-after time of a request for whose body there is no memory, in ms. */
+const unreadRetryAfterMs = 1000;
 
 /**
  * Why a request has ended without a complete answer, in addition to the causes
@@ -57,6 +61,7 @@
   readonly loop: DispatchLoop;
   readonly wire: WireFormat;
   readonly openRequests: OpenRequests;
+  readonly budget: MemoryBudget;
   /**
    * Called with the cause and the ID of the caller's attempt when a request has
    * ended without a complete answer, for a reason that the core does not know.
@@ -86,6 +91,7 @@
 export class CallerServer {
   private readonly server: Server;
   private readonly connections = new CallerConnections();
+  private readonly bodyReader: BodyReader;
   private nextRequestNumber = 1;
   /** Connections on which nothing can be read any more. */
   private readonly unreadable = new WeakSet<Socket>();
@@ -93,6 +99,8 @@
   private isClosed = false;
 
   constructor(private readonly options: CallerServerOptions) {
+    const {budget, clock} = options;
+    this.bodyReader = new BodyReader(budget, clock.readNowMs);
     this.server = createServer(
       {
         maxHeaderSize: maxParserHeaderBytes,
@@ -168,7 +176,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const receivedAtMs = this.options.clock.readNowMs();
-    const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
+    const {headerTimeoutMs, maxBodyBytes, maxHeaderBytes} = this.getBounds();
     response.sendDate = false;
     const requestId = `${this.nextRequestNumber++}`;
     this.connections.addRequest(request.socket, response, () =>
@@ -178,18 +186,45 @@
       this.refuse(request, response, 'headersTooLarge');
       return;
     }
-    let body: Buffer | undefined;
-    try {
-      body = await readBody(request, maxBodyBytes);
-    } catch {
-      // No answer can be sent; `handleAnswerEnd` reports it.
-      return;
-    }
-    if (body === undefined) {
-      this.refuse(request, response, 'bodyTooLarge');
+    const requestInfo = this.options.wire.readRequestInfo(
+      request.url ?? '/',
+      request.headers,
+    );
+    const {deadlineInMs = Number.POSITIVE_INFINITY} = requestInfo;
+    const deadlineAtMs = receivedAtMs + deadlineInMs;
+    const bounds = {deadlineAtMs, headerTimeoutMs, maxBodyBytes};
+    const outcome = await this.bodyReader.read(request, bounds);
+    // If it was cut, no answer can be sent; `handleAnswerEnd` reports it.
+    if ('isCut' in outcome) return;
+    if ('refusal' in outcome) {
+      this.refuse(request, response, outcome.refusal);
       return;
     }
-    this.submitRequest(requestId, request, response, body, receivedAtMs);
+    const openRequest = this.createOpenRequest(
+      requestId,
+      request,
+      response,
+      requestInfo,
+      outcome.body,
+    );
+    this.submitRequest(openRequest, response, receivedAtMs);
+  }
+
+  private createOpenRequest(
+    requestId: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestInfo: RequestInfo,
+    body: HeldBody,
+  ): OpenRequest {
+    return new OpenRequest(
+      requestId,
+      request,
+      requestInfo,
+      body,
+      this.options.budget,
+      response,
+    );
   }
 
   /**
@@ -226,6 +261,7 @@
     const {loop, openRequests, reportUnanswered, wire} = this.options;
     const openRequest = openRequests.get(requestId);
     openRequests.delete(requestId);
+    openRequest?.release();
     const {socket} = request;
     if (this.unreadable.has(socket) && !this.hasOpenRequest(socket)) {
       socket.destroySoon();
@@ -249,26 +285,17 @@
   }
 
   private submitRequest(
-    requestId: string,
-    request: IncomingMessage,
+    openRequest: OpenRequest,
     response: ServerResponse,
-    body: Buffer,
     receivedAtMs: number,
   ): void {
-    const {loop, openRequests, wire} = this.options;
+    const {loop, openRequests} = this.options;
+    const {request, requestId, requestInfo} = openRequest;
     // The caller has left after the last byte of its request was read.
-    if (response.closed || request.socket.destroyed) return;
-    const requestInfo = wire.readRequestInfo(
-      request.url ?? '/',
-      request.headers,
-    );
-    const openRequest = new OpenRequest(
-      requestId,
-      request,
-      requestInfo,
-      body,
-      response,
-    );
+    if (response.closed || request.socket.destroyed) {
+      openRequest.release();
+      return;
+    }
     if (this.isStopping) openRequest.closeAfterAnswer();
     openRequests.set(requestId, openRequest);
     loop.submit({
@@ -285,22 +312,22 @@
     response: ServerResponse,
     error: ErrorKind,
   ): void {
-    const {wire} = this.options;
+    const {budget, reportUnreadable, wire} = this.options;
     const requestInfo = wire.readRequestInfo(
       request.url ?? '/',
       request.headers,
     );
-    const emptyBody = Buffer.alloc(0);
-    const openRequest = new OpenRequest(
+    const openRequest = this.createOpenRequest(
       '',
       request,
-      requestInfo,
-      emptyBody,
       response,
+      requestInfo,
+      new HeldBody(budget),
     );
-    this.options.reportUnreadable(error, requestInfo.attemptId);
+    reportUnreadable(error, requestInfo.attemptId);
     // An error in the rest of its body is no other request.
     this.unreadable.add(request.socket);
-    void openRequest.refuseUnread(error, maxDiscardMs);
+    void openRequest.refuseUnread(error, unreadRetryAfterMs, maxDiscardMs);
+    response.once('close', () => openRequest.release());
   }
 }
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -2,6 +2,8 @@
 import {resetSocket} from '@ryeworks/utils';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {AnswerHead, RequestInfo} from '../deploymentInterfaces.js';
+import {HeldBody} from '../memory/heldBody.js';
+import {MemoryBudget, MemoryCharge} from '../memory/memoryBudget.js';
 import {dropBody} from './readBody.js';
 
 /** Status and headers of an answer that is forwarded to the caller. */
@@ -42,8 +44,6 @@
 
 /** A caller's request that was read and is not completely answered yet. */
 export class OpenRequest {
-  /** Failure answered by the last call; forwarded if no other call is made. */
-  heldFailure: HeldAnswer | undefined;
   /**
    * ID of the last complete event that was forwarded. Initially the ID of the
    * last event that the caller received from an earlier stream; empty if none.
@@ -53,15 +53,38 @@
   isAborted = false;
   private isClosing = false;
   private sentHead: ForwardedHead | undefined;
+  private failure: HeldAnswer | undefined;
+  /** The part of the answer that is held, or waits for the caller to read. */
+  private readonly answerCharge: MemoryCharge;
 
   constructor(
     readonly requestId: string,
     readonly request: IncomingMessage,
     readonly requestInfo: RequestInfo,
-    readonly body: Buffer,
+    readonly body: HeldBody,
+    readonly budget: MemoryBudget,
     private readonly response: ServerResponse,
   ) {
     this.lastEventId = requestInfo.lastEventId;
+    this.answerCharge = new MemoryCharge(budget);
+  }
+
+  /** Failure answered by the last call; forwarded if no other call is made. */
+  get heldFailure(): HeldAnswer | undefined {
+    return this.failure;
+  }
+
+  /** Holds the failure that the last call has answered. */
+  holdFailure(answer: HeldAnswer): void {
+    this.failure = answer;
+    this.answerCharge.set(answer.body.length);
+  }
+
+  /** Lets everything go that is held for this request. */
+  release(): void {
+    this.body.release();
+    this.failure = undefined;
+    this.answerCharge.set(0);
   }
 
   /** Whether part of an answer has been sent. */
@@ -108,12 +131,17 @@
    * the caller reads slowly.
    */
   write(chunk: Buffer): boolean {
-    return this.response.write(chunk);
+    const hasRoom = this.response.write(chunk);
+    if (!hasRoom) this.answerCharge.set(this.response.writableLength);
+    return hasRoom;
   }
 
   /** Calls `callback` once the send buffer has drained. */
   waitForDrain(callback: () => void): void {
-    this.response.once('drain', callback);
+    this.response.once('drain', () => {
+      this.answerCharge.set(0);
+      callback();
+    });
   }
 
   /** Completes the answer. */
@@ -124,6 +152,7 @@
   /** Sends a complete answer. */
   sendAnswer(answer: HeldAnswer): void {
     this.writeHead(answer);
+    this.answerCharge.set(answer.body.length);
     this.response.end(answer.body);
   }
 
@@ -145,8 +174,12 @@
    * most: if a connection is closed with unread bytes, the caller's system may
    * drop the answer before the caller has read it.
    */
-  async refuseUnread(kind: ErrorKind, maxDiscardMs: number): Promise<void> {
-    const answer = createErrorAnswer(kind, 0);
+  async refuseUnread(
+    kind: ErrorKind,
+    retryAfterMs: number,
+    maxDiscardMs: number,
+  ): Promise<void> {
+    const answer = createErrorAnswer(kind, retryAfterMs);
     this.closeAfterAnswer();
     this.writeHead(answer);
     this.response.write(answer.body);
--- a/packages/ryeworks-gateway/src/callers/readBody.ts
+++ b/packages/ryeworks-gateway/src/callers/readBody.ts
@@ -1,38 +1,197 @@
+import {CallerBounds} from '@ryeworks/dispatch';
+import {ErrorKind} from '@ryeworks/types';
+import {startIoTimer} from '@ryeworks/utils';
 import {IncomingMessage} from 'node:http';
+import {HeldBody} from '../memory/heldBody.js';
+import {MemoryBudget} from '../memory/memoryBudget.js';
 
-/** Error of a caller that disconnected before its request was complete. */
-export class RequestCutError extends Error {
-  override readonly name = 'RequestCutError';
+/** Size up to which a body counts as small, in bytes. */
+const maxSmallBytes = 65_536;
+/** Part of a body that may have been received beyond what was read, in bytes. */
+const readAheadBytes = 65_536;
+/** Interval between checks for bodies that are not read on, in ms. */
+const checkPeriodMs = 250;
+
+/** A body that was read, or why its request is refused. */
+export type BodyOutcome =
+  | {readonly body: HeldBody}
+  | {readonly refusal: ErrorKind}
+  /** The caller disconnected before the body was complete. */
+  | {readonly isCut: true};
+
+/** Bounds on one body. */
+export interface BodyBounds extends Pick<
+  CallerBounds,
+  'headerTimeoutMs' | 'maxBodyBytes'
+> {
+  /** When its caller gives up, in ms; undefined if it does not say. */
+  readonly deadlineAtMs: number | undefined;
+}
+
+/** A body that is being read. */
+interface ReadingBody {
+  readonly request: IncomingMessage;
+  readonly body: HeldBody;
+  readonly bounds: BodyBounds;
+  /** Size that it may have, in bytes. */
+  readonly expectedBytes: number;
+  /** When its last part arrived, or when its socket was read on, in ms. */
+  progressedAtMs: number;
+  /** Since when its socket is not read, in ms; undefined if it is read. */
+  waitingSinceMs: number | undefined;
+  readonly finish: (outcome: BodyOutcome) => void;
+}
+
+/** Returns the size that a body may have, in bytes. */
+function getExpectedBytes(
+  {headers}: IncomingMessage,
+  maxBodyBytes: number,
+): number {
+  const length = headers['content-length'];
+  if (length !== undefined) return Math.min(Number(length), maxBodyBytes);
+  return headers['transfer-encoding'] === undefined ? 0 : maxBodyBytes;
 }
 
 /**
- * Reads a request's whole body; returns undefined as soon as it exceeds
- * `maxBytes`. The rest of such a body is not read. Rejects if the caller
- * disconnects before the body is complete.
+ * Reads the bodies of requests within the budget. While it is short, the sockets
+ * of large bodies are not read, except for the oldest ones that fit to their end.
  */
-export function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  return new Promise((resolve, reject) => {
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      request.removeAllListeners('data');
-      request.pause();
-      resolve(undefined);
+export class BodyReader {
+  /** In the order of their arrival. */
+  private readonly reading = new Set<ReadingBody>();
+  private waiting = 0;
+  private cancelCheck: (() => void) | undefined;
+
+  constructor(
+    private readonly budget: MemoryBudget,
+    private readonly readNowMs: () => number,
+  ) {
+    budget.handleRelease = () => this.resumeBodies();
+  }
+
+  /**
+   * Reads a request's body to its end, or until it must be refused. The rest of a
+   * refused body is not read.
+   */
+  read(request: IncomingMessage, bounds: BodyBounds): Promise<BodyOutcome> {
+    const {maxBodyBytes} = bounds;
+    this.budget.setLargestBody(maxBodyBytes);
+    const expectedBytes = getExpectedBytes(request, maxBodyBytes);
+    const firstBytes = Math.min(expectedBytes, readAheadBytes);
+    if (!this.canBegin(expectedBytes, firstBytes)) {
+      return Promise.resolve({refusal: 'memoryShort'});
+    }
+    return new Promise(resolve => {
+      const body = new HeldBody(this.budget);
+      const reading: ReadingBody = {
+        request,
+        body,
+        bounds,
+        expectedBytes,
+        progressedAtMs: this.readNowMs(),
+        waitingSinceMs: undefined,
+        finish: outcome => {
+          if (!this.reading.delete(reading)) return;
+          if (reading.waitingSinceMs !== undefined) this.waiting -= 1;
+          request.removeAllListeners('data');
+          if ('body' in outcome) {
+            body.charge.set(body.sizeBytes);
+          } else {
+            request.pause();
+            body.release();
+          }
+          resolve(outcome);
+        },
+      };
+      this.reading.add(reading);
+      body.charge.set(firstBytes);
+      this.listen(reading);
+      this.scheduleCheck();
     });
-    request.once('end', () => resolve(Buffer.concat(chunks, size)));
-    request.once('error', error => reject(new RequestCutError(error.message)));
-    request.once('close', () =>
-      reject(new RequestCutError(`after ${size} bytes of the body`)),
+  }
+
+  private canBegin(expectedBytes: number, firstBytes: number): boolean {
+    if (expectedBytes <= maxSmallBytes)
+      return this.budget.canHoldSmall(firstBytes);
+    return !this.budget.isShort && this.budget.canHoldLarge(firstBytes);
+  }
+
+  private listen(reading: ReadingBody): void {
+    const {body, finish, request} = reading;
+    request.on('data', (chunk: Buffer) => this.handleData(reading, chunk));
+    request.once('end', () => finish({body}));
+    request.once('error', () => finish({isCut: true}));
+    request.once('close', () => finish({isCut: true}));
+  }
+
+  private handleData(reading: ReadingBody, chunk: Buffer): void {
+    const {body, bounds, expectedBytes, finish} = reading;
+    if (body.sizeBytes + chunk.length > bounds.maxBodyBytes) {
+      finish({refusal: 'bodyTooLarge'});
+      return;
+    }
+    reading.progressedAtMs = this.readNowMs();
+    body.add(chunk);
+    const neededBytes = Math.min(
+      expectedBytes,
+      body.sizeBytes + readAheadBytes,
     );
-  });
+    if (neededBytes <= body.charge.bytes) return;
+    body.charge.set(neededBytes);
+    if (this.budget.isShort) this.pauseBodies();
+  }
+
+  /** Stops reading the bodies whose rest is not charged yet. */
+  private pauseBodies(): void {
+    const nowMs = this.readNowMs();
+    for (const reading of this.reading) {
+      if (reading.waitingSinceMs !== undefined) continue;
+      if (reading.body.charge.bytes >= reading.expectedBytes) continue;
+      reading.waitingSinceMs = nowMs;
+      this.waiting += 1;
+      reading.request.pause();
+    }
+    this.resumeBodies();
+  }
+
+  /** Reads on: all bodies, or while the budget is short, the oldest that fit. */
+  private resumeBodies(): void {
+    if (this.waiting === 0) return;
+    for (const reading of this.reading) {
+      if (reading.waitingSinceMs === undefined) continue;
+      const {body, expectedBytes, request} = reading;
+      if (this.budget.isShort) {
+        const rest = expectedBytes - body.charge.bytes;
+        if (!this.budget.canHoldLarge(rest)) return;
+        body.charge.set(expectedBytes);
+      }
+      reading.waitingSinceMs = undefined;
+      reading.progressedAtMs = this.readNowMs();
+      this.waiting -= 1;
+      request.resume();
+    }
+  }
+
+  private scheduleCheck(): void {
+    if (this.cancelCheck !== undefined) return;
+    this.cancelCheck = startIoTimer(() => {
+      this.cancelCheck = undefined;
+      this.endSlowBodies(this.readNowMs());
+      if (this.reading.size > 0) this.scheduleCheck();
+    }, checkPeriodMs);
+  }
+
+  /** Ends the bodies that do not go on, or that are read for too long. */
+  private endSlowBodies(nowMs: number): void {
+    for (const reading of [...this.reading]) {
+      const {bounds, finish, progressedAtMs, waitingSinceMs} = reading;
+      const {deadlineAtMs = Number.POSITIVE_INFINITY, headerTimeoutMs} = bounds;
+      const quietMs = nowMs - (waitingSinceMs ?? progressedAtMs);
+      if (quietMs < headerTimeoutMs && nowMs < deadlineAtMs) continue;
+      const isWaiting = waitingSinceMs !== undefined;
+      finish({refusal: isWaiting ? 'memoryShort' : 'bodyTooSlow'});
+    }
+  }
 }
 
 /**
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -38,6 +38,8 @@
 import {EndpointClient} from './endpoints/endpointClient.js';
 import {probeEndpoint} from './endpoints/probeEndpoint.js';
 import {GatewaySettings} from './gatewaySettings.js';
+import {getBudgetBytes} from './memory/getBudgetBytes.js';
+import {MemoryBudget} from './memory/memoryBudget.js';
 import {PeerSocket} from './peers/peerSocket.js';
 import {createReportHandlers} from './reports/createReportHandlers.js';
 import {startStatusServers} from './reports/startStatusServers.js';
@@ -72,6 +74,7 @@
   state: DispatchState;
   loop: DispatchLoop;
   openRequests: OpenRequests;
+  budget: MemoryBudget;
   endpointClient: EndpointClient;
   peerSocket: PeerSocket;
   callerServer: CallerServer;
@@ -118,6 +121,22 @@
   return createLogger({level: 'info', base: {vm: settings.vm}, stream});
 }
 
+/** Creates the budget of a gateway, which logs when it becomes short or free. */
+function createBudget(
+  {memoryBytes}: GatewaySettings,
+  logger: Logger,
+): MemoryBudget {
+  const limitBytes = getBudgetBytes(memoryBytes);
+  const budget: MemoryBudget = new MemoryBudget({
+    limitBytes,
+    handleChange: isShort => {
+      const event = isShort ? 'memory_short' : 'memory_free';
+      logger.warn(event, {heldBytes: budget.heldBytes, limitBytes});
+    },
+  });
+  return budget;
+}
+
 /**
  * Creates the dependency injection container, the only place where the
  * components are wired together.
@@ -136,8 +155,14 @@
     logger: asFunction(({clock}: Components) =>
       createGatewayLogger(settings, clock),
     ).singleton(),
-    metrics: asFunction(() =>
-      createPrometheusMetrics(counterLabels, histogramLabels),
+    metrics: asFunction(({budget}: Components) =>
+      createPrometheusMetrics(counterLabels, histogramLabels, {
+        held_bytes: () => budget.heldBytes,
+        held_bytes_limit: () => budget.limitBytes,
+      }),
+    ).singleton(),
+    budget: asFunction(({logger}: Components) =>
+      createBudget(settings, logger),
     ).singleton(),
     state: asFunction(({clock}: Components) =>
       createState(settings, clock),
@@ -163,8 +188,9 @@
         }),
     ).singleton(),
     callerServer: asFunction(
-      ({clock, logger, loop, metrics, openRequests}: Components) =>
+      ({budget, clock, logger, loop, metrics, openRequests}: Components) =>
         new CallerServer({
+          budget,
           clock,
           loop,
           wire,
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -13,6 +13,8 @@
 import {connectEndpoint} from './connectEndpoint.js';
 import {EventBoundary} from './eventBoundary.js';
 import {EventSplitter} from './eventSplitter.js';
+import {HeldChunks} from './heldChunks.js';
+import {sendBody} from './sendBody.js';
 
 /**
  * Maximum size of an answer that is held in memory until it is complete, in
@@ -79,9 +81,7 @@
   private mode: ForwardMode = 'unknown';
   private readonly splitter = new EventSplitter();
   private readonly boundary = new EventBoundary();
-  /** Parts of the body that are held in memory. */
-  private held: Buffer[] = [];
-  private heldBytes = 0;
+  private readonly held: HeldChunks;
   /** Number of forwarded events; in mode `bytes`, of forwarded chunks. */
   private events = 0;
   private lastReportAtMs = Number.NEGATIVE_INFINITY;
@@ -89,7 +89,9 @@
   private isSent = false;
   private isFinished = false;
 
-  constructor(private readonly options: EndpointCallOptions) {}
+  constructor(private readonly options: EndpointCallOptions) {
+    this.held = new HeldChunks(options.openRequest.budget);
+  }
 
   /** Sends the request. */
   start(): void {
@@ -100,9 +102,8 @@
       timeLeftMs: effect.timeLeftMs,
       lastEventId: openRequest.lastEventId,
     });
-    if (openRequest.body.length > 0) {
-      headers.push('content-length', `${openRequest.body.length}`);
-    }
+    const {sizeBytes} = openRequest.body;
+    if (sizeBytes > 0) headers.push('content-length', `${sizeBytes}`);
     const {host, port} = parseHostPort(effect.endpoint.address);
     const call = request({
       path: openRequest.request.url ?? '/',
@@ -130,7 +131,7 @@
     call.on('information', () => this.countInterimResponse());
     call.on('upgrade', () => this.fail('cut', 'upgraded'));
     call.on('response', response => this.handleResponse(response));
-    call.end(openRequest.body.length > 0 ? openRequest.body : undefined);
+    sendBody(call, openRequest.body.getChunks());
   }
 
   /** Cancels the call; its later events are ignored. */
@@ -181,6 +182,7 @@
       this.fail('cut', `${answerClass}_${status}`);
       return;
     }
+    if (effect.isLastRun) this.releaseBody();
     const isStream = effect.isStream && status < 300;
     if (!isStream) this.mode = 'held';
     else this.mode = effect.isResumable ? 'events' : 'bytes';
@@ -199,6 +201,13 @@
     });
   }
 
+  /** Lets the request's body go as soon as it was sent to its end. */
+  private releaseBody(): void {
+    const {openRequest} = this.options;
+    if (this.request?.writableFinished === true) openRequest.body.release();
+    else this.request?.once('finish', () => openRequest.body.release());
+  }
+
   /** Reports what the head of an answer states about the endpoint. */
   private reportHead(response: IncomingMessage, isVerified: boolean): void {
     const {wire} = this.options;
@@ -261,13 +270,15 @@
     const {openRequest} = this.options;
     const {status} = this.head!;
     if (this.isFailure()) {
-      openRequest.heldFailure = this.createHeldAnswer();
+      openRequest.holdFailure(this.createHeldAnswer());
       this.fail('failed', `${status}`);
       return;
     }
+    const heldAnswer =
+      this.mode === 'held' ? this.createHeldAnswer() : undefined;
     this.finish();
-    if (this.mode === 'held') {
-      openRequest.sendAnswer(this.createHeldAnswer());
+    if (heldAnswer !== undefined) {
+      openRequest.sendAnswer(heldAnswer);
     } else {
       this.sendHead();
       openRequest.end();
@@ -278,6 +289,7 @@
   private finish(): void {
     this.isFinished = true;
     this.request?.destroy();
+    this.held.release();
     this.options.handleFinished();
   }
 
@@ -355,27 +367,26 @@
   }
 
   private createHeldAnswer(): HeldAnswer {
-    const body = Buffer.concat(this.held, this.heldBytes);
-    return {...this.createForwardedHead(), body};
+    return {...this.createForwardedHead(), body: this.held.removeAll()};
   }
 
   /**
-   * Holds part of the body in memory. Once it exceeds the maximum size, forwards
-   * everything received so far and switches to `bytes`. An answer that reports a
-   * failure is held up to a larger size, beyond which the call fails.
+   * Holds part of the body in memory. Once it exceeds the maximum size, or memory
+   * is short, forwards everything received so far and switches to `bytes`. An
+   * answer that reports a failure is held up to a larger size, beyond which the
+   * call fails.
    */
   private holdChunk(chunk: Buffer): void {
-    this.held.push(chunk);
-    this.heldBytes += chunk.length;
-    const isFailure = this.isFailure();
-    if (isFailure && this.heldBytes > maxFailureBytes) {
+    this.held.add(chunk);
+    if (this.isFailure()) {
+      if (this.held.sizeBytes <= maxFailureBytes) return;
       this.fail('cut', 'failure_too_large');
+      return;
     }
-    if (this.heldBytes <= maxHeldAnswerBytes || isFailure) return;
+    const {isShort} = this.options.openRequest.budget;
+    if (this.held.sizeBytes <= maxHeldAnswerBytes && !isShort) return;
     this.mode = 'bytes';
-    const body = Buffer.concat(this.held, this.heldBytes);
-    this.held = [];
-    this.forwardBytes(body);
+    this.forwardBytes(this.held.removeAll());
   }
 
   /**
--- a/packages/ryeworks-gateway/src/gatewaySettings.ts
+++ b/packages/ryeworks-gateway/src/gatewaySettings.ts
@@ -22,6 +22,8 @@
   readonly stopGraceMs: number;
   /** What the VM can carry for others; see `DispatchOptions`. */
   readonly relayCapacity: number;
+  /** Memory that the process may use, in bytes; undefined if not limited. */
+  readonly memoryBytes: number | undefined;
   /** Maximum log lines per second; lines beyond it are dropped and counted. */
   readonly logLinesPerSecond: number;
 }
--- a/packages/ryeworks-types/src/errorKind.ts
+++ b/packages/ryeworks-types/src/errorKind.ts
@@ -52,6 +52,13 @@
     retryAfter: false,
     message: 'The idempotency key was used before with another request.',
   },
+  bodyTooSlow: {
+    status: 408,
+    ran: runStatus.notRun,
+    retryAfter: false,
+    message:
+      'The request body did not arrive in time. The request did not run.',
+  },
   bodyTooLarge: {
     status: 413,
     ran: runStatus.notRun,
@@ -89,6 +96,12 @@
     message:
       'Endpoints have crashed under a part of the prompt. The request did not run.',
   },
+  memoryShort: {
+    status: 503,
+    ran: runStatus.notRun,
+    retryAfter: true,
+    message: 'No memory for the request body now. The request did not run.',
+  },
   notReady: {
     status: 503,
     ran: runStatus.notRun,
