--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,3 +1,4 @@
+import {crashMutations} from './crashMutations.js';
 import {shellMutations} from './shellMutations.js';
 
 const scheduler = 'packages/ryeworks-scheduler/dist';
@@ -310,27 +311,6 @@
     to: 'if (true)',
     test: `${dispatch}/__tests__/callObstacles.test.js`,
   },
-  {
-    promise: 'prompts that crash endpoints are kept from them',
-    file: `${dispatch}/crashes/findCrashingParts.js`,
-    from: /minCrashes = 4/,
-    to: 'minCrashes = 1e9',
-    test: `${lab}/__tests__/crashingPrompts.test.js`,
-  },
-  {
-    promise: 'prompts that crash several endpoints at once are found',
-    file: `${dispatch}/crashes/probeReferences.js`,
-    from: /if \(isListening\)/,
-    to: 'if (false)',
-    test: `${lab}/__tests__/crashingGroups.test.js`,
-  },
-  {
-    promise: 'all parts of prompts are reported in turn',
-    file: `${dispatch}/crashes/crashReports.js`,
-    from: /a\.reportedAtMs - b\.reportedAtMs/,
-    to: '0',
-    test: `${lab}/__tests__/crashingGroups.test.js`,
-  },
   {
     promise: 'VMs tell each other under which prompts endpoints crash',
     file: `${dispatch}/peers/sendDigest.js`,
@@ -338,13 +318,6 @@
     to: 'crashes: []',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
-  {
-    promise: 'a quarantined prompt finds no way to an endpoint',
-    file: `${dispatch}/crashes/isQuarantined.js`,
-    from: /return findQuarantine\(table, prompt, nowMs\) !== undefined/,
-    to: 'return false',
-    test: `${dispatch}/__tests__/callObstacles.test.js`,
-  },
   {
     promise: 'prompts that are answered are not blamed for crashes',
     file: `${dispatch}/requests/handleCallEvents.js`,
@@ -352,28 +325,6 @@
     to: 'false',
     test: `${dispatch}/__tests__/crashingParts.test.js`,
   },
-  {
-    promise:
-      'crashes that a part of prompts explains are not held against others',
-    file: `${dispatch}/crashes/findCrashingParts.js`,
-    from: /crashes\.delete\(process\)/,
-    to: 'crashes.size >= explained.size && crashes.delete(process)',
-    test: `${dispatch}/__tests__/crashingParts.test.js`,
-  },
-  {
-    promise: 'quarantines never refuse most prompts of a service',
-    file: `${dispatch}/crashes/recentPrompts.js`,
-    from: /maxRefusedShare = 0\.6/,
-    to: 'maxRefusedShare = 1',
-    test: `${lab}/__tests__/crashingPrompts.test.js`,
-  },
-  {
-    promise: 'a restart of all VMs forgets no crashing prompt',
-    file: `${dispatch}/crashes/writeCrashReports.js`,
-    from: /if \(isStored \|\| table\.isWriting\)/,
-    to: 'if (true)',
-    test: `${lab}/__tests__/crashingPrompts.test.js`,
-  },
   {
     promise:
       'a stop takes a late request only if it must end before the process',
@@ -396,10 +347,21 @@
     to: "request.phase = 'waiting'; const refused = undefined;",
     test: `${dispatch}/__tests__/stops.test.js`,
   },
+  {
+    promise: 'a body is kept until no other call can follow',
+    file: `${dispatch}/requests/startCall.js`,
+    from: /if \(!isRetryable\)\s+return true;/,
+    to: 'return true;',
+    test: `${dispatch}/__tests__/lastRun.test.js`,
+  },
 ];
 
 /**
  * Mutations of the compiled decision cores. Each one disables the mechanism behind a
  * promise, so that the given scenario or test must fail.
  */
-export const proofMutations = [...coreMutations, ...shellMutations];
+export const proofMutations = [
+  ...coreMutations,
+  ...crashMutations,
+  ...shellMutations,
+];
--- a/admin/shellMutations.js
+++ b/admin/shellMutations.js
@@ -46,4 +46,18 @@
     to: '',
     test: `${entry}/__tests__/stopSignals.test.js`,
   },
+  {
+    promise: 'no large body is begun while memory is short',
+    file: `${gateway}/callers/readBody.js`,
+    from: /return !this\.budget\.isShort && /,
+    to: 'return true || ',
+    test: `${gateway}/__tests__/readBody.test.js`,
+  },
+  {
+    promise: 'bodies near the limit are read one after the other',
+    file: `${gateway}/callers/readBody.js`,
+    from: /if \(!this\.budget\.canHoldLarge\(rest\)\)/,
+    to: 'if (true)',
+    test: `${gateway}/__tests__/readBody.test.js`,
+  },
 ];
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,5 +1,5 @@
 import {CallAnswered, CallFailure, Input, StartCall} from '@ryeworks/dispatch';
-import {ByteCollector, parseHostPort} from '@ryeworks/utils';
+import {parseHostPort} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {
   eventStreamType,
@@ -13,6 +13,8 @@
 import {connectEndpoint} from './connectEndpoint.js';
 import {EventBoundary} from './eventBoundary.js';
 import {EventSplitter} from './eventSplitter.js';
+import {HeldChunks} from './heldChunks.js';
+import {sendBody} from './sendBody.js';
 
 /**
  * Maximum size of an answer that is held in memory until it is complete, in
@@ -92,8 +94,7 @@
   private mode: ForwardMode = 'unknown';
   private readonly splitter = new EventSplitter();
   private readonly boundary = new EventBoundary();
-  /** Parts of the body that are held in memory. */
-  private readonly held = new ByteCollector();
+  private readonly held: HeldChunks;
   /** Number of forwarded events; in mode `bytes`, of forwarded chunks. */
   private events = 0;
   private lastReportAtMs = Number.NEGATIVE_INFINITY;
@@ -101,7 +102,9 @@
   private isSent = false;
   private isFinished = false;
 
-  constructor(private readonly options: EndpointCallOptions) {}
+  constructor(private readonly options: EndpointCallOptions) {
+    this.held = new HeldChunks(options.openRequest.budget);
+  }
 
   /** Sends the request. */
   start(): void {
@@ -112,9 +115,8 @@
       timeLeftMs: effect.timeLeftMs,
       lastEventId: openRequest.lastEventId,
     });
-    if (openRequest.body.length > 0) {
-      headers.push('content-length', `${openRequest.body.length}`);
-    }
+    const {sizeBytes} = openRequest.body;
+    if (sizeBytes > 0) headers.push('content-length', `${sizeBytes}`);
     const {host, port} = parseHostPort(effect.endpoint.address);
     const call = request({
       path: openRequest.request.url ?? '/',
@@ -145,7 +147,7 @@
     call.on('information', () => this.countInterimResponse());
     call.on('upgrade', () => this.fail('cut', 'upgraded'));
     call.on('response', response => this.handleResponse(response));
-    call.end(openRequest.body.length > 0 ? openRequest.body : undefined);
+    sendBody(call, openRequest.body.getChunks());
   }
 
   /** Cancels the call; its later events are ignored. */
@@ -200,6 +202,7 @@
       this.fail('cut', `${answerClass}_${status}`);
       return;
     }
+    if (effect.isLastRun) this.releaseBody();
     const isStream = effect.isStream && status < 300;
     if (!isStream) this.mode = 'held';
     else this.mode = effect.isResumable ? 'events' : 'bytes';
@@ -218,6 +221,13 @@
     });
   }
 
+  /** Lets the request's body go as soon as it was sent to its end. */
+  private releaseBody(): void {
+    const {openRequest} = this.options;
+    if (this.request?.writableFinished === true) openRequest.body.release();
+    else this.request?.once('finish', () => openRequest.body.release());
+  }
+
   /** Reports what the head of an answer states about the endpoint. */
   private reportHead(response: IncomingMessage, isVerified: boolean): void {
     const {wire} = this.options;
@@ -280,13 +290,15 @@
     const {openRequest} = this.options;
     const {status} = this.head!;
     if (this.isFailure()) {
-      openRequest.heldFailure = this.createHeldAnswer();
+      openRequest.holdFailure(this.createHeldAnswer());
       this.fail('failed', `${status}`);
       return;
     }
+    const heldAnswer =
+      this.mode === 'held' ? this.createHeldAnswer() : undefined;
     this.finish();
-    if (this.mode === 'held') {
-      openRequest.sendAnswer(this.createHeldAnswer());
+    if (heldAnswer !== undefined) {
+      openRequest.sendAnswer(heldAnswer);
     } else {
       this.sendHead();
       openRequest.end();
@@ -297,6 +309,7 @@
   private finish(): void {
     this.isFinished = true;
     this.request?.destroy();
+    this.held.release();
     this.options.handleFinished();
   }
 
@@ -374,24 +387,26 @@
   }
 
   private createHeldAnswer(): HeldAnswer {
-    return {...this.createForwardedHead(), body: this.held.removeBytes()};
+    return {...this.createForwardedHead(), body: this.held.removeAll()};
   }
 
   /**
-   * Holds part of the body in memory. Once it exceeds the maximum size, forwards
-   * everything received so far and switches to `bytes`. An answer that reports a
-   * failure is held up to a larger size, beyond which the call fails.
+   * Holds part of the body in memory. Once it exceeds the maximum size, or memory
+   * is short, forwards everything received so far and switches to `bytes`. An
+   * answer that reports a failure is held up to a larger size, beyond which the
+   * call fails.
    */
   private holdChunk(chunk: Buffer): void {
-    this.held.addChunk(chunk);
-    const {sizeBytes} = this.held;
-    const isFailure = this.isFailure();
-    if (isFailure && sizeBytes > maxFailureBytes) {
+    this.held.add(chunk);
+    if (this.isFailure()) {
+      if (this.held.sizeBytes <= maxFailureBytes) return;
       this.fail('cut', 'failure_too_large');
+      return;
     }
-    if (sizeBytes <= maxHeldAnswerBytes || isFailure) return;
+    const {isShort} = this.options.openRequest.budget;
+    if (this.held.sizeBytes <= maxHeldAnswerBytes && !isShort) return;
     this.mode = 'bytes';
-    this.forwardBytes(this.held.removeBytes());
+    this.forwardBytes(this.held.removeAll());
   }
 
   /**
--- a/packages/ryeworks-utils/src/byteCollector.ts
+++ b/packages/ryeworks-utils/src/byteCollector.ts
@@ -41,6 +41,20 @@
     return blocks.length === 1 ? blocks[0] : Buffer.concat(blocks, size);
   }
 
+  /** Returns what was collected, in blocks. */
+  listBlocks(): readonly Buffer[] {
+    this.finishBlock();
+    return this.blocks;
+  }
+
+  /** Lets all bytes go. */
+  clear(): void {
+    this.blocks = [];
+    this.block = noBytes;
+    this.filledBytes = 0;
+    this.size = 0;
+  }
+
   private copyChunk(chunk: Buffer): void {
     if (this.block.length === 0) {
       const wanted = Math.max(minBlockBytes, chunk.length, this.size);
