Two older proofs match the code again

The patterns are as before; the code is written so that they match. Both are caught, and every pattern of the list matches once.

--- a/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
@@ -91,12 +91,12 @@
  * calls belong to the process, the statistics to the address.
  */
 function resumeEntry(former: EndpointEntry, endpoint: Endpoint): EndpointEntry {
-  const {address} = former.endpoint;
+  const {address, startedAtMs} = endpoint;
   const {inFlight, limit, notices, unlimitedAtMs} = former;
   // A start time that was known stays: it tells of the next restart.
-  if (endpoint.startedAtMs !== 0) notices.startedAtMs = endpoint.startedAtMs;
+  if (startedAtMs !== 0) notices.startedAtMs = startedAtMs;
   const statistics =
-    address === endpoint.address ? former : createEntry(endpoint);
+    address === former.endpoint.address ? former : createEntry(endpoint);
   return Object.assign(statistics, {
     endpoint,
     inFlight,
--- a/packages/ryeworks-dispatch/src/requests/withdrawUnsentCalls.ts
+++ b/packages/ryeworks-dispatch/src/requests/withdrawUnsentCalls.ts
@@ -42,7 +42,7 @@
   const effects: Effect[] = [];
   for (const request of [...state.requests.values()]) {
     const unsent = request.calls.find(
-      call => !call.isSent && findCalledEntry(state, call) === entry,
+      call => findCalledEntry(state, call) === entry && !call.isSent,
     );
     if (unsent === undefined) continue;
     effects.push(...withdrawCall(state, request, unsent, nowMs));
