A stop that ends early accepts no more before it closes the last connections

Cause: the check ran in a timer, which after a delay of the process runs before the connections that wait are accepted and read; the listener was closed only later, and what had come in between was closed unanswered. The check now waits for three turns of the event loop, then the listener is closed, and what was accepted last is answered before the end.

Evidence: 'a request that arrives as a stop ends early is answered' (gateway, gracefulStop.test) fails without the change.

--- a/packages/ryeworks-gateway/src/__tests__/gracefulStop.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/gracefulStop.test.ts
@@ -10,17 +10,19 @@
 import {testOptions} from './testOptions.js';
 
 /** Starts a stop whose callers never close their connections. */
-function createStop(graceMs: number): GracefulStop {
+function createStop(
+  graceMs: number,
+  changes: object = {isUsed: true},
+): GracefulStop {
   const state = createDispatchState(testOptions);
   const loop = new DispatchLoop(state, systemClock);
   const handlers = new Proxy({} as EffectHandlers, {get: () => () => {}});
   loop.start(handlers, () => {});
   t.teardown(() => loop.stop());
-  const callerServer = {
-    isUsed: true,
+  const callerServer = Object.assign(changes, {
     startStopping: () => {},
     closeIdle: () => {},
-  } as unknown as CallerServer;
+  }) as unknown as CallerServer;
   const logger = createLogger({
     level: 'error',
     base: {},
@@ -51,3 +53,22 @@
     t.ok(tookMs <= wantedMs && tookMs > wantedMs * 0.7, `${tookMs} ms`);
   });
 }
+
+// Guards against a stop that ends early, as all callers have left, and closes the
+// connection of one that comes in that moment.
+t.test('a request that arrives as a stop ends early is answered', async t => {
+  const last = {
+    isUsed: false,
+    isAnswered: false,
+    stopListening: () => {
+      last.isUsed = true;
+      setTimeout(() => {
+        last.isUsed = false;
+        last.isAnswered = true;
+      }, 200);
+    },
+  };
+  const stop = createStop(1000, last);
+  await stop.finishRequests(systemClock.readNowMs());
+  t.ok(last.isAnswered);
+});
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -1,7 +1,7 @@
 import {CallerBounds} from '@ryeworks/dispatch';
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {Clock} from '@ryeworks/utils';
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {WireFormat} from '../deploymentInterfaces.js';
@@ -143,6 +143,12 @@
       openRequest.closeAfterAnswer();
   }
 
+  /** Accepts no further connections; those that are open go on. */
+  stopListening(): void {
+    // That of the HTTP server would also close idle connections.
+    NetServer.prototype.close.call(this.server);
+  }
+
   /** Closes connections that have no request in progress. */
   closeIdle(): void {
     this.connections.closeIdle();
--- a/packages/ryeworks-gateway/src/stop/gracefulStop.ts
+++ b/packages/ryeworks-gateway/src/stop/gracefulStop.ts
@@ -1,7 +1,10 @@
 import {DispatchState} from '@ryeworks/dispatch';
 import {Logger} from '@ryeworks/logger';
 import {Clock} from '@ryeworks/utils';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  setImmediate as passTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import {CallerServer} from '../callers/callerServer.js';
 import {OpenRequests} from '../callers/openRequest.js';
 import {DispatchLoop} from '../core/dispatchLoop.js';
@@ -39,6 +42,18 @@
   readonly callerServer: CallerServer;
 }
 
+/**
+ * Turns of the event loop after which a request that had arrived is read: its
+ * connection is accepted in one and read in the next. After a delay, timers run
+ * before both.
+ */
+const turnsUntilRead = 3;
+
+/** Waits until the requests that have arrived are read. */
+async function waitForArrived(): Promise<void> {
+  for (let turn = 0; turn < turnsUntilRead; turn++) await passTurn();
+}
+
 /** Returns the time reserved at the end of a grace period, in ms. */
 function getMarginMs(graceMs: number): number {
   return Math.min(maxMarginMs, graceMs * marginRatio);
@@ -126,11 +141,12 @@
   }
 
   /**
-   * Waits until all used connections are closed. Returns false if the time is over
-   * before that.
+   * Waits until all used connections are closed, then accepts no more and waits for
+   * those that were accepted last. Returns false if the time is over before that.
    */
   private async waitForAnswers(): Promise<boolean> {
     const {callerServer, clock} = this.options;
+    let isListening = true;
     for (;;) {
       const nowMs = clock.readNowMs();
       const remainingMs = this.endAtMs - nowMs;
@@ -144,7 +160,11 @@
       }
       callerServer.closeIdle();
       await sleep(Math.min(stopPollMs, remainingMs));
-      if (!callerServer.isUsed) return true;
+      await waitForArrived();
+      if (callerServer.isUsed) continue;
+      if (!isListening) return true;
+      callerServer.stopListening();
+      isListening = false;
     }
   }
 
