Answers that arrive byte by byte take about their size while they are held

Seen by callers: an endpoint that sends an answer in tiny chunks makes the VM keep an object for each of them until the answer is forwarded: 250 MB for the 1 MB that a failure may have.

Held answers now copy small chunks into blocks, as bodies do.

--- a/packages/ryeworks-gateway/src/endpoints/heldChunks.ts
+++ b/packages/ryeworks-gateway/src/endpoints/heldChunks.ts
@@ -1,8 +1,9 @@
+import {CompactChunks} from '../memory/compactChunks.js';
 import {MemoryBudget, MemoryCharge} from '../memory/memoryBudget.js';
 
 /** Parts of an answer that are held until it is forwarded. */
 export class HeldChunks {
-  private chunks: Buffer[] = [];
+  private readonly chunks = new CompactChunks();
   private readonly charge: MemoryCharge;
 
   constructor(budget: MemoryBudget) {
@@ -10,25 +11,25 @@
   }
 
   get sizeBytes(): number {
-    return this.charge.bytes;
+    return this.chunks.sizeBytes;
   }
 
   /** Holds another part. */
   add(chunk: Buffer): void {
-    this.chunks.push(chunk);
-    this.charge.set(this.charge.bytes + chunk.length);
+    this.chunks.add(chunk);
+    this.charge.set(this.chunks.sizeBytes);
   }
 
   /** Returns everything that is held, in one piece, and lets it go. */
   removeAll(): Buffer {
-    const bytes = Buffer.concat(this.chunks, this.charge.bytes);
+    const bytes = Buffer.concat([...this.chunks.getChunks()]);
     this.release();
     return bytes;
   }
 
   /** Lets everything go. */
   release(): void {
-    this.chunks = [];
+    this.chunks.clear();
     this.charge.set(0);
   }
 }
--- a/packages/ryeworks-gateway/src/memory/heldBody.ts
+++ b/packages/ryeworks-gateway/src/memory/heldBody.ts
@@ -1,20 +1,10 @@
+import {CompactChunks} from './compactChunks.js';
 import {MemoryBudget, MemoryCharge} from './memoryBudget.js';
 
-/** Size from which a chunk is kept as it is, in bytes. */
-const minChunkBytes = 8192;
-/** Smallest and largest block into which smaller chunks are copied, in bytes. */
-const minBlockBytes = 4096;
-const maxBlockBytes = 65_536;
-
-/**
- * A request's body, kept once. Small chunks are copied into blocks: an object for
- * each of them may take far more memory than their bytes.
- */
+/** A request's body, kept once. */
 export class HeldBody {
   readonly charge: MemoryCharge;
-  private chunks: Buffer[] = [];
-  private block: Buffer | undefined;
-  private blockUsed = 0;
+  private readonly chunks = new CompactChunks();
   private size = 0;
   private isReleased = false;
 
@@ -29,50 +19,20 @@
 
   /** Adds a chunk. */
   add(chunk: Buffer): void {
-    const isFirst = this.size === 0;
+    this.chunks.add(chunk);
     this.size += chunk.length;
-    if (isFirst || chunk.length >= minChunkBytes) {
-      this.closeBlock();
-      this.chunks.push(chunk);
-      return;
-    }
-    for (let copied = 0; copied < chunk.length;) {
-      const block = this.getBlock();
-      const count = chunk.copy(block, this.blockUsed, copied);
-      copied += count;
-      this.blockUsed += count;
-    }
   }
 
   /** Returns the body in chunks. */
   getChunks(): readonly Buffer[] {
     if (this.isReleased) throw new Error('the body was released');
-    this.closeBlock();
-    return this.chunks;
+    return this.chunks.getChunks();
   }
 
   /** Lets the body go. */
   release(): void {
     this.isReleased = true;
-    this.chunks = [];
-    this.block = undefined;
+    this.chunks.clear();
     this.charge.set(0);
   }
-
-  private getBlock(): Buffer {
-    if (this.block !== undefined && this.blockUsed < this.block.length) {
-      return this.block;
-    }
-    this.closeBlock();
-    const wanted = Math.max(minBlockBytes, this.size);
-    this.block = Buffer.allocUnsafeSlow(Math.min(wanted, maxBlockBytes));
-    return this.block;
-  }
-
-  private closeBlock(): void {
-    if (this.block === undefined) return;
-    this.chunks.push(this.block.subarray(0, this.blockUsed));
-    this.block = undefined;
-    this.blockUsed = 0;
-  }
 }
