--- a/packages/ryeworks-utils/src/requestQueue.ts
+++ b/packages/ryeworks-utils/src/requestQueue.ts
@@ -163,12 +163,12 @@
   }
 
   private pause(): void {
-    if (this.isPaused) return;
     const {socket} = this;
+    if (this.isStopping) socket.destroySoon = () => this.endSlowly();
+    if (this.isPaused) return;
     this.isPaused = true;
     socket.on('resume', this.pauseAgain);
     socket.pause();
-    if (this.isStopping) socket.destroySoon = () => this.endSlowly();
   }
 
   /**
