--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -142,8 +142,6 @@
   startStopping(): void {
     this.isStopping = true;
     this.connections.startStopping();
-    for (const openRequest of this.options.openRequests.values())
-      this.decideClosing(openRequest);
   }
 
   /** Closes connections that have no request in progress. */
@@ -187,7 +185,6 @@
       },
       handleEnd: end => this.handleEnd(requestId, request, response, end),
     });
-    if (this.isStopping) this.decideClosingBefore(request);
   }
 
   private async handleRequest(
@@ -255,18 +252,9 @@
       ?.endReading(() => void socket.destroySoon());
   }
 
-  /** Lets a stopping VM close a connection after the last answer on it. */
-  private decideClosing(openRequest: OpenRequest): void {
-    const queue = this.connections.getQueue(openRequest.request.socket);
-    openRequest.closeAfterAnswer(!queue?.hasNext);
-  }
-
-  /** The same for the request in progress before one that was just read. */
-  private decideClosingBefore({socket}: IncomingMessage): void {
-    for (const openRequest of this.options.openRequests.values()) {
-      if (openRequest.request.socket === socket)
-        this.decideClosing(openRequest);
-    }
+  /** Returns whether a stopping VM closes a connection after its next answer. */
+  private isLastAnswer(socket: Socket): boolean {
+    return this.isStopping && !this.connections.getQueue(socket)?.hasNext;
   }
 
   private handleEnd(
@@ -320,7 +308,7 @@
       body,
       response,
     );
-    if (this.isStopping) this.decideClosing(openRequest);
+    openRequest.closeAfterAnswerIf(() => this.isLastAnswer(request.socket));
     openRequests.set(requestId, openRequest);
     loop.submit({
       kind: 'requestReceived',
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -51,7 +51,7 @@
   lastEventId: string;
   /** Whether the answer was aborted. */
   isAborted = false;
-  private isClosing = false;
+  private isLast = () => false;
   private sentHead: ForwardedHead | undefined;
 
   constructor(
@@ -70,11 +70,11 @@
   }
 
   /**
-   * Closes the caller's connection after this answer, or keeps it after all. Has
-   * no effect once the headers of the answer are sent.
+   * Closes the caller's connection after this answer, if `isLast` says so when
+   * the headers of the answer are sent.
    */
-  closeAfterAnswer(isClosing = true): void {
-    this.isClosing = isClosing;
+  closeAfterAnswerIf(isLast: () => boolean): void {
+    this.isLast = isLast;
   }
 
   /**
@@ -84,7 +84,7 @@
   writeHead(head: ForwardedHead): void {
     const {headers, status} = head;
     this.sentHead = head;
-    const sentHeaders = this.isClosing
+    const sentHeaders = this.isLast()
       ? {...headers, connection: 'close'}
       : headers;
     this.response.writeHead(status, sentHeaders);
@@ -147,7 +147,7 @@
    */
   async refuseUnread(kind: ErrorKind, maxDiscardMs: number): Promise<void> {
     const answer = createErrorAnswer(kind, 0);
-    this.closeAfterAnswer();
+    this.closeAfterAnswerIf(() => true);
     this.writeHead(answer);
     this.response.write(answer.body);
     await dropBody(this.request, maxDiscardMs);
