An answer that is read slowly goes on when a CONNECT comes behind it

Callers saw: one that reads a long answer slowly and sends CONNECT behind it never got the rest of the answer.

Cause: at CONNECT, Node removes its listeners from the connection, 'drain' among them. The answer waited for that event for ever; that its caller leaves was not seen either.

Fix: the queue of the connection hands on 'drain' to the answer in progress, and ends the connection when its caller does.

--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -242,14 +242,13 @@
 
   /**
    * Closes a connection that a caller wants to use as a tunnel, when the requests
-   * before are answered. Node handles its errors no more.
+   * before are answered.
    */
   private handleConnect(socket: Socket): void {
-    socket.on('error', () => {});
     this.unreadable.add(socket);
-    this.connections
-      .getQueue(socket)
-      ?.endReading(() => void socket.destroySoon());
+    const queue = this.connections.getQueue(socket);
+    queue?.handleDetached();
+    queue?.endReading(() => void socket.destroySoon());
   }
 
   /** Returns whether a stopping VM closes a connection after its next answer. */
--- a/packages/ryeworks-utils/src/requestQueue.ts
+++ b/packages/ryeworks-utils/src/requestQueue.ts
@@ -125,6 +125,18 @@
     }
   }
 
+  /**
+   * Handles the events of a connection that Node has handed over and listens to no
+   * more, so that the answers before can be completed. Discards what follows.
+   */
+  handleDetached(): void {
+    const {socket} = this;
+    socket.on('error', () => {});
+    socket.on('drain', () => this.current?.response.emit('drain'));
+    socket.once('end', () => socket.destroy());
+    socket.resume();
+  }
+
   /** Ends all requests, because the connection has closed. */
   close(): void {
     const {current} = this;
