--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -1,14 +1,16 @@
 import {CallerBounds} from '@ryeworks/dispatch';
 import {ErrorKind} from '@ryeworks/types';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {DispatchLoop} from '../core/dispatchLoop.js';
-import {WireFormat} from '../deploymentInterfaces.js';
+import {RequestInfo, WireFormat} from '../deploymentInterfaces.js';
+import {HeldBody} from '../memory/heldBody.js';
+import {MemoryBudget} from '../memory/memoryBudget.js';
 import {Clock, HostPort, queuedOutcome} from '@ryeworks/utils';
 import {CallerConnections, RequestEnd} from './callerConnections.js';
 import {findHeadFault, hasUnknownExpectation} from './headFault.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
-import {readBody} from './readBody.js';
+import {BodyReader} from './readBody.js';
 import {
   formatUnreadableAnswer,
   getUnreadableRefusal,
@@ -41,6 +43,8 @@
  * sends for longer may not get the refusal.
  */
 const maxDiscardMs = 5000;
+/** Retry-after time of a request for whose body there is no memory, in ms. */
+const unreadRetryAfterMs = 1000;
 
 /**
  * Why a request has ended without a complete answer, in addition to the causes
@@ -63,6 +67,7 @@
   readonly loop: DispatchLoop;
   readonly wire: WireFormat;
   readonly openRequests: OpenRequests;
+  readonly budget: MemoryBudget;
   /**
    * Called with the cause and the ID of the caller's attempt when a request has
    * ended without a complete answer, for a reason that the core does not know.
@@ -85,6 +90,7 @@
 export class CallerServer {
   private readonly server: Server;
   private readonly connections = new CallerConnections();
+  private readonly bodyReader: BodyReader;
   private nextRequestNumber = 1;
   /** Connections on which nothing can be read any more. */
   private readonly unreadable = new WeakSet<Socket>();
@@ -92,6 +98,8 @@
   private isClosed = false;
 
   constructor(private readonly options: CallerServerOptions) {
+    const {budget, clock} = options;
+    this.bodyReader = new BodyReader(budget, clock.readNowMs);
     this.server = createServer(
       {
         maxHeaderSize: maxParserHeaderBytes,
@@ -144,6 +152,12 @@
     this.connections.startStopping();
   }
 
+  /** Accepts no further connections; those that are open go on. */
+  stopListening(): void {
+    // That of the HTTP server would also close idle connections.
+    NetServer.prototype.close.call(this.server);
+  }
+
   /** Closes connections that have no request in progress. */
   closeIdle(): void {
     this.connections.closeIdle();
@@ -193,7 +207,7 @@
     response: ServerResponse,
     receivedAtMs: number,
   ): Promise<void> {
-    const {maxBodyBytes, maxHeaderBytes} = this.getBounds();
+    const {headerTimeoutMs, maxBodyBytes, maxHeaderBytes} = this.getBounds();
     if (hasUnknownExpectation(request)) {
       this.refuseExpectation(request, response);
       return;
@@ -203,18 +217,45 @@
       this.refuse(request, response, headFault);
       return;
     }
-    let body: Buffer | undefined;
-    try {
-      body = await readBody(request, maxBodyBytes);
-    } catch {
-      // No answer can be sent; `handleEnd` reports it.
-      return;
-    }
-    if (body === undefined) {
-      this.refuse(request, response, 'bodyTooLarge');
+    const requestInfo = this.options.wire.readRequestInfo(
+      request.url ?? '/',
+      request.headers,
+    );
+    const {deadlineInMs = Number.POSITIVE_INFINITY} = requestInfo;
+    const deadlineAtMs = receivedAtMs + deadlineInMs;
+    const bounds = {deadlineAtMs, headerTimeoutMs, maxBodyBytes};
+    const outcome = await this.bodyReader.read(request, bounds);
+    // If it was cut, no answer can be sent; `handleEnd` reports it.
+    if ('isCut' in outcome) return;
+    if ('refusal' in outcome) {
+      this.refuse(request, response, outcome.refusal);
       return;
     }
-    this.submitRequest(requestId, request, response, body, receivedAtMs);
+    const openRequest = this.createOpenRequest(
+      requestId,
+      request,
+      response,
+      requestInfo,
+      outcome.body,
+    );
+    this.submitRequest(openRequest, response, receivedAtMs);
+  }
+
+  private createOpenRequest(
+    requestId: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestInfo: RequestInfo,
+    body: HeldBody,
+  ): OpenRequest {
+    return new OpenRequest(
+      requestId,
+      request,
+      requestInfo,
+      body,
+      this.options.budget,
+      response,
+    );
   }
 
   /**
@@ -265,6 +306,7 @@
     const {loop, openRequests, reportUnanswered, wire} = this.options;
     const openRequest = openRequests.get(requestId);
     openRequests.delete(requestId);
+    openRequest?.release();
     if (outcome === queuedOutcome.sent || openRequest?.isAborted) return;
     const isRefused = openRequest === undefined && response.headersSent;
     if (isRefused) return;
@@ -287,26 +329,17 @@
   }
 
   private submitRequest(
-    requestId: string,
-    request: IncomingMessage,
+    openRequest: OpenRequest,
     response: ServerResponse,
-    body: Buffer,
     receivedAtMs: number,
   ): void {
-    const {loop, openRequests, wire} = this.options;
+    const {loop, openRequests} = this.options;
+    const {request, requestId, requestInfo} = openRequest;
     // The caller has left after the last byte of its request was read.
-    if (response.closed || request.socket.destroyed) return;
-    const requestInfo = wire.readRequestInfo(
-      request.url ?? '/',
-      request.headers,
-    );
-    const openRequest = new OpenRequest(
-      requestId,
-      request,
-      requestInfo,
-      body,
-      response,
-    );
+    if (response.closed || request.socket.destroyed) {
+      openRequest.release();
+      return;
+    }
     openRequest.closeAfterAnswerIf(() => this.isLastAnswer(request.socket));
     openRequests.set(requestId, openRequest);
     loop.submit({
@@ -334,22 +367,22 @@
     response: ServerResponse,
     error: ErrorKind,
   ): void {
-    const {wire} = this.options;
+    const {budget, reportUnreadable, wire} = this.options;
     const requestInfo = wire.readRequestInfo(
       request.url ?? '/',
       request.headers,
     );
-    const emptyBody = Buffer.alloc(0);
-    const openRequest = new OpenRequest(
+    const openRequest = this.createOpenRequest(
       '',
       request,
-      requestInfo,
-      emptyBody,
       response,
+      requestInfo,
+      new HeldBody(budget),
     );
-    this.options.reportUnreadable(error, requestInfo.attemptId);
+    reportUnreadable(error, requestInfo.attemptId);
     // An error in the rest of its body is no other request.
     this.unreadable.add(request.socket);
-    void openRequest.refuseUnread(error, maxDiscardMs);
+    void openRequest.refuseUnread(error, unreadRetryAfterMs, maxDiscardMs);
+    response.once('close', () => openRequest.release());
   }
 }
--- a/packages/ryeworks-gateway/src/settings/settingsEffects.ts
+++ b/packages/ryeworks-gateway/src/settings/settingsEffects.ts
@@ -23,6 +23,7 @@
   metricsListen: nextStart,
   seedPeers: nextStart,
   relayCapacity: nextStart,
+  memoryBytes: nextStart,
   logLinesPerSecond: nextStart,
   stopGraceMs: atOnce,
   retryBounds: atOnce,
