--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -150,8 +150,6 @@
   startStopping(): void {
     this.isStopping = true;
     this.connections.startStopping();
-    for (const openRequest of this.options.openRequests.values())
-      this.decideClosing(openRequest);
   }
 
   /** Accepts no further connections; those that are open go on. */
@@ -201,7 +199,6 @@
       },
       handleEnd: end => this.handleEnd(requestId, request, response, end),
     });
-    if (this.isStopping) this.decideClosingBefore(request);
   }
 
   private async handleRequest(
@@ -286,28 +283,18 @@
 
   /**
    * Closes a connection that a caller wants to use as a tunnel, when the requests
-   * before are answered. Node handles its errors no more.
+   * before are answered.
    */
   private handleConnect(socket: Socket): void {
-    socket.on('error', () => {});
     this.unreadable.add(socket);
-    this.connections
-      .getQueue(socket)
-      ?.endReading(() => void socket.destroySoon());
-  }
-
-  /** Lets a stopping VM close a connection after the last answer on it. */
-  private decideClosing(openRequest: OpenRequest): void {
-    const queue = this.connections.getQueue(openRequest.request.socket);
-    openRequest.closeAfterAnswer(!queue?.hasNext);
+    const queue = this.connections.getQueue(socket);
+    queue?.handleDetached();
+    queue?.endReading(() => void socket.destroySoon());
   }
 
-  /** The same for the request in progress before one that was just read. */
-  private decideClosingBefore({socket}: IncomingMessage): void {
-    for (const openRequest of this.options.openRequests.values()) {
-      if (openRequest.request.socket === socket)
-        this.decideClosing(openRequest);
-    }
+  /** Returns whether a stopping VM closes a connection after its next answer. */
+  private isLastAnswer(socket: Socket): boolean {
+    return this.isStopping && !this.connections.getQueue(socket)?.hasNext;
   }
 
   private handleEnd(
@@ -353,7 +340,7 @@
       openRequest.release();
       return;
     }
-    if (this.isStopping) this.decideClosing(openRequest);
+    openRequest.closeAfterAnswerIf(() => this.isLastAnswer(request.socket));
     openRequests.set(requestId, openRequest);
     loop.submit({
       kind: 'requestReceived',
