What arrives on new connections as the grace period ends is refused, not dropped

Callers saw: at a VM whose grace period ended, requests on new connections got no answer.

After a standstill the timer that ends the process runs before the connections that wait are accepted and read; the listener was open until the process ended.

Fix: what has arrived is read, then no more connections are accepted; once more before the end, what has arrived on them is read and refused.

The stand-in of the caller server in gracefulStop.test.ts gets the method that is now called at the end of every grace period; nothing is checked less.

--- a/packages/ryeworks-gateway/src/__tests__/gracefulStop.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/gracefulStop.test.ts
@@ -12,7 +12,7 @@
 /** Starts a stop whose callers never close their connections. */
 function createStop(
   graceMs: number,
-  changes: object = {isUsed: true},
+  changes: object = {isUsed: true, stopListening: () => {}},
 ): GracefulStop {
   const state = createDispatchState(testOptions);
   const loop = new DispatchLoop(state, systemClock);
--- a/packages/ryeworks-gateway/src/stop/gracefulStop.ts
+++ b/packages/ryeworks-gateway/src/stop/gracefulStop.ts
@@ -101,7 +101,8 @@
    * sent on it; idle ones are closed after `idleCloseDelayMs`, or after half of the
    * grace period if that is shorter. From then on, returns as soon as every used
    * connection is closed. A little before the end of the grace period, ends the
-   * requests that are still open.
+   * requests that are still open, accepts no more connections, and refuses what
+   * arrives on those that there are.
    *
    * @param signalledAtMs when the stop was requested, in ms
    */
@@ -115,7 +116,10 @@
     let cutRequests = 0;
     if (!areAnswered) {
       cutRequests = this.endOpenRequests();
+      await waitForArrived();
+      callerServer.stopListening();
       await sleep(getMarginMs(this.graceMs) * lastAnswersRatio);
+      await waitForArrived();
     }
     const tookMs = Math.round(clock.readNowMs() - signalledAtMs);
     logger.info('stopped', {...this.describe(), cutRequests, tookMs});
