Decode what warm-up, evacuation and regions need

Cause: the desired state and the settings name cold rates, allowed regions, regions of zones and the time of an evacuation; all were ignored. Change: they are decoded into the desired state, the bounds and the options. Result: the values are available to the core; nothing uses them yet.

--- a/packages/ryeworks-dispatch/src/desired/desiredState.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredState.ts
@@ -44,6 +44,23 @@
   readonly isResumable: boolean;
   /** Services among which the route's requests are divided. */
   readonly targets: readonly WeightedService[];
+  /**
+   * Regions in which its requests may be served; undefined if in all, empty if in
+   * none.
+   */
+  readonly allowedRegions?: readonly string[];
+}
+
+/** How the endpoints of a service warm up. */
+export interface ServiceWarmUp {
+  readonly service: string;
+  /**
+   * Requests per second from all VMs together that a cold endpoint tolerates; 0 if
+   * its endpoints are never cold.
+   */
+  readonly coldPerSecond: number;
+  /** Time for which an endpoint is cold after its start, in ms. */
+  readonly coldStartMs: number;
 }
 
 /** The rate limit of a customer, over all VMs. */
@@ -69,6 +86,8 @@
   readonly tier: number | undefined;
   /** Undefined if the customer has no limit. */
   readonly limit: CustomerLimit | undefined;
+  /** See `Route`. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Bounds on what callers may send, and when. */
@@ -86,5 +105,7 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly customers: readonly Customer[];
+  /** Services whose endpoints warm up; undefined like empty. */
+  readonly warmUps?: readonly ServiceWarmUp[];
   readonly bounds: CallerBounds;
 }
--- a/packages/ryeworks-dispatch/src/dispatchOptions.ts
+++ b/packages/ryeworks-dispatch/src/dispatchOptions.ts
@@ -1,6 +1,17 @@
 import {LimitBounds} from './limits/customerUsage.js';
 import {RetryBounds} from './retries/retryBudget.js';
 
+/** Bounds on what a cold endpoint receives within a second. */
+export interface ColdBounds {
+  /** Factor of the requests per second that it tolerates. */
+  readonly overrun: number;
+  /** Requests in addition. */
+  readonly allowance: number;
+}
+
+/** Bounds on what a cold endpoint receives if the deployment sets none. */
+export const defaultColdBounds: ColdBounds = {overrun: 1.5, allowance: 5};
+
 /** Limits that the deployment configures; they can change at run time. */
 export interface DispatchBounds {
   readonly retryBounds: RetryBounds;
@@ -16,12 +27,22 @@
    * fraction, summed over all VMs.
    */
   readonly trialAllowance: number;
+  /** `defaultColdBounds` if undefined. */
+  readonly coldBounds?: ColdBounds;
 }
 
 /** Returns the bounds alone, without what else the given object holds. */
 export function getBounds(from: DispatchBounds): DispatchBounds {
-  const {drainMs, limitBounds, retryBounds, trialAllowance, trialRatio} = from;
-  return {drainMs, limitBounds, retryBounds, trialAllowance, trialRatio};
+  const {coldBounds, drainMs, limitBounds} = from;
+  const {retryBounds, trialAllowance, trialRatio} = from;
+  return {
+    coldBounds,
+    drainMs,
+    limitBounds,
+    retryBounds,
+    trialAllowance,
+    trialRatio,
+  };
 }
 
 /** Options that govern the dispatch decisions of one VM. */
@@ -40,4 +61,11 @@
    * VMs with the most relay the digests of their zone.
    */
   readonly relayCapacity: number;
+  /**
+   * Time within which an evacuation of a zone must be in force, in ms; undefined
+   * if the deployment has no evacuations.
+   */
+  readonly evacuationMs?: number;
+  /** Region of each zone; a zone that is not listed is in no region. */
+  readonly regionByZone?: Readonly<Record<string, string>>;
 }
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -105,6 +105,8 @@
     incarnation: startedMs,
     seed: getHash(`${settings.vm}/${startedMs}`),
     relayCapacity: settings.relayCapacity,
+    evacuationMs: settings.evacuationMs,
+    regionByZone: settings.regionByZone,
     ...getBounds(settings),
   };
   return createDispatchState(options);
--- a/packages/ryeworks-gateway/src/gatewaySettings.ts
+++ b/packages/ryeworks-gateway/src/gatewaySettings.ts
@@ -22,6 +22,10 @@
   readonly stopGraceMs: number;
   /** What the VM can carry for others; see `DispatchOptions`. */
   readonly relayCapacity: number;
+  /** See `DispatchOptions`. */
+  readonly evacuationMs?: number;
+  /** See `DispatchOptions`. */
+  readonly regionByZone?: Readonly<Record<string, string>>;
   /** Memory that the process may use, in bytes; undefined if not limited. */
   readonly memoryBytes: number | undefined;
   /** Maximum log lines per second; lines beyond it are dropped and counted. */
--- a/packages/ryeworks-gateway/src/settings/settingsEffects.ts
+++ b/packages/ryeworks-gateway/src/settings/settingsEffects.ts
@@ -13,7 +13,7 @@
 
 /** When a change of each setting takes effect. */
 export const settingsEffects: Readonly<
-  Record<keyof GatewaySettings, SettingEffect>
+  Record<keyof Required<GatewaySettings>, SettingEffect>
 > = {
   vm: nextStart,
   availabilityZone: nextStart,
@@ -25,10 +25,13 @@
   relayCapacity: nextStart,
   memoryBytes: nextStart,
   logLinesPerSecond: nextStart,
+  evacuationMs: nextStart,
+  regionByZone: nextStart,
   stopGraceMs: atOnce,
   retryBounds: atOnce,
   limitBounds: atOnce,
   drainMs: atOnce,
+  coldBounds: atOnce,
   trialRatio: atOnce,
   trialAllowance: atOnce,
 };
