--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -190,8 +190,15 @@
    * the sender asks another owner.
    */
   readonly isLast: boolean;
-  /** What the sender knows of the limit. */
+  /**
+   * What the sender knows of the limit; the rate of a cold endpoint, for builds that
+   * know no warm-up, if the endpoint has named none.
+   */
   readonly limit: LimitReport;
+  /** Whether the endpoint has named the limit; undefined, like true, if so. */
+  readonly isNamed?: boolean;
+  /** How long the endpoint is still cold, in ms; undefined if it is not. */
+  readonly coldForMs?: number;
 }
 
 /** The outcomes of an ask for a permit. */
--- a/packages/ryeworks-lab/src/fleet/createFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/createFleet.ts
@@ -6,7 +6,7 @@
 } from './dispatchFleet.js';
 
 /** Name of the service of all endpoints of a fleet. */
-const service = 'narratives';
+export const service = 'narratives';
 
 /** Size of a fleet. */
 export interface FleetSize {
@@ -24,7 +24,7 @@
 export function createFleet(
   size: FleetSize,
   seed: number,
-  limits: Pick<FleetOptions, 'customerLimit' | 'limitBounds'> = {},
+  limits: Partial<Omit<FleetOptions, 'zones' | 'vmsPerZone' | 'seed'>> = {},
 ): DispatchFleet {
   const zones = Array.from({length: size.zones}, (_, index) => `zone-${index}`);
   const endpoints = Array.from({length: size.endpoints}, (_, index) => ({
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -10,6 +10,7 @@
   RequestReceived,
   Route,
   SendPeer,
+  ServiceWarmUp,
   StartCall,
 } from '@ryeworks/dispatch';
 import {createRandomSource, RandomSource} from '@ryeworks/utils';
@@ -47,6 +48,11 @@
   /** Limit of the customer that sends all requests; undefined if it has none. */
   readonly customerLimit?: CustomerLimit;
   readonly limitBounds?: LimitBounds;
+  /** Services whose endpoints warm up; none if undefined. */
+  readonly warmUps?: readonly ServiceWarmUp[];
+  /** See `DispatchOptions`. */
+  readonly evacuationMs?: number;
+  readonly regionByZone?: Readonly<Record<string, string>>;
 }
 
 /** A caller that was told to come back later. */
@@ -92,12 +98,14 @@
   routes: readonly Route[],
   version: number,
   limit: CustomerLimit | undefined,
+  warmUps: readonly ServiceWarmUp[] | undefined,
 ): DesiredState {
   const customer = {name: 'clinic', apiKeys: [apiKey]};
   return {
     version,
     routes,
     customers: [{...customer, tier: undefined, limit}],
+    warmUps,
     bounds: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
@@ -181,6 +189,8 @@
         drainMs: fleetDrainMs,
         trialRatio: 0.1,
         trialAllowance: 50,
+        evacuationMs: this.options.evacuationMs,
+        regionByZone: this.options.regionByZone,
       },
       this.events,
       (sender, effect) => this.handleEffect(sender, effect),
@@ -215,6 +225,13 @@
     this.vms.get(name)!.isDead = true;
   }
 
+  /** Makes an endpoint cold for a time, as its entry in the store tells. */
+  startWarmUp(id: string, coldForMs: number): void {
+    const target = this.getEndpoint(id);
+    target.endpoint = {...target.endpoint, coldForMs};
+    this.passEndpoint(target);
+  }
+
   /** Cuts a zone off from all others, or connects it again. */
   setZoneCut(zone: string, isCut: boolean): void {
     if (isCut) this.cutZones.add(zone);
@@ -322,11 +339,12 @@
   }
 
   private passDesiredState(vm: FleetVm): void {
-    const {customerLimit, routes} = this.options;
+    const {customerLimit, routes, warmUps} = this.options;
     const desiredState = createFleetDesiredState(
       routes,
       this.desiredVersion,
       customerLimit,
+      warmUps,
     );
     vm.submit({kind: 'desiredStateRead', desiredState});
   }
--- a/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
+++ b/packages/ryeworks-lab/src/fleet/fleetEndpoint.ts
@@ -34,6 +34,8 @@
   isFaulty = false;
   /** Whether its process has crashed and no other one has started yet. */
   isDown = false;
+  /** Time for which it is cold after a restart, in ms. */
+  coldStartMs = 0;
   readonly notices = new StatedNotices(fleetDrainMs);
   private readonly limit = new NamedRateLimit();
   /** When the current pause ends, in ms; 0 if it is not paused. */
@@ -46,7 +48,8 @@
   /** Starts another process after a crash. */
   startNextProcess(nowMs: number): void {
     this.isDown = false;
-    this.endpoint = {...this.endpoint, startedAtMs: nowMs};
+    const {coldStartMs: coldForMs} = this;
+    this.endpoint = {...this.endpoint, startedAtMs: nowMs, coldForMs};
   }
 
   /** Names a limit from now on, changes it, or withdraws it (undefined). */
