Warm-up: permits for cold endpoints

Cause: an endpoint that has just started crashes under its share of the load. Change: the owner of an endpoint's limit grants permits at the cold rate while the entry tells that it is cold; of a named limit and this one the lower holds. A new owner grants nothing for a second, fewer permits accumulate, and calls whose connections are being opened are withdrawn. An ask tells the owner of a warm-up that it has not read yet. The rate doubles each second afterwards.

--- a/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/endpointTable.ts
@@ -32,6 +32,13 @@
   cooldownUntilMs: number;
   /** The rate limit that it has named; undefined if it has none. */
   limit: RateLimit | undefined;
+  /**
+   * Remaining time of its cold period, in ms, as its entry told when this VM last
+   * read something new there.
+   */
+  listedColdForMs: number;
+  /** When that time has passed, in ms; -Infinity if it was never cold. */
+  coldUntilMs: number;
   /** When an answer to this VM last named no limit, in ms. */
   unlimitedAtMs: number;
   /** What it has stated about further calls. */
@@ -69,6 +76,8 @@
     consecutiveUnanswered: 0,
     cooldownUntilMs: 0,
     limit: undefined,
+    listedColdForMs: 0,
+    coldUntilMs: Number.NEGATIVE_INFINITY,
     unlimitedAtMs: Number.NEGATIVE_INFINITY,
     notices: createNoticeRecord(endpoint.startedAtMs),
     isMissing: false,
@@ -93,6 +102,7 @@
 function resumeEntry(former: EndpointEntry, endpoint: Endpoint): EndpointEntry {
   const {address, startedAtMs} = endpoint;
   const {inFlight, limit, notices, unlimitedAtMs} = former;
+  const {coldUntilMs, listedColdForMs} = former;
   // A start time that was known stays: it tells of the next restart.
   if (startedAtMs !== 0) notices.startedAtMs = startedAtMs;
   const statistics =
@@ -103,6 +113,8 @@
     limit,
     notices,
     unlimitedAtMs,
+    coldUntilMs,
+    listedColdForMs,
     isMissing: false,
     removedAtMs: undefined,
   });
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -10,6 +10,7 @@
 import {handleEarlyRequests} from '../requests/handleRequestReceived.js';
 import {hasRecentDigest} from '../peers/peerTable.js';
 import {resumeLimit} from '../rateLimits/applyLimit.js';
+import {recordColdTime, updateWarmUp} from '../rateLimits/warmUp.js';
 import {
   isLossLikely,
   isOutdatedEra,
@@ -113,7 +114,7 @@
   const listed = new Set<string>();
   for (const endpoint of input.endpoints) {
     listed.add(endpoint.id);
-    effects.push(...applyEndpoint(state, endpoint, nowMs));
+    effects.push(...applyEndpoint(state, endpoint, false, nowMs));
   }
   for (const id of [...state.endpoints.byId.keys()]) {
     if (!listed.has(id)) effects.push(...removeOrMarkMissing(state, id, nowMs));
@@ -147,19 +148,25 @@
 
 /**
  * Adds or updates one endpoint and dispatches requests that can now run there.
+ *
+ * @param isChange whether its entry was written, not only listed
  */
 function applyEndpoint(
   state: DispatchState,
   listed: Endpoint,
+  isChange: boolean,
   nowMs: number,
 ): Effect[] {
   const {byId} = state.endpoints;
   const previous = byId.get(listed.id)?.endpoint;
   const endpoint = resumeDraining(state, listed);
   const resumed = updateEndpoint(state.endpoints, endpoint, nowMs);
-  recordDraining(state, byId.get(endpoint.id)!);
+  const entry = byId.get(endpoint.id)!;
+  recordDraining(state, entry);
   const effects =
     resumed === undefined ? [] : handleReturn(state, resumed, nowMs);
+  recordColdTime(entry, isChange, nowMs);
+  effects.push(...updateWarmUp(state, entry, nowMs));
   const isUnchanged =
     previous !== undefined &&
     previous.isDraining === endpoint.isDraining &&
@@ -178,7 +185,7 @@
   input: EndpointChanged,
   nowMs: number,
 ): Effect[] {
-  return applyEndpoint(state, input.endpoint, nowMs);
+  return applyEndpoint(state, input.endpoint, true, nowMs);
 }
 
 /** Handles the removal of an endpoint's entry from the store. */
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -44,6 +44,7 @@
 import {updateQuarantines} from './crashes/updateQuarantines.js';
 import {sendDigest} from './peers/sendDigest.js';
 import {expirePermitWait} from './rateLimits/grantPermits.js';
+import {updateWarmUps} from './rateLimits/warmUp.js';
 import {handleCallAnswered} from './requests/handleCallAnswered.js';
 import {
   expireRequest,
@@ -121,6 +122,7 @@
       routes: desiredState.routes.length,
       customers: desiredState.customers.length,
     }),
+    ...updateWarmUps(state, nowMs),
     ...(isFirst ? startVersionCheck : checkFirstVersion)(state, nowMs),
   ];
 }
--- a/packages/ryeworks-dispatch/src/rateLimits/applyLimit.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/applyLimit.ts
@@ -2,7 +2,7 @@
 import {createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {createLimitOwners, findLimitOwner} from './limitOwners.js';
-import {createRateLimit} from './rateLimit.js';
+import {createRateLimit, isNamed} from './rateLimit.js';
 
 /** When and how a limit was observed. */
 export interface LimitObservation {
@@ -12,8 +12,12 @@
   readonly source: string;
 }
 
-/** Adds the limit of an endpoint that had none. */
-function addLimit(
+/**
+ * Adds the limit of an endpoint that had none.
+ *
+ * @param perSecond Infinity if the endpoint has named none and is only cold
+ */
+export function addLimit(
   state: DispatchState,
   entry: EndpointEntry,
   perSecond: number,
@@ -40,6 +44,11 @@
   const {limit} = entry;
   if (limit === undefined) return;
   const {liftedAtMs, observedAtMs, ownObservedAtMs, perSecond} = limit;
+  if (!isNamed(limit)) {
+    // Whether it is cold, its entry tells.
+    entry.limit = undefined;
+    return;
+  }
   addLimit(state, entry, perSecond, observedAtMs, nowMs);
   Object.assign(entry.limit!, {liftedAtMs, ownObservedAtMs});
 }
@@ -53,7 +62,8 @@
   nowMs: number,
 ): Effect[] {
   const {limit} = entry;
-  const previousPerSecond = limit?.perSecond ?? 0;
+  const wasNamed = limit !== undefined && isNamed(limit);
+  const previousPerSecond = wasNamed ? limit.perSecond : 0;
   const wasLifted = limit?.liftedAtMs !== undefined;
   if (limit === undefined) {
     addLimit(state, entry, perSecond, observedAtMs, nowMs);
@@ -84,7 +94,7 @@
   {observedAtMs, source}: LimitObservation,
   nowMs: number,
 ): Effect[] {
-  if (limit === undefined) return [];
+  if (limit === undefined || !isNamed(limit)) return [];
   limit.observedAtMs = observedAtMs;
   if (limit.liftedAtMs !== undefined) return [];
   limit.liftedAtMs = nowMs;
--- a/packages/ryeworks-dispatch/src/rateLimits/grantPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/grantPermits.ts
@@ -5,6 +5,7 @@
 import {applyLimitReport} from './limitReports.js';
 import {isLimitOwner} from './permits.js';
 import {handlePermitAnswer} from './requestPermits.js';
+import {applyColdReport} from './warmUp.js';
 
 /** Sends the answer to an ask of a peer. */
 function sendAnswer(address: string, message: PermitAnswer): Effect {
@@ -23,7 +24,11 @@
   const {address, endpointId} = ask;
   const entry = state.endpoints.byId.get(endpointId);
   if (entry === undefined) return [];
-  const effects = applyLimitReport(state, entry, ask.limit, ask.vm, nowMs);
+  const effects = applyColdReport(state, entry, ask.coldForMs, nowMs);
+  if (ask.isNamed !== false) {
+    const report = ask.limit;
+    effects.push(...applyLimitReport(state, entry, report, ask.vm, nowMs));
+  }
   const {limit} = entry;
   if (limit === undefined) {
     const answer = createAnswer(state, ask, permitOutcome.granted, 0);
--- a/packages/ryeworks-dispatch/src/rateLimits/limitReports.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/limitReports.ts
@@ -4,7 +4,7 @@
 import {LimitReport} from '../peers/peerMessage.js';
 import {applyLift, applyNamedLimit} from './applyLimit.js';
 import {isLimitOwner} from './permits.js';
-import {RateLimit} from './rateLimit.js';
+import {getAllowedPerSecond, isNamed, RateLimit} from './rateLimit.js';
 
 /** Time for which a VM reports what an answer to it has stated, in ms. */
 const observerReportMs = 5000;
@@ -23,8 +23,12 @@
   limit: RateLimit,
   nowMs: number,
 ): LimitReport {
+  // The rate of a cold endpoint, if it has named none, is only sent in an ask.
+  const perSecond = isNamed(limit)
+    ? limit.perSecond
+    : getAllowedPerSecond(limit, nowMs);
   return {
-    perSecond: limit.perSecond,
+    perSecond,
     isLifted: limit.liftedAtMs !== undefined,
     ageMs: Math.round(nowMs - limit.observedAtMs),
   };
@@ -63,7 +67,8 @@
   const reports: Record<string, LimitReport> = {};
   for (const id of state.limitedEndpoints) {
     const limit = state.endpoints.byId.get(id)?.limit;
-    if (limit === undefined || !isReporter(state, limit, nowMs)) continue;
+    if (limit === undefined || !isNamed(limit)) continue;
+    if (!isReporter(state, limit, nowMs)) continue;
     const isNew = nowMs - limit.changedAtMs <= newReportMs;
     const isDue = nowMs - limit.reportedAtMs >= reportPeriodMs;
     if (!isNew && !isDue) continue;
@@ -85,7 +90,8 @@
   const observedAtMs = nowMs - ageMs;
   const {limit} = entry;
   if (limit?.owner === peer) limit.ownerReport = report;
-  const knownSinceMs = limit?.observedAtMs ?? entry.unlimitedAtMs;
+  const isKnown = limit !== undefined && isNamed(limit);
+  const knownSinceMs = isKnown ? limit.observedAtMs : entry.unlimitedAtMs;
   const confirms =
     limit !== undefined &&
     !isLifted &&
--- a/packages/ryeworks-dispatch/src/rateLimits/permitBucket.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/permitBucket.ts
@@ -1,5 +1,10 @@
 /** Time of the rate for which unused permits accumulate, in ms. */
 const accumulationMs = 500;
+/**
+ * The same time for a cold endpoint, in ms: what its bound allows beyond its rate is
+ * left for calls that are under way.
+ */
+const coldAccumulationMs = 100;
 /** Fewest permits that can accumulate. */
 const minAccumulated = 1;
 
@@ -11,10 +16,25 @@
 export class PermitBucket {
   /** Permits that were available at `updatedAtMs`. */
   private permits = 0;
+  private accumulatesMs = accumulationMs;
 
   constructor(private updatedAtMs: number) {}
 
-  /** Removes all permits; new ones become available from now on. */
+  /** Lets fewer permits accumulate, and no new ones until a time. */
+  startCold(fromMs: number): void {
+    this.accumulatesMs = coldAccumulationMs;
+    this.clear(fromMs);
+  }
+
+  /** Lets the usual number of permits accumulate again. */
+  endCold(): void {
+    this.accumulatesMs = accumulationMs;
+  }
+
+  /**
+   * Removes all permits; new ones become available from the given time on, which may
+   * be later than now.
+   */
   clear(nowMs: number): void {
     this.permits = 0;
     this.updatedAtMs = nowMs;
@@ -22,7 +42,7 @@
 
   /** Returns the permits that are available now, possibly a fraction of one. */
   getAvailable(perSecond: number, nowMs: number): number {
-    const accumulated = (perSecond * accumulationMs) / 1000;
+    const accumulated = (perSecond * this.accumulatesMs) / 1000;
     const maxPermits = Math.max(minAccumulated, accumulated);
     const addedPermits = ((nowMs - this.updatedAtMs) * perSecond) / 1000;
     return Math.min(maxPermits, this.permits + addedPermits);
--- a/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/requestPermits.ts
@@ -14,7 +14,7 @@
 import {decideAsk} from './decidePermits.js';
 import {createLimitReport} from './limitReports.js';
 import {isLimitOwner} from './permits.js';
-import {RateLimit} from './rateLimit.js';
+import {getAllowedPerSecond, isCold, isNamed, RateLimit} from './rateLimit.js';
 
 /** Time after which an ask without an answer is repeated elsewhere, in ms. */
 const askTimeoutMs = 150;
@@ -95,6 +95,8 @@
     deadlineInMs,
     isLast,
     limit: createLimitReport(limit, nowMs),
+    ...(isNamed(limit) ? {} : {isNamed: false}),
+    ...(isCold(limit, nowMs) ? {coldForMs: limit.coldUntilMs - nowMs} : {}),
   };
 }
 
@@ -194,11 +196,12 @@
   request.nextPermitAskAtMs = nowMs + waitMs;
   const isLimited = isServiceLimited(state, request.service, nowMs);
   if (!isLimited || request.possibleRuns > 0) return [];
+  const limit = state.endpoints.byId.get(endpointId)?.limit;
   const fields = {
     request: request.attemptId,
     endpoint: endpointId,
     owner: vm,
-    limitPerSecond: state.endpoints.byId.get(endpointId)?.limit?.perSecond ?? 0,
+    limitPerSecond: limit === undefined ? 0 : getAllowedPerSecond(limit, nowMs),
     retryAfterMs: Math.round(waitMs),
     asked: request.permitAsks,
   };
--- a/packages/ryeworks-dispatch/src/rateLimits/updateRateLimits.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/updateRateLimits.ts
@@ -5,7 +5,8 @@
 import {applyLift} from './applyLimit.js';
 import {createLimitOwners, findLimitOwner, hasSameVms} from './limitOwners.js';
 import {isLimitOwner} from './permits.js';
-import {isOver, RateLimit} from './rateLimit.js';
+import {isCold, isColdOver, isNamedOver, RateLimit} from './rateLimit.js';
+import {getTakeoverEndMs, reportWarmUpEnd, updateWarmUp} from './warmUp.js';
 
 /**
  * Time after which a limit that nobody confirms is taken as lifted, in ms. Its
@@ -27,12 +28,26 @@
   limit.changedAtMs = nowMs;
   limit.ownerReport = undefined;
   limit.pendingAsks = [];
-  limit.bucket.clear(nowMs);
+  const fromMs = isCold(limit, nowMs) ? getTakeoverEndMs(state, nowMs) : nowMs;
+  limit.bucket.clear(fromMs);
   const {knownRatio} = state.limitOwners;
   const fields = {endpoint: endpoint.id, owner, previousOwner, knownRatio};
   return [createLog('rate_limit_owner_changed', fields)];
 }
 
+/** Ends the cold period of an endpoint, and the rise of its rate after that. */
+function endWarmUp(
+  entry: EndpointEntry,
+  limit: RateLimit,
+  nowMs: number,
+): Effect[] {
+  const hasWarmUp = Number.isFinite(limit.coldUntilMs);
+  if (!hasWarmUp || !isColdOver(limit, nowMs)) return [];
+  limit.coldUntilMs = Number.NEGATIVE_INFINITY;
+  limit.bucket.endCold();
+  return reportWarmUpEnd(entry, limit);
+}
+
 /** Updates one limit. */
 function updateRateLimit(
   state: DispatchState,
@@ -41,12 +56,18 @@
   areOwnersChanged: boolean,
   nowMs: number,
 ): Effect[] {
-  if (isOver(limit, nowMs)) {
-    entry.limit = undefined;
-    state.limitedEndpoints.delete(entry.endpoint.id);
-    return admitWaiting(state, entry.endpoint.service, nowMs);
+  const effects = updateWarmUp(state, entry, nowMs);
+  effects.push(...endWarmUp(entry, limit, nowMs));
+  if (isNamedOver(limit, nowMs)) {
+    limit.perSecond = Number.POSITIVE_INFINITY;
+    limit.liftedAtMs = undefined;
+    if (isColdOver(limit, nowMs)) {
+      entry.limit = undefined;
+      state.limitedEndpoints.delete(entry.endpoint.id);
+      effects.push(...admitWaiting(state, entry.endpoint.service, nowMs));
+      return effects;
+    }
   }
-  const effects: Effect[] = [];
   if (areOwnersChanged) {
     const owner = findLimitOwner(state.limitOwners, entry.endpoint);
     effects.push(...setLimitOwner(state, entry, limit, owner, nowMs));
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -5,6 +5,7 @@
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {noCounts} from '../moves/moveTable.js';
 import {consumePermit} from '../rateLimits/permits.js';
+import {getAllowedPerSecond} from '../rateLimits/rateLimit.js';
 import {ActiveRequest} from './activeRequest.js';
 import {scheduleSilenceTimeout} from './silenceTimeout.js';
 
@@ -119,7 +120,10 @@
       ownCalls: entry.inFlight,
       allCalls: countCalls(state, entry, nowMs),
       promptTokens: request.promptTokens,
-      limitPerSecond: entry.limit?.perSecond ?? 'none',
+      limitPerSecond:
+        entry.limit === undefined
+          ? 'none'
+          : getAllowedPerSecond(entry.limit, nowMs),
     }),
   ];
 }
