--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -17,6 +17,7 @@
   handleStoreReachabilityChanged,
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
+import {handleEvacuationsRead} from './endpoints/evacuations.js';
 import {
   BoundsChanged,
   DesiredStateRead,
@@ -200,6 +201,7 @@
   vmListed: handleVmListed,
   seedListed: handleSeedListed,
   movesRead: handleMovesRead,
+  evacuationsRead: handleEvacuationsRead,
   storeEraRead: handleStoreEraRead,
   storePositionRead: handleStorePositionRead,
   storeViewRead: handleStoreViewRead,
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -207,6 +207,14 @@
   readonly orders: readonly MoveOrder[];
 }
 
+/** The zones that the operators want to be evacuated were read. */
+export interface EvacuationsRead {
+  readonly kind: 'evacuationsRead';
+  /** Era of the store in which they were read. */
+  readonly era: number;
+  readonly zones: readonly string[];
+}
+
 /** What earlier processes of the VMs know of crashes was read from the store. */
 export interface CrashReportsRead {
   readonly kind: 'crashReportsRead';
@@ -231,6 +239,15 @@
   readonly position: StorePosition;
   /** Position up to which the move orders were read, which may be earlier. */
   readonly ordersPosition: StorePosition;
+  /** The same for the evacuations; undefined if they were not read. */
+  readonly evacuationsPosition?: StorePosition;
+}
+
+/** Evacuations in a store view. */
+export interface EvacuationsView {
+  /** Position up to which the peer has read them. */
+  readonly position: StorePosition;
+  readonly zones: readonly string[];
 }
 
 /** A peer's view of the store was read. */
@@ -241,6 +258,8 @@
   readonly ordersPosition: StorePosition;
   readonly endpoints: readonly Endpoint[];
   readonly orders: readonly MoveOrder[];
+  /** Undefined if the peer has read none, or from a build that knows none. */
+  readonly evacuations?: EvacuationsView;
 }
 
 /**
@@ -298,6 +317,7 @@
   | VmListed
   | SeedListed
   | MovesRead
+  | EvacuationsRead
   | StoreEraRead
   | StorePositionRead
   | StoreViewRead
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -82,6 +82,8 @@
    * them apart.
    */
   readonly ordersRevision?: number;
+  /** The same for the evacuations; undefined if the VM reads none. */
+  readonly evacuationsRevision?: number;
   /**
    * How long the VM has reached the store without interruption, in ms; 0 if it
    * does not reach the store or does not watch it.
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -1,11 +1,14 @@
 import {
   AnswerError,
   CrashReport,
+  createStoreView,
   CustomerLimit,
   DesiredState,
   Effect,
   Endpoint,
+  FetchStoreView,
   LimitBounds,
+  noPosition,
   ProbeEndpoint,
   RequestReceived,
   Route,
@@ -145,6 +148,10 @@
   /** Crash reports that a VM has written to the store. */
   private storedReports: readonly CrashReport[] = [];
   private desiredVersion = 1;
+  /** Zones whose VMs do not reach the store. */
+  private readonly storelessZones = new Set<string>();
+  private evacuatedZones: readonly string[] = [];
+  private storeRevision = 1;
   private nextRequestNumber = 1;
 
   constructor(private readonly options: FleetOptions) {
@@ -198,6 +205,7 @@
     this.vms.set(name, vm);
     vm.submit({kind: 'storeReachabilityChanged', isReachable: true});
     this.passDesiredState(vm);
+    this.passEvacuations(vm, 0);
     const endpoints = [...this.endpoints.values()].map(item => item.endpoint);
     vm.submit({kind: 'endpointsListed', era: 1, endpoints});
     vm.submit({kind: 'crashReportsRead', reports: this.storedReports});
@@ -220,6 +228,59 @@
     }
   }
 
+  /** Sets the zones that the operators want to be evacuated. */
+  setEvacuations(zones: readonly string[]): void {
+    this.evacuatedZones = zones;
+    this.storeRevision += 1;
+    for (const vm of this.vms.values()) {
+      if (!vm.state.isWatchingStore) continue;
+      this.passEvacuations(vm, this.random.nextInt(maxReadDelayMs));
+    }
+  }
+
+  /** Cuts the VMs of a zone off from the store. */
+  setStoreCut(zone: string): void {
+    this.storelessZones.add(zone);
+    for (const vm of this.vms.values()) {
+      if (vm.options.availabilityZone !== zone) continue;
+      vm.submit({kind: 'storeReachabilityChanged', isReachable: false});
+    }
+  }
+
+  /** Passes the evacuations to a VM, if the fleet has any and it reaches the store. */
+  private passEvacuations(vm: FleetVm, delayMs: number): void {
+    if (this.options.evacuationMs === undefined) return;
+    if (this.storelessZones.has(vm.options.availabilityZone)) return;
+    const zones = this.evacuatedZones;
+    const era = 1;
+    const evacuationsPosition = {era, revision: this.storeRevision};
+    const submit = () => {
+      vm.submit({kind: 'storeEraRead', era});
+      vm.submit({kind: 'evacuationsRead', era, zones});
+      vm.submit({
+        kind: 'storePositionRead',
+        position: noPosition,
+        ordersPosition: noPosition,
+        evacuationsPosition,
+      });
+    };
+    if (delayMs === 0) submit();
+    else this.events.schedule(delayMs, submit);
+  }
+
+  /** Passes the store view of a peer to a VM. */
+  private passStoreView(vm: FleetVm, {address}: FetchStoreView): void {
+    const target = this.vms.get(address);
+    this.events.schedule(2 * linkDelayMs, () => {
+      const {availabilityZone: zone} = vm.options;
+      const isReached =
+        target?.isDead === false &&
+        !this.isCut(zone, target.options.availabilityZone);
+      if (isReached) vm.submit(createStoreView(target.state));
+      vm.submit({kind: 'storeViewFetchEnded'});
+    });
+  }
+
   /** Ends the process of a VM. */
   killVm(name: string): void {
     this.vms.get(name)!.isDead = true;
@@ -304,6 +365,10 @@
       sendPeer: sent => this.sendMessage(vm, sent),
       startCall: call => this.startCall(vm, call),
       cancelCall: call => this.calls.cancel(call),
+      fetchStoreView: fetch => this.passStoreView(vm, fetch),
+      setStoreWatch: ({isWatching}) => {
+        if (isWatching) this.passEvacuations(vm, maxReadDelayMs);
+      },
       writeCrashReports: ({reports}) => {
         this.storedReports = reports;
         vm.submit({kind: 'crashReportsWritten', isWritten: true});
