Zone evacuation

Cause: operators cannot take a zone out of use. Change: the store's kind evacuations is watched where the settings have bounds.evacuation_ms; its positions travel in digests and its zones in store views. The obstacle evacuated binds every way to the zone's endpoints, calls that are not sent yet are withdrawn, and a VM is ready only once it has read the evacuations. In a later era, one that is not listed goes on for the grace period, as for orders.

--- a/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
@@ -49,6 +49,12 @@
   pausing: state => {
     getEntry(state).notices.pausedUntilMs = setAtMs + closedMs;
   },
+  evacuated: state => {
+    const endpoint = {...obstructed, availabilityZone: 'zone-e'};
+    runInput(state, {kind: 'endpointChanged', endpoint}, setAtMs);
+    const zones = ['zone-e'];
+    runInput(state, {kind: 'evacuationsRead', era: 1, zones}, setAtMs);
+  },
   cooling_down: state => {
     getEntry(state).cooldownUntilMs = setAtMs + closedMs;
   },
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -63,6 +63,14 @@
   readonly endAtMs: number;
 }
 
+/** The evacuation of a zone. */
+export interface Evacuation {
+  /** When this VM first read it, in ms. */
+  readonly startedAtMs: number;
+  /** Whether its object in the store disappeared, possibly only for a while. */
+  isMissing: boolean;
+}
+
 /**
  * The complete state of one VM. It is kept in memory only and lost when the
  * process ends. Times are read from a monotonic clock that starts at 0 with the
@@ -120,6 +128,12 @@
    * because each kind of objects is watched on its own.
    */
   ordersPosition: StorePosition;
+  /** The same for the evacuations. */
+  evacuationsPosition: StorePosition;
+  /** Evacuations in force, by zone. */
+  readonly evacuations: Map<string, Evacuation>;
+  /** Whether the evacuations have been read. */
+  hasListedEvacuations: boolean;
   /**
    * When a peer first reported a later store position, in ms; undefined if none
    * did.
@@ -177,6 +191,9 @@
     storeEra: createStoreEra(),
     storePosition: noPosition,
     ordersPosition: noPosition,
+    evacuationsPosition: noPosition,
+    evacuations: new Map(),
+    hasListedEvacuations: false,
     laterPositionSeenAtMs: undefined,
     storeViewRequestedAtMs: Number.NEGATIVE_INFINITY,
     isFetchingStoreView: false,
@@ -193,12 +210,17 @@
 
 /**
  * Returns whether this VM can serve callers: it has a desired state that is not
- * older than that of its peers, and a list of endpoints.
+ * older than that of its peers, a list of endpoints, and the evacuations if the
+ * deployment has any.
  */
 export function isReady(state: DispatchState): boolean {
   const {desiredState, hasCheckedVersion, hasListedEndpoints} = state;
   const hasDesiredState = desiredState.current !== undefined;
-  return hasDesiredState && hasCheckedVersion && hasListedEndpoints;
+  const hasEvacuations =
+    state.options.evacuationMs === undefined || state.hasListedEvacuations;
+  return (
+    hasDesiredState && hasCheckedVersion && hasListedEndpoints && hasEvacuations
+  );
 }
 
 /** Returns the waiting queue of a service; creates it on first use. */
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -175,6 +175,7 @@
   desired_state_applied: [],
   endpoints_changed: ['change'],
   endpoint_notices: ['notice'],
+  evacuations: ['change'],
   prompt_crashes: [],
   prompt_parts: ['change'],
   store_changes: ['state'],
--- a/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
@@ -16,6 +16,8 @@
   leaving: 'leaving',
   /** It asked this VM for a pause. */
   pausing: 'pausing',
+  /** Its zone is being evacuated. */
+  evacuated: 'evacuated',
   /** It did not respond, or its zone did not. */
   coolingDown: 'cooling_down',
 } as const;
@@ -83,6 +85,12 @@
     isLastResort: () => false,
     getEndMs: ({notices}) => notices.pausedUntilMs,
   },
+  evacuated: {
+    isInForce: ({evacuations}, {endpoint}) =>
+      evacuations.has(endpoint.availabilityZone),
+    isLastResort: () => false,
+    getEndMs: () => Number.POSITIVE_INFINITY,
+  },
   cooling_down: {
     isInForce: (_state, {cooldownUntilMs}, nowMs) => cooldownUntilMs > nowMs,
     isLastResort: () => false,
--- a/packages/ryeworks-dispatch/src/index.ts
+++ b/packages/ryeworks-dispatch/src/index.ts
@@ -12,5 +12,6 @@
 export {createStoreView} from './peers/storeWatching.js';
 export {RetryBounds} from './retries/retryBudget.js';
 export * from './rateLimits/limitStatement.js';
+export {countColdEndpoints} from './rateLimits/warmUp.js';
 export {LimitBounds} from './limits/customerUsage.js';
 export * from './store/storePosition.js';
--- a/packages/ryeworks-dispatch/src/peers/sendDigest.ts
+++ b/packages/ryeworks-dispatch/src/peers/sendDigest.ts
@@ -3,6 +3,7 @@
 import {listSoundReports} from '../crashes/soundParts.js';
 import {DispatchState} from '../dispatchState.js';
 import {Effect} from '../effect.js';
+import {sweepEvacuations} from '../endpoints/evacuations.js';
 import {createLeavingReports} from '../endpoints/leavingReports.js';
 import {createEvidenceKey, createMoveReports} from '../moves/moveProgress.js';
 import {createLimitReports} from '../rateLimits/limitReports.js';
@@ -96,7 +97,8 @@
   // A VM that stops is a relay for as long as there is no other only.
   const isStopping = state.stop !== undefined;
   const relayCapacity = isStopping ? 0 : state.options.relayCapacity;
-  const {ordersPosition, position} = getReportedPositions(state);
+  const {evacuationsPosition, ordersPosition, position} =
+    getReportedPositions(state);
   const omitsUnits =
     nowMs - state.allUnitsSentAtMs < allUnitsPeriodMs &&
     canOmitUnits(state, nowMs);
@@ -111,6 +113,9 @@
     storeEra: state.storeEra.current,
     storeRevision: position.revision,
     ordersRevision: ordersPosition.revision,
+    ...(state.options.evacuationMs === undefined
+      ? {}
+      : {evacuationsRevision: evacuationsPosition.revision}),
     storeReachedForMs:
       state.isStoreReachable && state.isWatchingStore
         ? Math.round(nowMs - state.storeReachedAtMs)
@@ -197,6 +202,7 @@
   const updates = [
     ...updateStoreWatching(state, nowMs),
     ...updateRateLimits(state, nowMs),
+    ...sweepEvacuations(state, nowMs),
   ];
   const digest = createDigest(state, nowMs);
   if (isDigestRedundant(state, digest, nowMs)) return updates;
--- a/packages/ryeworks-dispatch/src/peers/storeWatching.ts
+++ b/packages/ryeworks-dispatch/src/peers/storeWatching.ts
@@ -1,7 +1,11 @@
 import {DispatchState} from '../dispatchState.js';
 import {createLog, Effect} from '../effect.js';
 import {handleEndpointsListed} from '../endpoints/handleEndpoints.js';
-import {StorePositionRead, StoreViewRead} from '../input.js';
+import {
+  handleEvacuationsRead,
+  hasMissingEvacuations,
+} from '../endpoints/evacuations.js';
+import {EvacuationsView, StorePositionRead, StoreViewRead} from '../input.js';
 import {handleMovesRead} from '../moves/handleMovesRead.js';
 import {updateStoreEra} from '../store/updateStoreEra.js';
 import {
@@ -84,10 +88,11 @@
   return false;
 }
 
-/** Positions up to which the endpoints and the move orders were read. */
+/** Positions up to which each kind of objects was read. */
 interface ViewPositions {
   readonly position: StorePosition;
   readonly ordersPosition: StorePosition;
+  readonly evacuationsPosition: StorePosition;
 }
 
 /**
@@ -95,27 +100,31 @@
  * missing from the store, nor of an earlier era than the current one.
  */
 export function getReportedPositions(state: DispatchState): ViewPositions {
-  const {ordersPosition, storeEra, storePosition} = state;
+  const {evacuationsPosition, ordersPosition, storeEra, storePosition} = state;
   // Missing entries may come back, so they must not be reported as removed.
   const isComplete = !hasMissingEntries(state);
-  const getReported = (position: StorePosition) =>
-    isComplete && position.era === (storeEra.current ?? 0)
-      ? position
-      : noPosition;
+  const hasAllEvacuations = !hasMissingEvacuations(state);
+  const getReported = (position: StorePosition, isWhole: boolean) =>
+    isWhole && position.era === (storeEra.current ?? 0) ? position : noPosition;
   return {
-    position: getReported(storePosition),
-    ordersPosition: getReported(ordersPosition),
+    position: getReported(storePosition, isComplete),
+    ordersPosition: getReported(ordersPosition, isComplete),
+    evacuationsPosition: getReported(evacuationsPosition, hasAllEvacuations),
   };
 }
 
 /** Returns which positions are later than those that this VM has applied. */
 function findLaterParts(
   state: DispatchState,
-  {ordersPosition, position}: ViewPositions,
+  {evacuationsPosition, ordersPosition, position}: ViewPositions,
 ) {
   const hasEndpoints = isLaterPosition(position, state.storePosition);
   const hasOrders = isLaterPosition(ordersPosition, state.ordersPosition);
-  return {hasAny: hasEndpoints || hasOrders, hasEndpoints, hasOrders};
+  const hasEvacuations =
+    state.options.evacuationMs !== undefined &&
+    isLaterPosition(evacuationsPosition, state.evacuationsPosition);
+  const hasAny = hasEndpoints || hasOrders || hasEvacuations;
+  return {hasAny, hasEndpoints, hasEvacuations, hasOrders};
 }
 
 /**
@@ -133,10 +142,15 @@
 
 /** Returns whether a digest reports a change that this VM has not applied. */
 function isDigestLater(state: DispatchState, digest: Digest): boolean {
-  const {ordersRevision = 0, storeRevision} = digest;
+  const {evacuationsRevision = 0, ordersRevision = 0, storeRevision} = digest;
   const reported = {
     position: createReportedPosition(state, digest, storeRevision),
     ordersPosition: createReportedPosition(state, digest, ordersRevision),
+    evacuationsPosition: createReportedPosition(
+      state,
+      digest,
+      evacuationsRevision,
+    ),
   };
   return findLaterParts(state, reported).hasAny;
 }
@@ -147,8 +161,12 @@
   input: StorePositionRead,
   nowMs: number,
 ): Effect[] {
-  const {hasAny, hasEndpoints, hasOrders} = findLaterParts(state, input);
+  const {evacuationsPosition = noPosition} = input;
+  const read = {...input, evacuationsPosition};
+  const later = findLaterParts(state, read);
+  const {hasAny, hasEndpoints, hasEvacuations, hasOrders} = later;
   if (!hasAny) return [];
+  if (hasEvacuations) state.evacuationsPosition = evacuationsPosition;
   if (hasEndpoints) state.storePosition = input.position;
   if (hasOrders) state.ordersPosition = input.ordersPosition;
   state.laterPositionSeenAtMs = undefined;
@@ -219,6 +237,18 @@
   return handleMovesRead(state, {kind: 'movesRead', era, orders}, nowMs);
 }
 
+/** Applies the evacuations of a peer's store view. */
+function applyEvacuations(
+  state: DispatchState,
+  {position, zones}: EvacuationsView,
+  nowMs: number,
+): Effect[] {
+  state.evacuationsPosition = position;
+  const {era} = position;
+  const read = {kind: 'evacuationsRead', era, zones} as const;
+  return handleEvacuationsRead(state, read, nowMs);
+}
+
 /**
  * Applies the parts of a peer's store view that are not outdated, unless this VM
  * follows the store itself.
@@ -228,16 +258,27 @@
   view: StoreViewRead,
   nowMs: number,
 ): Effect[] {
-  const {endpoints, ordersPosition, position} = view;
-  const {hasAny, hasEndpoints, hasOrders} = findLaterParts(state, view);
+  const {endpoints, evacuations, ordersPosition, position} = view;
+  const evacuationsPosition = evacuations?.position ?? noPosition;
+  const positions = {evacuationsPosition, ordersPosition, position};
+  const later = findLaterParts(state, positions);
+  const {hasAny, hasEndpoints, hasEvacuations, hasOrders} = later;
   if (isFollowingStore(state) || !hasAny) return [];
   state.laterPositionSeenAtMs = undefined;
   const ordersRevision = ordersPosition.revision;
   const fields = {...position, ordersRevision, endpoints: endpoints.length};
   const effects: Effect[] = [
     createLog('store_view_applied', fields),
-    ...updateStoreEra(state, position.era, nowMs),
+    ...updateStoreEra(
+      state,
+      Math.max(position.era, evacuationsPosition.era),
+      nowMs,
+    ),
   ];
+  // First, so that no request is sent to a zone that is evacuated by now.
+  if (hasEvacuations && evacuations !== undefined) {
+    effects.push(...applyEvacuations(state, evacuations, nowMs));
+  }
   if (hasEndpoints) effects.push(...applyEndpoints(state, view, nowMs));
   if (hasOrders) effects.push(...applyOrders(state, view, nowMs));
   return effects;
@@ -245,9 +286,13 @@
 
 /** Creates the store view that peers may fetch from this VM. */
 export function createStoreView(state: DispatchState): StoreViewRead {
+  const {evacuationsPosition, ...positions} = getReportedPositions(state);
+  const zones = [...state.evacuations.keys()];
+  const evacuations = {position: evacuationsPosition, zones};
   return {
     kind: 'storeViewRead',
-    ...getReportedPositions(state),
+    ...positions,
+    ...(evacuationsPosition === noPosition ? {} : {evacuations}),
     endpoints: [...state.endpoints.byId.values()].map(entry => entry.endpoint),
     orders: [...state.moves.values()].map(move => move.order),
   };
--- a/packages/ryeworks-dispatch/src/rateLimits/warmUp.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/warmUp.ts
@@ -128,6 +128,16 @@
   return updateWarmUp(state, entry, nowMs);
 }
 
+/** Counts the endpoints whose rate a warm-up limits. */
+export function countColdEndpoints(state: DispatchState): number {
+  let count = 0;
+  for (const id of state.limitedEndpoints) {
+    const limit = state.endpoints.byId.get(id)?.limit;
+    if (limit !== undefined && Number.isFinite(limit.coldUntilMs)) count += 1;
+  }
+  return count;
+}
+
 /** Reports the end of a warm-up. */
 export function reportWarmUpEnd(
   {endpoint}: EndpointEntry,
--- a/packages/ryeworks-gateway/src/__tests__/storeViewMessage.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/storeViewMessage.test.ts
@@ -47,3 +47,16 @@
   const ordersPosition = {era: 3, revision: 40};
   t.strictSame(decoded, {...view, ordersPosition});
 });
+
+// Guards against VMs without the store that miss an evacuation, and against an
+// older build's view that passes for one without evacuations.
+t.test('evacuations are sent with the era of their own', async t => {
+  const position = {era: 4, revision: 7};
+  const evacuations = {position, zones: ['zone-a']};
+  const sent = transmit(encodeStoreView({...view, evacuations}));
+  t.strictSame(decodeStoreView(sent, 1).evacuations, evacuations);
+  t.equal(
+    decodeStoreView(transmit(encodeStoreView(view)), 1).evacuations,
+    undefined,
+  );
+});
--- a/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/storeWatcher.test.ts
@@ -24,6 +24,8 @@
 /** Fake store whose watches wait until the test answers them. */
 class FakeStore implements DeploymentStore {
   lists = 0;
+  /** Kinds that were listed. */
+  readonly listedKinds = new Set<StoreKind>();
   /** For each list of the VMs, whether it may be some seconds old. */
   readonly vmLists: boolean[] = [];
   watches = 0;
@@ -42,6 +44,7 @@
     kind: K,
     isStaleAllowed = false,
   ): Promise<StoreListing<K>> {
+    this.listedKinds.add(kind);
     if (kind === 'vm') this.vmLists.push(isStaleAllowed);
     if (kind === 'vm' && this.hidesVms) await new Promise(() => {});
     if (kind === 'endpoint') this.lists += 1;
@@ -82,6 +85,7 @@
     move: ignore,
     vm: ignore,
     crashReports: ignore,
+    evacuation: ignore,
   };
   return {
     replace: kinds,
@@ -209,3 +213,25 @@
   t.same(first, [false, false], 'the first start');
   t.same(unknown, [false, false], 'it may have written its entry itself');
 });
+
+// Guards against store calls on deployments that have no evacuations, and against
+// an evacuation that passes for a change of the endpoints up to its position.
+t.test('evacuations are read only where the deployment has them', async t => {
+  for (const hasEvacuations of [false, true]) {
+    const store = new FakeStore();
+    const positions: unknown[] = [];
+    const handlers = createHandlers({
+      handlePosition: (position, _orders, evacuations) =>
+        positions.push([position.revision, evacuations?.revision]),
+    });
+    const watcher = new StoreWatcher(store, handlers, hasEvacuations);
+    t.teardown(() => watcher.stop());
+    watcher.start({vm: 'vm-1', address: 'vm-1:1', availabilityZone: 'a'});
+    await sleep(60);
+    t.equal(store.listedKinds.has('evacuation'), hasEvacuations);
+    t.equal(store.watches, hasEvacuations ? 4 : 3);
+    t.same(positions.at(-1), [5, hasEvacuations ? 5 : undefined]);
+    watcher.stop();
+    store.answerWatches();
+  }
+});
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -1,5 +1,6 @@
 import {
   counterLabels,
+  countColdEndpoints,
   createDispatchState,
   createStoreView,
   DispatchState,
@@ -156,10 +157,12 @@
     logger: asFunction(({clock}: Components) =>
       createGatewayLogger(settings, clock),
     ).singleton(),
-    metrics: asFunction(({budget}: Components) =>
+    metrics: asFunction(({budget, state}: Components) =>
       createPrometheusMetrics(counterLabels, histogramLabels, {
         held_bytes: () => budget.heldBytes,
         held_bytes_limit: () => budget.limitBytes,
+        evacuated_zones: () => state.evacuations.size,
+        cold_endpoints: () => countColdEndpoints(state),
       }),
     ).singleton(),
     budget: asFunction(({logger}: Components) =>
@@ -209,7 +212,11 @@
     ).singleton(),
     storeWatcher: asFunction(
       ({clock, logger, loop}: Components) =>
-        new StoreWatcher(store, createStoreHandlers(loop, logger, clock)),
+        new StoreWatcher(
+          store,
+          createStoreHandlers(loop, logger, clock),
+          settings.evacuationMs !== undefined,
+        ),
     ).singleton(),
     gracefulStop: asFunction(
       (components: Components) =>
--- a/packages/ryeworks-gateway/src/deploymentInterfaces.ts
+++ b/packages/ryeworks-gateway/src/deploymentInterfaces.ts
@@ -115,6 +115,8 @@
   move: MoveOrder;
   vm: AnnouncedVm;
   crashReports: readonly CrashReport[];
+  /** Name of a zone that is to be evacuated. */
+  evacuation: string;
 }
 
 /** Kind of an object in the platform's store. */
--- a/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
+++ b/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
@@ -1,4 +1,9 @@
-import {Endpoint, MoveOrder, StoreViewRead} from '@ryeworks/dispatch';
+import {
+  Endpoint,
+  EvacuationsView,
+  MoveOrder,
+  StoreViewRead,
+} from '@ryeworks/dispatch';
 
 /** A move order in a store view. */
 interface OrderMessage {
@@ -26,11 +31,13 @@
   readonly ordersRevision?: number;
   readonly endpoints: readonly Endpoint[];
   readonly orders: readonly OrderMessage[];
+  /** Undefined if the peer has read none; their position has its own era. */
+  readonly evacuations?: EvacuationsView;
 }
 
 /** Encodes a store view for a peer. */
 export function encodeStoreView(view: StoreViewRead): StoreViewMessage {
-  const {endpoints, orders, ordersPosition, position} = view;
+  const {endpoints, evacuations, orders, ordersPosition, position} = view;
   const encodedOrders: OrderMessage[] = [];
   for (const {createdAt, position: lastWrite, ...fields} of orders) {
     const {revision} = lastWrite;
@@ -38,7 +45,13 @@
     encodedOrders.push({...fields, revision, createdRevision});
   }
   const ordersRevision = ordersPosition.revision;
-  return {...position, ordersRevision, endpoints, orders: encodedOrders};
+  return {
+    ...position,
+    ordersRevision,
+    endpoints,
+    orders: encodedOrders,
+    ...(evacuations === undefined ? {} : {evacuations}),
+  };
 }
 
 /**
@@ -62,5 +75,13 @@
   const position = {era, revision};
   const {ordersRevision = revision} = message;
   const ordersPosition = {era, revision: ordersRevision};
-  return {kind: 'storeViewRead', position, ordersPosition, endpoints, orders};
+  const {evacuations} = message;
+  return {
+    kind: 'storeViewRead',
+    position,
+    ordersPosition,
+    endpoints,
+    orders,
+    ...(evacuations === undefined ? {} : {evacuations}),
+  };
 }
--- a/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
+++ b/packages/ryeworks-gateway/src/store/createStoreHandlers.ts
@@ -27,6 +27,7 @@
   clock: Clock,
 ): StoreHandlers {
   const orders = new Map<string, MoveOrder>();
+  const evacuatedZones = new Set<string>();
 
   /** Submits the desired state that was read. */
   function submitDesiredState(
@@ -62,6 +63,18 @@
     loop.submit({kind: 'movesRead', era, orders: [...orders.values()]});
   }
 
+  /** Submits all evacuations, with the given changes applied. */
+  function submitEvacuations(
+    items: ReadonlyArray<StoreItem<'evacuation'>>,
+    era: number,
+  ): void {
+    for (const {content, name} of items) {
+      if (content === undefined) evacuatedZones.delete(name);
+      else evacuatedZones.add(content);
+    }
+    loop.submit({kind: 'evacuationsRead', era, zones: [...evacuatedZones]});
+  }
+
   return {
     replace: {
       desiredState: submitDesiredState,
@@ -78,6 +91,10 @@
           loop.submit({kind: 'vmListed', ...vm});
         }
       },
+      evacuation: (items, era) => {
+        evacuatedZones.clear();
+        submitEvacuations(items, era);
+      },
       crashReports: items => {
         for (const reports of listContents(items)) {
           loop.submit({kind: 'crashReportsRead', reports});
@@ -88,12 +105,18 @@
       desiredState: submitDesiredState,
       endpoint: submitEndpointChanges,
       move: submitMoveOrders,
+      evacuation: submitEvacuations,
       vm: () => {},
       crashReports: () => {},
     },
     handleEra: era => loop.submit({kind: 'storeEraRead', era}),
-    handlePosition: (position, ordersPosition) =>
-      loop.submit({kind: 'storePositionRead', position, ordersPosition}),
+    handlePosition: (position, ordersPosition, evacuationsPosition) =>
+      loop.submit({
+        kind: 'storePositionRead',
+        position,
+        ordersPosition,
+        evacuationsPosition,
+      }),
     handleReachability: isReachable =>
       loop.submit({kind: 'storeReachabilityChanged', isReachable}),
     hasReportingPeers: () =>
--- a/packages/ryeworks-gateway/src/store/storeWatcher.ts
+++ b/packages/ryeworks-gateway/src/store/storeWatcher.ts
@@ -11,6 +11,7 @@
   desiredState: 2000,
   endpoint: 2000,
   move: 4000,
+  evacuation: 2000,
 } as const;
 /**
  * The same time for the first watch after a failed call, in ms. Its answer tells
@@ -56,10 +57,15 @@
   handleEra(era: number): void;
   /**
    * Called when all objects of a kind up to a position were handled, with the
-   * position up to which the move orders were. Not called for the desired state,
-   * nor before all kinds of the store view were listed in the position's era.
+   * positions up to which the move orders and the evacuations were, the latter only
+   * if they are watched and listed. Not called for the desired state, nor before the
+   * endpoints and the orders were listed in the position's era.
    */
-  handlePosition(position: StorePosition, ordersPosition: StorePosition): void;
+  handlePosition(
+    position: StorePosition,
+    ordersPosition: StorePosition,
+    evacuationsPosition?: StorePosition,
+  ): void;
   /** Called with true after a list or watch, and with false if a call fails. */
   handleReachability(isReachable: boolean): void;
   /** Returns whether this VM hears from at least one peer. */
@@ -93,6 +99,8 @@
   constructor(
     private readonly store: DeploymentStore,
     private readonly handlers: StoreHandlers,
+    /** Whether the deployment has evacuations; each watch costs the store calls. */
+    private readonly hasEvacuations = false,
   ) {}
 
   /** Starts to watch every kind and announces this VM. */
@@ -108,6 +116,7 @@
     void this.watchKind('desiredState');
     void this.watchKind('endpoint');
     void this.watchKind('move');
+    if (this.hasEvacuations) void this.watchKind('evacuation');
     void this.retry('list crash reports', () => this.listCrashReports());
   }
 
@@ -247,9 +256,12 @@
     this.handledPositions.set(kind, position);
     const endpointsPosition = this.handledPositions.get('endpoint');
     const ordersPosition = this.handledPositions.get('move');
+    const evacuationsPosition = this.handledPositions.get('evacuation');
     if (endpointsPosition?.era !== position.era) return;
     if (ordersPosition?.era !== position.era) return;
-    this.handlers.handlePosition(position, ordersPosition);
+    // Evacuations at a position tell nothing of the endpoints up to there.
+    const reported = kind === 'evacuation' ? endpointsPosition : position;
+    this.handlers.handlePosition(reported, ordersPosition, evacuationsPosition);
   }
 
   private reportUnreadableItems(
