Allowed regions

Cause: routes and customers can restrict the regions in which they are served. Change: the obstacle other_region, by the lists of the desired state in force and the zones of the settings; a zone that is not listed there is in no region. Requests travel to no other VM, so endpoints alone are to be checked. The version of a move is chosen first, so that a region without it exposes no request to another one.

--- a/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
@@ -7,6 +7,7 @@
   RequestObstacle,
 } from '../endpoints/callObstacles.js';
 import {
+  createDesiredState,
   createDigest,
   createEndpoint,
   createReadyState,
@@ -14,6 +15,7 @@
   deliver,
   listEffects,
   names,
+  routes,
   runInput,
   sendDigests,
 } from './fixtures.js';
@@ -72,6 +74,17 @@
     runInput(state, {kind: 'movesRead', era: 1, orders: [order]}, setAtMs);
     state.moves.get(names.model)!.isBad = true;
   },
+  other_region: state => {
+    const endpoint = {...obstructed, availabilityZone: 'zone-e'};
+    runInput(state, {kind: 'endpointChanged', endpoint}, setAtMs);
+    const regionByZone = {'zone-a': 'north', 'zone-e': 'east'};
+    state.options = {...state.options, regionByZone};
+    const allowedRegions = ['north'];
+    const desiredState = createDesiredState(2, {
+      routes: [{...routes.urgent, allowedRegions}],
+    });
+    runInput(state, {kind: 'desiredStateRead', desiredState}, setAtMs);
+  },
   quarantined: state => {
     const processes = ['m3@1', 'm4@1', 'm5@1', 'm6@1'];
     const report = {part: 'a1', seenAgoMs: 0, processes};
--- a/packages/ryeworks-dispatch/src/desired/desiredStateTracker.ts
+++ b/packages/ryeworks-dispatch/src/desired/desiredStateTracker.ts
@@ -15,6 +15,8 @@
   current: DesiredState | undefined;
   /** Routes by host and path prefix. */
   routes: RouteTable;
+  routesByName: ReadonlyMap<string, Route>;
+  customersByName: ReadonlyMap<string, Customer>;
   /** Customers by API key. */
   customersByKey: ReadonlyMap<string, Customer>;
   /** Highest tier among the routes of each service. */
@@ -39,6 +41,8 @@
   return {
     current: undefined,
     routes: new Map(),
+    routesByName: new Map(),
+    customersByName: new Map(),
     customersByKey: new Map(),
     highestTierByService: new Map(),
     newerSeenAtMs: undefined,
@@ -59,6 +63,13 @@
   return byKey;
 }
 
+/** Creates a lookup table by name. */
+function createNameTable<T extends {readonly name: string}>(
+  items: readonly T[],
+): Map<string, T> {
+  return new Map(items.map(item => [item.name, item]));
+}
+
 /** Finds the highest tier among the routes of each service. */
 function findHighestTiers(routes: readonly Route[]): Map<string, number> {
   const highestTiers = new Map<string, number>();
@@ -84,6 +95,8 @@
   tracker.current = desiredState;
   tracker.newerSeenAtMs = undefined;
   tracker.routes = createRouteTable(desiredState);
+  tracker.routesByName = createNameTable(desiredState.routes);
+  tracker.customersByName = createNameTable(desiredState.customers);
   tracker.customersByKey = createCustomerTable(desiredState.customers);
   tracker.highestTierByService = findHighestTiers(desiredState.routes);
   return true;
--- a/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
@@ -5,6 +5,7 @@
 import {hasPermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 import {isAvoided} from '../requests/avoidedEndpoints.js';
+import {isInAllowedRegion} from './allowedRegions.js';
 import {hasStatedLeaving, isReportedLeaving} from './noticeRecord.js';
 import {EndpointEntry} from './endpointTable.js';
 
@@ -30,6 +31,8 @@
 export const requestObstacle = {
   /** A move routes the request to another version. */
   otherVersion: 'other_version',
+  /** The route or the customer does not allow the endpoint's region. */
+  otherRegion: 'other_region',
   /** The request has a call there, or a recent one failed. */
   avoided: 'avoided',
   /** Endpoints crash under the prompt. */
@@ -112,6 +115,8 @@
   Exclude<RequestObstacle, typeof requestObstacle.otherVersion>,
   RequestObstacleCheck
 > = {
+  other_region: (state, {endpoint}, request) =>
+    !isInAllowedRegion(state, endpoint, request),
   avoided: (_state, {endpoint}, request, nowMs) =>
     isAvoided(request, endpoint.id, nowMs),
   quarantined: ({crashes}, _entry, request, nowMs) =>
@@ -158,6 +163,24 @@
   return entries.filter(entry => isLastResort(state, entry, nowMs));
 }
 
+/**
+ * Lists the endpoints that may serve a request, whether or not they are open: of the
+ * version that a move routes it to, in the regions that it may be served in. The
+ * version is chosen first, so that a region without it exposes no request to another.
+ */
+function listServingEndpoints(
+  state: DispatchState,
+  request: ActiveRequest,
+  entries: readonly EndpointEntry[],
+  nowMs: number,
+): readonly EndpointEntry[] {
+  const {isTrial, service} = request;
+  const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
+  return allowed.filter(
+    entry => !requestObstacleChecks.other_region(state, entry, request, nowMs),
+  );
+}
+
 /**
  * Lists the endpoints of a service to which a request may be sent now. Every way
  * to an endpoint asks here.
@@ -171,8 +194,7 @@
   nowMs: number,
   ignored?: RequestObstacle,
 ): EndpointEntry[] {
-  const {isTrial, service} = request;
-  const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
+  const allowed = listServingEndpoints(state, request, entries, nowMs);
   return listOpenEndpoints(state, allowed, nowMs).filter(
     entry =>
       !requestChecks.some(
@@ -182,9 +204,26 @@
   );
 }
 
+/**
+ * Returns when a request may be served if no endpoint may serve it: at any moment
+ * (undefined), or not before an endpoint is listed in one of its regions.
+ */
+function findNoneMs(
+  state: DispatchState,
+  request: ActiveRequest,
+  entries: readonly EndpointEntry[],
+  nowMs: number,
+): number | undefined {
+  const isElsewhere = entries.some(entry =>
+    requestObstacleChecks.other_region(state, entry, request, nowMs),
+  );
+  return isElsewhere ? Number.POSITIVE_INFINITY : undefined;
+}
+
 /**
  * Returns when the first of the endpoints that may serve a request will be open,
- * in ms; undefined if one may be open now, or if there are none.
+ * in ms; undefined if one may be open now, or if there are none at all. Infinity if
+ * there are some in other regions only.
  */
 export function findReopeningMs(
   state: DispatchState,
@@ -192,9 +231,8 @@
   entries: readonly EndpointEntry[],
   nowMs: number,
 ): number | undefined {
-  const {isTrial, service} = request;
-  const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
-  if (allowed.length === 0) return undefined;
+  const allowed = listServingEndpoints(state, request, entries, nowMs);
+  if (allowed.length === 0) return findNoneMs(state, request, entries, nowMs);
   let earliestMs = Number.POSITIVE_INFINITY;
   for (const entry of allowed) {
     if (isLastResort(state, entry, nowMs)) return undefined;
