--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -347,6 +347,27 @@
     to: "request.phase = 'waiting'; const refused = undefined;",
     test: `${dispatch}/__tests__/stops.test.js`,
   },
+  {
+    promise: 'a cold endpoint gets calls on permits only (FAILBACK)',
+    file: `${dispatch}/rateLimits/warmUp.js`,
+    from: /if \(!wasCold && coldUntilMs <= nowMs\)/,
+    to: 'if (true)',
+    test: `${lab}/__tests__/warmUp.test.js`,
+  },
+  {
+    promise: 'no call reaches a zone that is evacuated (EVAC)',
+    file: `${dispatch}/endpoints/callObstacles.js`,
+    from: /evacuations\.has\(endpoint\.availabilityZone\)/,
+    to: 'false',
+    test: `${dispatch}/__tests__/evacuations.test.js`,
+  },
+  {
+    promise: 'a request is served in the regions of its customer only (HOME)',
+    file: `${dispatch}/endpoints/allowedRegions.js`,
+    from: /&& isAllowed\(customerRegions, region\)/,
+    to: '',
+    test: `${dispatch}/__tests__/allowedRegions.test.js`,
+  },
   {
     promise: 'a body is kept until no other call can follow',
     file: `${dispatch}/requests/startCall.js`,
