--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -17,6 +17,7 @@
   handleStoreReachabilityChanged,
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
+import {handleEvacuationsRead} from './endpoints/evacuations.js';
 import {
   BoundsChanged,
   DesiredStateRead,
@@ -44,6 +45,7 @@
 import {updateQuarantines} from './crashes/updateQuarantines.js';
 import {sendDigest} from './peers/sendDigest.js';
 import {expirePermitWait} from './rateLimits/grantPermits.js';
+import {updateWarmUps} from './rateLimits/warmUp.js';
 import {handleCallAnswered} from './requests/handleCallAnswered.js';
 import {
   expireRequest,
@@ -121,6 +123,7 @@
       routes: desiredState.routes.length,
       customers: desiredState.customers.length,
     }),
+    ...updateWarmUps(state, nowMs),
     ...(isFirst ? startVersionCheck : checkFirstVersion)(state, nowMs),
   ];
 }
@@ -198,6 +201,7 @@
   vmListed: handleVmListed,
   seedListed: handleSeedListed,
   movesRead: handleMovesRead,
+  evacuationsRead: handleEvacuationsRead,
   storeEraRead: handleStoreEraRead,
   storePositionRead: handleStorePositionRead,
   storeViewRead: handleStoreViewRead,
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -1,5 +1,6 @@
 import {
   counterLabels,
+  countColdEndpoints,
   createDispatchState,
   createStoreView,
   DispatchState,
@@ -105,6 +106,8 @@
     incarnation: startedMs,
     seed: getHash(`${settings.vm}/${startedMs}`),
     relayCapacity: settings.relayCapacity,
+    evacuationMs: settings.evacuationMs,
+    regionByZone: settings.regionByZone,
     ...getBounds(settings),
   };
   return createDispatchState(options);
@@ -154,10 +157,12 @@
     logger: asFunction(({clock}: Components) =>
       createGatewayLogger(settings, clock),
     ).singleton(),
-    metrics: asFunction(({budget}: Components) =>
+    metrics: asFunction(({budget, state}: Components) =>
       createPrometheusMetrics(counterLabels, histogramLabels, {
         held_bytes: () => budget.heldBytes,
         held_bytes_limit: () => budget.limitBytes,
+        evacuated_zones: () => state.evacuations.size,
+        cold_endpoints: () => countColdEndpoints(state),
       }),
     ).singleton(),
     budget: asFunction(({logger}: Components) =>
@@ -207,7 +212,11 @@
     ).singleton(),
     storeWatcher: asFunction(
       ({clock, logger, loop}: Components) =>
-        new StoreWatcher(store, createStoreHandlers(loop, logger, clock)),
+        new StoreWatcher(
+          store,
+          createStoreHandlers(loop, logger, clock),
+          settings.evacuationMs !== undefined,
+        ),
     ).singleton(),
     gracefulStop: asFunction(
       (components: Components) =>
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -1,15 +1,18 @@
 import {
   AnswerError,
   CrashReport,
+  createStoreView,
   CustomerLimit,
   DesiredState,
   Effect,
   Endpoint,
+  FetchStoreView,
   LimitBounds,
   ProbeEndpoint,
   RequestReceived,
   Route,
   SendPeer,
+  ServiceWarmUp,
   StartCall,
 } from '@ryeworks/dispatch';
 import {createRandomSource, RandomSource} from '@ryeworks/utils';
@@ -17,6 +20,7 @@
 import {FleetCalls} from './fleetCalls.js';
 import {fleetDrainMs, FleetEndpoint} from './fleetEndpoint.js';
 import {FleetRequest} from './fleetRequest.js';
+import {FleetStore} from './fleetStore.js';
 import {FleetVm} from './fleetVm.js';
 
 /** Time of a message between two VMs, in ms. */
@@ -47,6 +51,11 @@
   /** Limit of the customer that sends all requests; undefined if it has none. */
   readonly customerLimit?: CustomerLimit;
   readonly limitBounds?: LimitBounds;
+  /** Services whose endpoints warm up; none if undefined. */
+  readonly warmUps?: readonly ServiceWarmUp[];
+  /** See `DispatchOptions`. */
+  readonly evacuationMs?: number;
+  readonly regionByZone?: Readonly<Record<string, string>>;
 }
 
 /** A caller that was told to come back later. */
@@ -92,12 +101,14 @@
   routes: readonly Route[],
   version: number,
   limit: CustomerLimit | undefined,
+  warmUps: readonly ServiceWarmUp[] | undefined,
 ): DesiredState {
   const customer = {name: 'clinic', apiKeys: [apiKey]};
   return {
     version,
     routes,
     customers: [{...customer, tier: undefined, limit}],
+    warmUps,
     bounds: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
@@ -137,6 +148,7 @@
   /** Crash reports that a VM has written to the store. */
   private storedReports: readonly CrashReport[] = [];
   private desiredVersion = 1;
+  private readonly store = new FleetStore(this.events);
   private nextRequestNumber = 1;
 
   constructor(private readonly options: FleetOptions) {
@@ -181,6 +193,8 @@
         drainMs: fleetDrainMs,
         trialRatio: 0.1,
         trialAllowance: 50,
+        evacuationMs: this.options.evacuationMs,
+        regionByZone: this.options.regionByZone,
       },
       this.events,
       (sender, effect) => this.handleEffect(sender, effect),
@@ -188,6 +202,7 @@
     this.vms.set(name, vm);
     vm.submit({kind: 'storeReachabilityChanged', isReachable: true});
     this.passDesiredState(vm);
+    this.store.passEvacuations(vm, 0);
     const endpoints = [...this.endpoints.values()].map(item => item.endpoint);
     vm.submit({kind: 'endpointsListed', era: 1, endpoints});
     vm.submit({kind: 'crashReportsRead', reports: this.storedReports});
@@ -210,11 +225,45 @@
     }
   }
 
+  /** Sets the zones that the operators want to be evacuated. */
+  setEvacuations(zones: readonly string[]): void {
+    this.store.setEvacuations(zones);
+    for (const vm of this.vms.values()) {
+      if (!vm.state.isWatchingStore) continue;
+      this.store.passEvacuations(vm, this.random.nextInt(maxReadDelayMs));
+    }
+  }
+
+  /** Cuts the VMs of a zone off from the store. */
+  setStoreCut(zone: string): void {
+    this.store.setCut(zone, this.vms.values());
+  }
+
+  /** Passes the store view of a peer to a VM. */
+  private passStoreView(vm: FleetVm, {address}: FetchStoreView): void {
+    const target = this.vms.get(address);
+    this.events.schedule(2 * linkDelayMs, () => {
+      const {availabilityZone: zone} = vm.options;
+      const isReached =
+        target?.isDead === false &&
+        !this.isCut(zone, target.options.availabilityZone);
+      if (isReached) vm.submit(createStoreView(target.state));
+      vm.submit({kind: 'storeViewFetchEnded'});
+    });
+  }
+
   /** Ends the process of a VM. */
   killVm(name: string): void {
     this.vms.get(name)!.isDead = true;
   }
 
+  /** Makes an endpoint cold for a time, as its entry in the store tells. */
+  startWarmUp(id: string, coldForMs: number): void {
+    const target = this.getEndpoint(id);
+    target.endpoint = {...target.endpoint, coldForMs};
+    this.passEndpoint(target);
+  }
+
   /** Cuts a zone off from all others, or connects it again. */
   setZoneCut(zone: string, isCut: boolean): void {
     if (isCut) this.cutZones.add(zone);
@@ -287,6 +336,10 @@
       sendPeer: sent => this.sendMessage(vm, sent),
       startCall: call => this.startCall(vm, call),
       cancelCall: call => this.calls.cancel(call),
+      fetchStoreView: fetch => this.passStoreView(vm, fetch),
+      setStoreWatch: ({isWatching}) => {
+        if (isWatching) this.store.passEvacuations(vm, maxReadDelayMs);
+      },
       writeCrashReports: ({reports}) => {
         this.storedReports = reports;
         vm.submit({kind: 'crashReportsWritten', isWritten: true});
@@ -322,11 +375,12 @@
   }
 
   private passDesiredState(vm: FleetVm): void {
-    const {customerLimit, routes} = this.options;
+    const {customerLimit, routes, warmUps} = this.options;
     const desiredState = createFleetDesiredState(
       routes,
       this.desiredVersion,
       customerLimit,
+      warmUps,
     );
     vm.submit({kind: 'desiredStateRead', desiredState});
   }
