Fair queueing among the customers of a tier at each VM

Cause: a customer at six times the rate of fifteen others fills the queue of its tier; the others wait behind it and are refused as long_queue. Refusals as starved and slot offers between VMs still follow the heavy customer.

--- a/packages/ryeworks-dispatch/src/admission/admitWaiting.ts
+++ b/packages/ryeworks-dispatch/src/admission/admitWaiting.ts
@@ -1,6 +1,7 @@
 import {
   DispatchState,
   getDispatchRate,
+  getFairQueue,
   getQueue,
   getStarvedRanks,
 } from '../dispatchState.js';
@@ -35,10 +36,18 @@
       index += 1;
       continue;
     }
+    const isFirst = index === 0 || queue[index - 1].rank < request.rank;
     queue.splice(index, 1);
+    // A request that is dispatched because those ahead of it cannot be does not
+    // advance the virtual time: others would wait behind all that it overtook.
+    if (isFirst) {
+      const {rank, startTag} = request;
+      getFairQueue(state, service).recordDispatch(rank, startTag);
+    }
     getDispatchRate(state, service).record(nowMs);
     getStarvedRanks(state, service).recordDispatch(request.rank);
     effects.push(...startCall(state, request, entry, nowMs));
   }
+  if (queue.length === 0) getFairQueue(state, service).dropIdle(() => false);
   return effects;
 }
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -1,10 +1,11 @@
 import {
   DispatchState,
   getDispatchRate,
+  getFairQueue,
   getQueue,
   getStarvedRanks,
 } from '../dispatchState.js';
-import {createLog, Effect, Log} from '../effect.js';
+import {createCount, createLog, Effect, Log} from '../effect.js';
 import {findReopeningMs} from '../endpoints/callObstacles.js';
 import {EndpointEntry, listEndpoints} from '../endpoints/endpointTable.js';
 import {countPeersWithRecentDigest} from '../peers/peerTable.js';
@@ -14,7 +15,15 @@
 import {askForPermits, isServiceLimited} from '../rateLimits/requestPermits.js';
 import {admitWaiting} from './admitWaiting.js';
 import {getTierDistance} from './capacity.js';
-import {countAhead, hasWaitingBetween, insertWaiting} from './waitingQueue.js';
+import {
+  assignOwnTags,
+  countAhead,
+  countCustomers,
+  hasWaitingAhead,
+  hasWaitingBetween,
+  insertWaiting,
+  Urgency,
+} from './waitingQueue.js';
 
 /** Time between two checks of the waiting requests, in ms. */
 const sweepPeriodMs = 20;
@@ -33,14 +42,21 @@
 /** Retry-after time if it is not known when that will be, in ms. */
 const unknownReopeningMs = 1000;
 
-/** Estimates how long a new request of a rank will wait, in ms. */
+/** Returns the place of a new request like this one in the queue. */
+function getNewUrgency(state: DispatchState, request: ActiveRequest): Urgency {
+  const startTag = getFairQueue(state, request.service).getStartTag(request);
+  return {rank: request.rank, startTag};
+}
+
+/** Estimates how long a new request like this one will wait, in ms. */
 function estimateWaitMs(
   state: DispatchState,
-  service: string,
-  rank: number,
+  request: ActiveRequest,
   nowMs: number,
 ): number {
-  const ahead = countAhead(getQueue(state, service), rank);
+  const {service} = request;
+  const urgency = getNewUrgency(state, request);
+  const ahead = countAhead(getQueue(state, service), urgency);
   if (ahead < minAheadForEstimate) return 0;
   const perSecond = getDispatchRate(state, service).getPerSecond(nowMs);
   return perSecond === 0 ? maxRetryAfterMs : (ahead / perSecond) * 1000;
@@ -61,8 +77,7 @@
   request: ActiveRequest,
   nowMs: number,
 ): number {
-  const {rank, service} = request;
-  const waitMs = estimateWaitMs(state, service, rank, nowMs);
+  const waitMs = estimateWaitMs(state, request, nowMs);
   return sampleRetryAfterMs(state, Math.max(minRetryAfterMs, waitMs));
 }
 
@@ -127,18 +142,21 @@
 /**
  * Returns for how long requests of a rank have been starved, in ms, if a new one
  * would wait in vain; undefined otherwise. One of them always waits, so that the
- * end of the starvation is noticed at once.
+ * end of the starvation is noticed at once, and so does one that would be first: the
+ * requests that waited in vain may be those of another customer.
  */
 function findStarvedMs(
   state: DispatchState,
-  {rank, service}: ActiveRequest,
+  request: ActiveRequest,
   nowMs: number,
 ): number | undefined {
+  const {rank, service} = request;
   const starved = getStarvedRanks(state, service).findStarvedRank(rank, nowMs);
   if (starved === undefined) return undefined;
   const queue = getQueue(state, service);
-  const isOneWaiting = hasWaitingBetween(queue, starved.rank, rank);
-  return isOneWaiting ? starved.starvedMs : undefined;
+  const urgency = getNewUrgency(state, request);
+  const isOneAhead = hasWaitingAhead(queue, starved.rank, urgency);
+  return isOneAhead ? starved.starvedMs : undefined;
 }
 
 /**
@@ -166,7 +184,7 @@
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
-  const {rank, service} = request;
+  const {service} = request;
   const entries = [...listEndpoints(state.endpoints, service)];
   const closedMs = findClosedMs(state, request, entries, nowMs);
   if (closedMs !== undefined) {
@@ -179,7 +197,7 @@
   if (starvedMs !== undefined) {
     return refuseStarved(state, request, starvedMs, nowMs);
   }
-  const waitMs = estimateWaitMs(state, service, rank, nowMs);
+  const waitMs = estimateWaitMs(state, request, nowMs);
   const waitedMs = nowMs - request.receivedAtMs;
   if (waitedMs + waitMs > request.maxWaitMs) {
     const retryAfterMs = getRetryAfterMs(state, request, nowMs);
@@ -196,6 +214,20 @@
   return startWaiting(state, request, nowMs);
 }
 
+/** Adds a request to its queue, in fair order among the customers of its rank. */
+function queueRequest(state: DispatchState, request: ActiveRequest): Effect[] {
+  const queue = getQueue(state, request.service);
+  const fairQueue = getFairQueue(state, request.service);
+  if (request.startTag < 0) {
+    fairQueue.dropIdle(rank => hasWaitingBetween(queue, rank, rank));
+    request.startTag = fairQueue.addRequest(request);
+  }
+  const isReordered = insertWaiting(queue, request);
+  assignOwnTags(queue, request);
+  if (!isReordered || countCustomers(queue) < 2) return [];
+  return [createCount('fair_queue_reordered', {tier: `${request.tier}`})];
+}
+
 /** Queues a request and dispatches the requests that endpoints can take. */
 export function startWaiting(
   state: DispatchState,
@@ -208,8 +240,8 @@
   request.permitAsks = 0;
   request.nextPermitAskAtMs = nowMs;
   const queue = getQueue(state, request.service);
-  insertWaiting(queue, request);
-  const effects = admitWaiting(state, request.service, nowMs);
+  const effects = queueRequest(state, request);
+  effects.push(...admitWaiting(state, request.service, nowMs));
   effects.push(...askForPermits(state, request.service, nowMs));
   if (queue.length > 0) {
     state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
@@ -232,6 +264,8 @@
       request: attemptId,
       waitedMs: Math.round(nowMs - receivedAtMs),
       queued: getQueue(state, service).length,
+      customer: request.customer,
+      waitingCustomers: countCustomers(getQueue(state, service)),
       dispatchedPerSecond: dispatchRate.getPerSecond(nowMs),
       reportingPeers: countPeersWithRecentDigest(state.peers, nowMs),
     }),
--- a/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
@@ -3,33 +3,103 @@
 /** Requests waiting for an endpoint of one service, most urgent first. */
 export type WaitingQueue = ActiveRequest[];
 
-/** Compares requests by rank, then by time of arrival. */
-function compareUrgency(a: ActiveRequest, b: ActiveRequest): number {
-  return a.rank - b.rank || a.receivedAtMs - b.receivedAtMs;
+/** What decides about the place of a request, apart from its time of arrival. */
+export type Urgency = Pick<ActiveRequest, 'rank' | 'startTag'>;
+
+/** Criteria of the order of a queue, the most important first. */
+const urgencyCriteria: ReadonlyArray<(request: Urgency) => number> = [
+  ({rank}) => rank,
+  ({startTag}) => startTag,
+];
+
+/** Compares requests by all criteria but the time of arrival. */
+function compareUrgency(a: Urgency, b: Urgency): number {
+  for (const getValue of urgencyCriteria) {
+    const difference = getValue(a) - getValue(b);
+    if (difference !== 0) return difference;
+  }
+  return 0;
+}
+
+/** Compares requests by urgency, then by time of arrival. */
+function compareRequests(a: ActiveRequest, b: ActiveRequest): number {
+  return compareUrgency(a, b) || a.receivedAtMs - b.receivedAtMs;
 }
 
 /** Returns whether a request goes before another one. */
 export function isAhead(a: ActiveRequest, b: ActiveRequest): boolean {
-  return compareUrgency(a, b) < 0;
+  return compareRequests(a, b) < 0;
 }
 
-/** Inserts a request in order of urgency. */
+/**
+ * Inserts a request in order of urgency. Returns whether it goes before a request
+ * of another customer and the same rank that came earlier.
+ */
 export function insertWaiting(
   queue: WaitingQueue,
   request: ActiveRequest,
-): void {
+): boolean {
   let index = queue.length;
-  while (index > 0 && compareUrgency(queue[index - 1], request) > 0) index -= 1;
+  while (index > 0 && compareRequests(queue[index - 1], request) > 0) {
+    index -= 1;
+  }
   queue.splice(index, 0, request);
+  for (const {rank, receivedAtMs} of queue.slice(index + 1)) {
+    if (rank !== request.rank) break;
+    if (receivedAtMs < request.receivedAtMs) return true;
+  }
+  return false;
 }
 
-/** Removes a request if it is in the queue. */
+/**
+ * Gives the start tags of a customer's waiting requests of one rank to them in order
+ * of arrival, if a request that was just queued came earlier than others of them.
+ */
+export function assignOwnTags(
+  queue: WaitingQueue,
+  {customer, rank, receivedAtMs}: ActiveRequest,
+): void {
+  const own = queue.filter(
+    other => other.customer === customer && other.rank === rank,
+  );
+  if (!own.some(other => other.receivedAtMs > receivedAtMs)) return;
+  const tags = own.map(({startTag}) => startTag).sort((a, b) => a - b);
+  own.sort((a, b) => a.receivedAtMs - b.receivedAtMs);
+  for (const [index, request] of own.entries()) request.startTag = tags[index];
+  queue.sort(compareRequests);
+}
+
+/**
+ * Moves the later requests of a customer forward by the cost of one that left the
+ * queue without a call: it has used none of the customer's share.
+ */
+export function reduceLaterTags(
+  queue: WaitingQueue,
+  {cost, customer, rank, startTag}: ActiveRequest,
+): void {
+  let isChanged = false;
+  for (const other of queue) {
+    if (other.customer !== customer || other.rank !== rank) continue;
+    if (other.startTag <= startTag) continue;
+    other.startTag -= cost;
+    isChanged = true;
+  }
+  if (isChanged) queue.sort(compareRequests);
+}
+
+/** Counts the customers with requests in a queue. */
+export function countCustomers(queue: WaitingQueue): number {
+  return new Set(queue.map(({customer}) => customer)).size;
+}
+
+/** Removes a request if it is in the queue; returns whether it was. */
 export function removeWaiting(
   queue: WaitingQueue,
   request: ActiveRequest,
-): void {
+): boolean {
   const index = queue.indexOf(request);
   if (index >= 0) queue.splice(index, 1);
+  return index >= 0;
 }
 
 /** Returns whether a request of a rank between two ones, inclusive, waits. */
@@ -41,11 +111,25 @@
   return queue.some(({rank}) => rank >= firstRank && rank <= lastRank);
 }
 
-/** Counts the queued requests that go before a new request of a rank. */
-export function countAhead(queue: WaitingQueue, rank: number): number {
+/**
+ * Returns whether a request of a rank between that of a new one and an earlier
+ * rank, inclusive, goes before the new one.
+ */
+export function hasWaitingAhead(
+  queue: WaitingQueue,
+  firstRank: number,
+  added: Urgency,
+): boolean {
+  return queue.some(
+    request => request.rank >= firstRank && compareUrgency(request, added) <= 0,
+  );
+}
+
+/** Counts the queued requests that go before a new one. */
+export function countAhead(queue: WaitingQueue, added: Urgency): number {
   let count = 0;
   for (const request of queue) {
-    if (request.rank > rank) break;
+    if (compareUrgency(request, added) > 0) break;
     count += 1;
   }
   return count;
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -5,6 +5,7 @@
   TimerQueue,
 } from '@ryeworks/utils';
 import {DispatchRate} from './admission/dispatchRate.js';
+import {FairQueue} from './admission/fairQueue.js';
 import {StarvedRanks} from './admission/starvedRanks.js';
 import {WaitingQueue} from './admission/waitingQueue.js';
 import {
@@ -84,6 +85,8 @@
   readonly requests: Map<string, ActiveRequest>;
   /** Queues of waiting requests by service. */
   readonly queues: Map<string, WaitingQueue>;
+  /** Fair order of the customers' requests, by service. */
+  readonly fairQueues: Map<string, FairQueue>;
   /** Dispatch rates by service. */
   readonly dispatchRates: Map<string, DispatchRate>;
   /** Ranks whose requests wait in vain, by service. */
@@ -162,6 +165,7 @@
     usageByCustomer: new Map(),
     requests: new Map(),
     queues: new Map(),
+    fairQueues: new Map(),
     dispatchRates: new Map(),
     starvedRanks: new Map(),
     retryBudgets: new Map(),
@@ -206,6 +210,11 @@
   return getOrCreate(state.queues, service, () => []);
 }
 
+/** Returns the fair queue of a service; creates it on first use. */
+export function getFairQueue(state: DispatchState, service: string): FairQueue {
+  return getOrCreate(state.fairQueues, service, () => new FairQueue());
+}
+
 /** Returns the dispatch rate of a service; creates it on first use. */
 export function getDispatchRate(
   state: DispatchState,
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -169,6 +169,7 @@
   calls_not_repeated: ['reason'],
   permits_asked: [],
   permit_answers: ['outcome'],
+  fair_queue_reordered: ['tier'],
   slots_offered: [],
   slots_taken: [],
   desired_state_applied: [],
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -49,6 +49,13 @@
   /** Deadline of the caller or of the route, whichever is earlier, in ms. */
   readonly timeoutAtMs: number;
   readonly promptTokens: number;
+  /** Expected work in tokens; 1 if the caller does not state any. */
+  readonly cost: number;
+  /**
+   * Place in the fair order of its rank, given when it is first queued and kept when
+   * it is retried; -1 before.
+   */
+  startTag: number;
   /** IDs of the parts of the prompt that other prompts may share. */
   readonly sharedParts: readonly string[];
   /** Units of the customer's limit that the request uses. */
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -1,7 +1,7 @@
 import {ErrorKind} from '@ryeworks/types';
 import {assignFreedSlot} from '../admission/assignFreedSlot.js';
-import {removeWaiting} from '../admission/waitingQueue.js';
-import {DispatchState, getQueue} from '../dispatchState.js';
+import {reduceLaterTags, removeWaiting} from '../admission/waitingQueue.js';
+import {DispatchState, getFairQueue, getQueue} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {refundUnits} from '../limits/customerUsage.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
@@ -73,7 +73,11 @@
   state.requests.delete(requestId);
   state.timers.clear('requestTimeout', requestId);
   state.timers.clear('retry', requestId);
-  removeWaiting(getQueue(state, request.service), request);
+  const queue = getQueue(state, request.service);
+  if (removeWaiting(queue, request) && request.callsStarted === 0) {
+    getFairQueue(state, request.service).refundRequest(request);
+    reduceLaterTags(queue, request);
+  }
   if (possibleRuns === 0) {
     refundUnits(state.usageByCustomer, request.customer, request.units, nowMs);
   }
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -177,6 +177,8 @@
     maxWaitMs: nowMs - input.receivedAtMs + maxWaitMs,
     timeoutAtMs: getTimeoutAtMs(route, input),
     promptTokens: input.promptTokens,
+    cost: Math.max(1, input.totalTokens ?? 1),
+    startTag: -1,
     sharedParts: input.sharedParts,
     units,
     isRetryable: route.kind === callKind.idempotent || isResumableStream,
