--- a/packages/ryeworks-dispatch/src/__tests__/sharedFleet.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/sharedFleet.ts
@@ -19,7 +19,9 @@
 const slots = 4;
 const zoneCount = 3;
 /** Start of what is measured, once queues and measurements have settled, in ms. */
-const warmUpMs = 2000;
+export const warmUpMs = 2000;
+/** End of what is measured, in ms; the load goes on. */
+export const measuredUntilMs = 8000;
 /** Work of each request that a customer states, in tokens. */
 const requestTokens = 200;
 
@@ -102,6 +104,8 @@
   private messages: Array<{vm: number; message: PeerMessage}> = [];
   private readonly callsByEndpoint = new Map<string, EndpointCall[]>();
   private readonly customerByRequest = new Map<string, string>();
+  /** Requests that were sent in the time that is measured. */
+  private readonly measured = new Set<string>();
   private readonly nextSendMs = new Map<string, number>();
 
   constructor(
@@ -176,7 +180,10 @@
       this.nextSendMs.set(name, dueMs + gapMs);
       const requestId = `q${this.customerByRequest.size}`;
       this.customerByRequest.set(requestId, name);
-      if (this.nowMs >= warmUpMs) this.results.get(name)!.sent += 1;
+      if (this.isMeasured(this.nowMs)) {
+        this.measured.add(requestId);
+        this.results.get(name)!.sent += 1;
+      }
       this.submit(vms[this.random.nextInt(vms.length)], {
         kind: 'requestReceived',
         requestId,
@@ -214,12 +221,19 @@
         );
         if (index >= 0) calls.splice(index, 1);
       }
-    } else if (effect.kind === 'answerError' && this.nowMs >= warmUpMs) {
+    } else if (
+      effect.kind === 'answerError' &&
+      this.measured.has(effect.requestId)
+    ) {
       const {refusals} = this.getResult(effect.requestId);
       refusals.set(effect.reason, (refusals.get(effect.reason) ?? 0) + 1);
     }
   }
 
+  private isMeasured(atMs: number): boolean {
+    return atMs >= warmUpMs && atMs < measuredUntilMs;
+  }
+
   private getResult(requestId: string): CustomerResult {
     return this.results.get(this.customerByRequest.get(requestId)!)!;
   }
@@ -250,7 +264,7 @@
         this.recordRun(call);
       }
       for (const {callNumber, requestId, vm} of ended) {
-        if (this.nowMs >= warmUpMs) this.getResult(requestId).served += 1;
+        if (this.measured.has(requestId)) this.getResult(requestId).served += 1;
         this.submit(vm, {kind: 'callDone', requestId, callNumber, status: 200});
       }
     }
@@ -258,7 +272,7 @@
 
   private recordRun({callNumber, requestId, vm}: EndpointCall): void {
     const request = this.states[vm].requests.get(requestId);
-    if (request !== undefined && this.nowMs >= warmUpMs) {
+    if (request !== undefined && this.measured.has(requestId)) {
       const waitedMs = this.nowMs - request.receivedAtMs;
       this.getResult(requestId).waitsMs.push(waitedMs);
     }
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -19,9 +19,10 @@
   assignOwnTags,
   countAhead,
   countCustomers,
-  hasWaitingAhead,
+  hasOwnWaiting,
   hasWaitingBetween,
   insertWaiting,
+  isBehindOthers,
   Urgency,
 } from './waitingQueue.js';
 
@@ -141,9 +142,9 @@
 
 /**
  * Returns for how long requests of a rank have been starved, in ms, if a new one
- * would wait in vain; undefined otherwise. One of them always waits, so that the
- * end of the starvation is noticed at once, and so does one that would be first: the
- * requests that waited in vain may be those of another customer.
+ * would wait in vain; undefined otherwise. One of each customer always waits,
+ * so that the end of the starvation is noticed at once: those that waited in vain
+ * may be the requests of another customer.
  */
 function findStarvedMs(
   state: DispatchState,
@@ -154,9 +155,8 @@
   const starved = getStarvedRanks(state, service).findStarvedRank(rank, nowMs);
   if (starved === undefined) return undefined;
   const queue = getQueue(state, service);
-  const urgency = getNewUrgency(state, request);
-  const isOneAhead = hasWaitingAhead(queue, starved.rank, urgency);
-  return isOneAhead ? starved.starvedMs : undefined;
+  const isOneWaiting = hasOwnWaiting(queue, starved.rank, request);
+  return isOneWaiting ? starved.starvedMs : undefined;
 }
 
 /**
@@ -256,7 +256,10 @@
   nowMs: number,
 ): Effect[] {
   const {attemptId, rank, receivedAtMs, service} = request;
-  getStarvedRanks(state, service).recordWaitedInVain(rank, nowMs);
+  // A request that waits behind those of other customers says nothing of its rank.
+  if (!isBehindOthers(getQueue(state, service), request)) {
+    getStarvedRanks(state, service).recordWaitedInVain(rank, nowMs);
+  }
   const retryAfterMs = getRetryAfterMs(state, request, nowMs);
   const dispatchRate = getDispatchRate(state, service);
   return [
--- a/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
@@ -112,19 +112,35 @@
 }
 
 /**
- * Returns whether a request of a rank between that of a new one and an earlier
- * rank, inclusive, goes before the new one.
+ * Returns whether a request of the same customer and of a rank between an earlier
+ * one and that of a new request, inclusive, waits.
  */
-export function hasWaitingAhead(
+export function hasOwnWaiting(
   queue: WaitingQueue,
   firstRank: number,
-  added: Urgency,
+  {customer, rank}: ActiveRequest,
 ): boolean {
   return queue.some(
-    request => request.rank >= firstRank && compareUrgency(request, added) <= 0,
+    other =>
+      other.customer === customer &&
+      other.rank >= firstRank &&
+      other.rank <= rank,
   );
 }
 
+/** Returns whether a request waits behind one of another customer in its rank. */
+export function isBehindOthers(
+  queue: WaitingQueue,
+  request: ActiveRequest,
+): boolean {
+  for (const other of queue) {
+    if (other === request) return false;
+    if (other.rank !== request.rank) continue;
+    if (other.customer !== request.customer) return true;
+  }
+  return false;
+}
+
 /** Counts the queued requests that go before a new one. */
 export function countAhead(queue: WaitingQueue, added: Urgency): number {
   let count = 0;
