--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -232,6 +232,13 @@
     to: '&& false',
     test: `${dispatch}/__tests__/callObstacles.test.js`,
   },
+  {
+    promise: 'a customer does not wait behind the queue of another one',
+    file: `${dispatch}/admission/fairQueue.js`,
+    from: /Math\.max\(virtualTime, finishTags\.get\(customer\) \?\? 0\)/,
+    to: '0',
+    test: `${dispatch}/__tests__/fairQueueing.test.js`,
+  },
   {
     promise: 'the last endpoint of a service is called while it drains',
     file: `${dispatch}/endpoints/callObstacles.js`,
--- a/packages/ryeworks-dispatch/src/admission/assignFreedSlot.ts
+++ b/packages/ryeworks-dispatch/src/admission/assignFreedSlot.ts
@@ -1,4 +1,4 @@
-import {DispatchState, getQueue, getSlotShares} from '../dispatchState.js';
+import {DispatchState, getQueue} from '../dispatchState.js';
 import {createCount, Effect} from '../effect.js';
 import {isOpen} from '../endpoints/callObstacles.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
@@ -22,49 +22,9 @@
   readonly head: QueueHead;
 }
 
-/**
- * Compares two heads by rank, then by what their customers have got of the slots
- * that this VM has freed. A customer cannot gain by more requests that wait longer,
- * nor by waiting on more VMs.
- */
-function compareHeads(
-  state: DispatchState,
-  service: string,
-  a: QueueHead,
-  b: QueueHead,
-): number {
-  if (a.rank !== b.rank) return a.rank - b.rank;
-  if (a.customer === undefined || b.customer === undefined) return 0;
-  if (a.customer === b.customer) return 0;
-  const shares = getSlotShares(state, service);
-  const {rank} = a;
-  return (
-    shares.getStartTag({rank, customer: a.customer}) -
-    shares.getStartTag({rank, customer: b.customer})
-  );
-}
-
-/** Charges a freed slot to the customer whose request gets it. */
-function recordSlot(
-  state: DispatchState,
-  service: string,
-  {cost = 1, customer, rank}: QueueHead,
-): void {
-  if (customer === undefined) return;
-  const shares = getSlotShares(state, service);
-  shares.recordDispatch(rank, shares.addRequest({rank, customer, cost}));
-  shares.dropIdle(() => true);
-}
-
 /** Returns whether a peer's request goes before this VM's own. */
-function isMoreUrgent(
-  state: DispatchState,
-  service: string,
-  peerHead: QueueHead,
-  ownHead: QueueHead,
-): boolean {
-  const difference = compareHeads(state, service, peerHead, ownHead);
-  if (difference !== 0) return difference < 0;
+function isMoreUrgent(peerHead: QueueHead, ownHead: QueueHead): boolean {
+  if (peerHead.rank !== ownHead.rank) return peerHead.rank < ownHead.rank;
   return peerHead.waitedMs > ownHead.waitedMs + peerWaitMarginMs;
 }
 
@@ -84,15 +44,11 @@
     if (!hasRecentDigest(peer, nowMs)) continue;
     const head = peer.heads.get(service);
     if (head === undefined || head.count <= 0) continue;
-    if (best === undefined) {
-      best = {peer, head};
-      continue;
-    }
-    const difference = compareHeads(state, service, head, best.head);
-    const waitsLonger = head.waitedMs > best.head.waitedMs;
-    if (difference < 0 || (difference === 0 && waitsLonger)) {
-      best = {peer, head};
-    }
+    const isFirst =
+      best === undefined ||
+      head.rank < best.head.rank ||
+      (head.rank === best.head.rank && head.waitedMs > best.head.waitedMs);
+    if (isFirst) best = {peer, head};
   }
   return best;
 }
@@ -107,8 +63,7 @@
   if (queue.length === 0) return undefined;
   const [first] = queue;
   const waitedMs = Math.round(nowMs - first.receivedAtMs);
-  const {cost, customer, rank} = first;
-  return {rank, waitedMs, count: queue.length, customer, cost};
+  return {rank: first.rank, waitedMs, count: queue.length};
 }
 
 /**
@@ -151,10 +106,7 @@
     const ownHead = getQueueHead(state, service, nowMs);
     if (waitingPeer !== undefined) {
       const isPeerFirst =
-        ownHead === undefined ||
-        isMoreUrgent(state, service, waitingPeer.head, ownHead);
-      const first = isPeerFirst ? waitingPeer.head : ownHead;
-      recordSlot(state, service, first);
+        ownHead === undefined || isMoreUrgent(waitingPeer.head, ownHead);
       if (isPeerFirst) return sendSlotOffer(state, entry, waitingPeer);
     }
   }
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -87,8 +87,6 @@
   readonly queues: Map<string, WaitingQueue>;
   /** Fair order of the customers' requests, by service. */
   readonly fairQueues: Map<string, FairQueue>;
-  /** Shares of the customers in the slots that this VM has freed, by service. */
-  readonly slotShares: Map<string, FairQueue>;
   /** Dispatch rates by service. */
   readonly dispatchRates: Map<string, DispatchRate>;
   /** Ranks whose requests wait in vain, by service. */
@@ -168,7 +166,6 @@
     requests: new Map(),
     queues: new Map(),
     fairQueues: new Map(),
-    slotShares: new Map(),
     dispatchRates: new Map(),
     starvedRanks: new Map(),
     retryBudgets: new Map(),
@@ -218,14 +215,6 @@
   return getOrCreate(state.fairQueues, service, () => new FairQueue());
 }
 
-/** Returns the shares in a service's freed slots; creates them on first use. */
-export function getSlotShares(
-  state: DispatchState,
-  service: string,
-): FairQueue {
-  return getOrCreate(state.slotShares, service, () => new FairQueue());
-}
-
 /** Returns the dispatch rate of a service; creates it on first use. */
 export function getDispatchRate(
   state: DispatchState,
--- a/packages/ryeworks-dispatch/src/peers/peerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/peerMessage.ts
@@ -6,13 +6,6 @@
   readonly waitedMs: number;
   /** Number of waiting requests in the queue. */
   readonly count: number;
-  /**
-   * Customer of the request, empty on an anonymous route; undefined from a build
-   * without fair queueing.
-   */
-  readonly customer?: string;
-  /** Expected work of the request in tokens; undefined from such a build. */
-  readonly cost?: number;
 }
 
 /**
