--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -215,7 +215,10 @@
 }
 
 /** Adds a request to its queue, in fair order among the customers of its rank. */
-function queueRequest(state: DispatchState, request: ActiveRequest): Effect[] {
+function scheduleRequest(
+  state: DispatchState,
+  request: ActiveRequest,
+): Effect[] {
   const queue = getQueue(state, request.service);
   const fairQueue = getFairQueue(state, request.service);
   if (request.startTag < 0) {
@@ -240,7 +243,7 @@
   request.permitAsks = 0;
   request.nextPermitAskAtMs = nowMs;
   const queue = getQueue(state, request.service);
-  const effects = queueRequest(state, request);
+  const effects = scheduleRequest(state, request);
   effects.push(...admitWaiting(state, request.service, nowMs));
   effects.push(...askForPermits(state, request.service, nowMs));
   if (queue.length > 0) {
