--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -1,10 +1,11 @@
 import {
   DispatchState,
   getDispatchRate,
+  getFairQueue,
   getQueue,
   getStarvedRanks,
 } from '../dispatchState.js';
-import {createLog, Effect, Log} from '../effect.js';
+import {createCount, createLog, Effect, Log} from '../effect.js';
 import {findReopeningMs} from '../endpoints/callObstacles.js';
 import {EndpointEntry, listEndpoints} from '../endpoints/endpointTable.js';
 import {countPeersWithRecentDigest} from '../peers/peerTable.js';
@@ -14,7 +15,16 @@
 import {askForPermits, isServiceLimited} from '../rateLimits/requestPermits.js';
 import {admitWaiting} from './admitWaiting.js';
 import {getTierDistance} from './capacity.js';
-import {countAhead, hasWaitingBetween, insertWaiting} from './waitingQueue.js';
+import {
+  assignOwnTags,
+  countAhead,
+  countCustomers,
+  hasOwnWaiting,
+  hasWaitingBetween,
+  insertWaiting,
+  isBehindOthers,
+  Urgency,
+} from './waitingQueue.js';
 
 /** Time between two checks of the waiting requests, in ms. */
 const sweepPeriodMs = 20;
@@ -33,14 +43,21 @@
 /** Retry-after time if it is not known when that will be, in ms. */
 const unknownReopeningMs = 1000;
 
-/** Estimates how long a new request of a rank will wait, in ms. */
+/** Returns the place of a new request like this one in the queue. */
+function getNewUrgency(state: DispatchState, request: ActiveRequest): Urgency {
+  const startTag = getFairQueue(state, request.service).getStartTag(request);
+  return {rank: request.rank, startTag};
+}
+
+/** Estimates how long a new request like this one will wait, in ms. */
 function estimateWaitMs(
   state: DispatchState,
-  service: string,
-  rank: number,
+  request: ActiveRequest,
   nowMs: number,
 ): number {
-  const ahead = countAhead(getQueue(state, service), rank);
+  const {service} = request;
+  const urgency = getNewUrgency(state, request);
+  const ahead = countAhead(getQueue(state, service), urgency);
   if (ahead < minAheadForEstimate) return 0;
   const perSecond = getDispatchRate(state, service).getPerSecond(nowMs);
   return perSecond === 0 ? maxRetryAfterMs : (ahead / perSecond) * 1000;
@@ -61,8 +78,7 @@
   request: ActiveRequest,
   nowMs: number,
 ): number {
-  const {rank, service} = request;
-  const waitMs = estimateWaitMs(state, service, rank, nowMs);
+  const waitMs = estimateWaitMs(state, request, nowMs);
   return sampleRetryAfterMs(state, Math.max(minRetryAfterMs, waitMs));
 }
 
@@ -126,18 +142,20 @@
 
 /**
  * Returns for how long requests of a rank have been starved, in ms, if a new one
- * would wait in vain; undefined otherwise. One of them always waits, so that the
- * end of the starvation is noticed at once.
+ * would wait in vain; undefined otherwise. One of each customer always waits,
+ * so that the end of the starvation is noticed at once: those that waited in vain
+ * may be the requests of another customer.
  */
 function findStarvedMs(
   state: DispatchState,
-  {rank, service}: ActiveRequest,
+  request: ActiveRequest,
   nowMs: number,
 ): number | undefined {
+  const {rank, service} = request;
   const starved = getStarvedRanks(state, service).findStarvedRank(rank, nowMs);
   if (starved === undefined) return undefined;
   const queue = getQueue(state, service);
-  const isOneWaiting = hasWaitingBetween(queue, starved.rank, rank);
+  const isOneWaiting = hasOwnWaiting(queue, starved.rank, request);
   return isOneWaiting ? starved.starvedMs : undefined;
 }
 
@@ -166,7 +184,7 @@
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
-  const {rank, service} = request;
+  const {service} = request;
   const entries = [...listEndpoints(state.endpoints, service)];
   const closedMs = findClosedMs(state, request, entries, nowMs);
   if (closedMs !== undefined) {
@@ -179,7 +197,7 @@
   if (starvedMs !== undefined) {
     return refuseStarved(state, request, starvedMs, nowMs);
   }
-  const waitMs = estimateWaitMs(state, service, rank, nowMs);
+  const waitMs = estimateWaitMs(state, request, nowMs);
   const waitedMs = nowMs - request.receivedAtMs;
   if (waitedMs + waitMs > request.maxWaitMs) {
     const retryAfterMs = getRetryAfterMs(state, request, nowMs);
@@ -196,6 +214,23 @@
   return startWaiting(state, request, nowMs);
 }
 
+/** Adds a request to its queue, in fair order among the customers of its rank. */
+function scheduleRequest(
+  state: DispatchState,
+  request: ActiveRequest,
+): Effect[] {
+  const queue = getQueue(state, request.service);
+  const fairQueue = getFairQueue(state, request.service);
+  if (request.startTag < 0) {
+    fairQueue.dropIdle(rank => hasWaitingBetween(queue, rank, rank));
+    request.startTag = fairQueue.addRequest(request);
+  }
+  const isReordered = insertWaiting(queue, request);
+  assignOwnTags(queue, request);
+  if (!isReordered || countCustomers(queue) < 2) return [];
+  return [createCount('fair_queue_reordered', {tier: `${request.tier}`})];
+}
+
 /** Queues a request and dispatches the requests that endpoints can take. */
 export function startWaiting(
   state: DispatchState,
@@ -208,8 +243,8 @@
   request.permitAsks = 0;
   request.nextPermitAskAtMs = nowMs;
   const queue = getQueue(state, request.service);
-  insertWaiting(queue, request);
-  const effects = admitWaiting(state, request.service, nowMs);
+  const effects = scheduleRequest(state, request);
+  effects.push(...admitWaiting(state, request.service, nowMs));
   effects.push(...askForPermits(state, request.service, nowMs));
   if (queue.length > 0) {
     state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
@@ -224,7 +259,10 @@
   nowMs: number,
 ): Effect[] {
   const {attemptId, rank, receivedAtMs, service} = request;
-  getStarvedRanks(state, service).recordWaitedInVain(rank, nowMs);
+  // A request that waits behind those of other customers says nothing of its rank.
+  if (!isBehindOthers(getQueue(state, service), request)) {
+    getStarvedRanks(state, service).recordWaitedInVain(rank, nowMs);
+  }
   const retryAfterMs = getRetryAfterMs(state, request, nowMs);
   const dispatchRate = getDispatchRate(state, service);
   return [
@@ -232,6 +270,8 @@
       request: attemptId,
       waitedMs: Math.round(nowMs - receivedAtMs),
       queued: getQueue(state, service).length,
+      customer: request.customer,
+      waitingCustomers: countCustomers(getQueue(state, service)),
       dispatchedPerSecond: dispatchRate.getPerSecond(nowMs),
       reportingPeers: countPeersWithRecentDigest(state.peers, nowMs),
     }),
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -170,6 +170,7 @@
   permits_asked: [],
   permit_answers: ['outcome'],
   warm_ups: ['change'],
+  fair_queue_reordered: ['tier'],
   slots_offered: [],
   slots_taken: [],
   desired_state_applied: [],
