Trial: requests that can no longer be on time wait on behind the others

Cause: a request waits 0.3 to 0.8 of its latency target and is then refused; an answer after the target still has value, and time limits are far longer. Change: such a request stays in its queue, behind all that can be on time, until its call could not end in time any more or its caller would give up.

--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -1,4 +1,5 @@
 import {ErrorKind} from '@ryeworks/types';
+import {decideKeepUntilMs, getElapsedMs} from '../admission/lateness.js';
 import {decideMaxWaitMs} from '../admission/maxWait.js';
 import {refuseOrQueue} from '../admission/refuseOrQueue.js';
 import {findQuarantine} from '../crashes/isQuarantined.js';
@@ -164,6 +165,8 @@
     route.latencyTargetMs,
     input.promptTokens,
   );
+  const timeoutAtMs = getTimeoutAtMs(route, input);
+  const lateAtMs = nowMs + maxWaitMs - getElapsedMs(route, input);
   return {
     requestId: input.requestId,
     attemptId: input.attemptId,
@@ -175,7 +178,15 @@
     receivedAtMs: input.receivedAtMs,
     // What it waited before it came here is no wait for an endpoint.
     maxWaitMs: nowMs - input.receivedAtMs + maxWaitMs,
-    timeoutAtMs: getTimeoutAtMs(route, input),
+    lateAtMs,
+    keepUntilMs: decideKeepUntilMs(
+      state.runTimes,
+      route,
+      input.receivedAtMs,
+      timeoutAtMs,
+    ),
+    isLate: lateAtMs <= nowMs,
+    timeoutAtMs,
     promptTokens: input.promptTokens,
     sharedParts: input.sharedParts,
     units,
