--- a/packages/ryeworks-dispatch/src/admission/assignFreedSlot.ts
+++ b/packages/ryeworks-dispatch/src/admission/assignFreedSlot.ts
@@ -62,8 +62,7 @@
   const queue = getQueue(state, service);
   if (queue.length === 0) return undefined;
   const [first] = queue;
-  // A late request is not more urgent than any other of its rank.
-  const waitedMs = first.isLate ? 0 : Math.round(nowMs - first.receivedAtMs);
+  const waitedMs = Math.round(nowMs - first.receivedAtMs);
   return {rank: first.rank, waitedMs, count: queue.length};
 }
 
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -14,7 +14,6 @@
 import {askForPermits, isServiceLimited} from '../rateLimits/requestPermits.js';
 import {admitWaiting} from './admitWaiting.js';
 import {getTierDistance} from './capacity.js';
-import {updateLateness} from './lateness.js';
 import {countAhead, hasWaitingBetween, insertWaiting} from './waitingQueue.js';
 
 /** Time between two checks of the waiting requests, in ms. */
@@ -34,14 +33,14 @@
 /** Retry-after time if it is not known when that will be, in ms. */
 const unknownReopeningMs = 1000;
 
-/** Estimates how long a request will wait, in ms. */
+/** Estimates how long a new request of a rank will wait, in ms. */
 function estimateWaitMs(
   state: DispatchState,
-  request: ActiveRequest,
+  service: string,
+  rank: number,
   nowMs: number,
 ): number {
-  const {service} = request;
-  const ahead = countAhead(getQueue(state, service), request);
+  const ahead = countAhead(getQueue(state, service), rank);
   if (ahead < minAheadForEstimate) return 0;
   const perSecond = getDispatchRate(state, service).getPerSecond(nowMs);
   return perSecond === 0 ? maxRetryAfterMs : (ahead / perSecond) * 1000;
@@ -62,7 +61,8 @@
   request: ActiveRequest,
   nowMs: number,
 ): number {
-  const waitMs = estimateWaitMs(state, request, nowMs);
+  const {rank, service} = request;
+  const waitMs = estimateWaitMs(state, service, rank, nowMs);
   return sampleRetryAfterMs(state, Math.max(minRetryAfterMs, waitMs));
 }
 
@@ -157,22 +157,6 @@
   return refuseAtOnce(state, request, 'starved', retryAfterMs, details, nowMs);
 }
 
-/**
- * Returns whether a request would wait for longer than it may. One that would not
- * be sent in time to be answered on time may be late.
- */
-function isWaitTooLong(
-  state: DispatchState,
-  request: ActiveRequest,
-  nowMs: number,
-): boolean {
-  const waitMs = estimateWaitMs(state, request, nowMs);
-  if (nowMs + waitMs <= request.lateAtMs) return false;
-  const asLate = {...request, isLate: true};
-  const lateWaitMs = estimateWaitMs(state, asLate, nowMs);
-  return nowMs + lateWaitMs > request.keepUntilMs;
-}
-
 /**
  * Queues a request, or refuses it if the wait would be too long. If it can run
  * on a permit only, the owners of the limits tell how long it would wait.
@@ -182,7 +166,7 @@
   request: ActiveRequest,
   nowMs: number,
 ): Effect[] {
-  const {service} = request;
+  const {rank, service} = request;
   const entries = [...listEndpoints(state.endpoints, service)];
   const closedMs = findClosedMs(state, request, entries, nowMs);
   if (closedMs !== undefined) {
@@ -195,7 +179,9 @@
   if (starvedMs !== undefined) {
     return refuseStarved(state, request, starvedMs, nowMs);
   }
-  if (isWaitTooLong(state, request, nowMs)) {
+  const waitMs = estimateWaitMs(state, service, rank, nowMs);
+  const waitedMs = nowMs - request.receivedAtMs;
+  if (waitedMs + waitMs > request.maxWaitMs) {
     const retryAfterMs = getRetryAfterMs(state, request, nowMs);
     const reason = 'long_queue';
     return failRequest(
@@ -272,8 +258,7 @@
   if (closedMs !== undefined) {
     return refuseClosed(state, request, closedMs, nowMs);
   }
-  updateLateness(getQueue(state, request.service), request, nowMs);
-  if (nowMs <= Math.max(request.lateAtMs, request.keepUntilMs)) return [];
+  if (nowMs - request.receivedAtMs <= request.maxWaitMs) return [];
   return refuseWaited(state, request, nowMs);
 }
 
--- a/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/waitingQueue.ts
@@ -3,16 +3,9 @@
 /** Requests waiting for an endpoint of one service, most urgent first. */
 export type WaitingQueue = ActiveRequest[];
 
-/**
- * Compares requests by rank, then by whether they can still be on time, then by
- * time of arrival.
- */
+/** Compares requests by rank, then by time of arrival. */
 function compareUrgency(a: ActiveRequest, b: ActiveRequest): number {
-  return (
-    Number(a.isLate) - Number(b.isLate) ||
-    a.rank - b.rank ||
-    a.receivedAtMs - b.receivedAtMs
-  );
+  return a.rank - b.rank || a.receivedAtMs - b.receivedAtMs;
 }
 
 /** Returns whether a request goes before another one. */
@@ -48,12 +41,12 @@
   return queue.some(({rank}) => rank >= firstRank && rank <= lastRank);
 }
 
-/** Counts the queued requests that go before a new one. */
-export function countAhead(queue: WaitingQueue, added: ActiveRequest): number {
+/** Counts the queued requests that go before a new request of a rank. */
+export function countAhead(queue: WaitingQueue, rank: number): number {
   let count = 0;
   for (const request of queue) {
-    if (compareUrgency(request, added) > 0) break;
-    if (request !== added) count += 1;
+    if (request.rank > rank) break;
+    count += 1;
   }
   return count;
 }
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -5,7 +5,6 @@
   TimerQueue,
 } from '@ryeworks/utils';
 import {DispatchRate} from './admission/dispatchRate.js';
-import {RunTimes} from './admission/runTimes.js';
 import {StarvedRanks} from './admission/starvedRanks.js';
 import {WaitingQueue} from './admission/waitingQueue.js';
 import {
@@ -89,8 +88,6 @@
   readonly dispatchRates: Map<string, DispatchRate>;
   /** Ranks whose requests wait in vain, by service. */
   readonly starvedRanks: Map<string, StarvedRanks>;
-  /** How long calls take, by route. */
-  readonly runTimes: RunTimes;
   /** Retry budgets by service. */
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly moves: MoveTable;
@@ -167,7 +164,6 @@
     queues: new Map(),
     dispatchRates: new Map(),
     starvedRanks: new Map(),
-    runTimes: new Map(),
     retryBudgets: new Map(),
     moves: createMoveTable(),
     hasCheckedVersion: false,
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -44,17 +44,8 @@
   /** Priority in the queue; lower ranks are dispatched first. */
   readonly rank: number;
   readonly receivedAtMs: number;
-  /**
-   * How long after its arrival it may wait for an endpoint and still be answered
-   * on time, in ms.
-   */
+  /** How long after its arrival it may wait for an endpoint, in ms. */
   readonly maxWaitMs: number;
-  /** When its answer can no longer be on time unless it was sent, in ms. */
-  readonly lateAtMs: number;
-  /** Until when it may wait for an endpoint, on time or late, in ms. */
-  readonly keepUntilMs: number;
-  /** Whether it waits for capacity that requests on time leave. */
-  isLate: boolean;
   /** Deadline of the caller or of the route, whichever is earlier, in ms. */
   readonly timeoutAtMs: number;
   readonly promptTokens: number;
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,4 +1,3 @@
-import {recordRunTime} from '../admission/runTimes.js';
 import {recordAnsweredPart} from '../crashes/soundParts.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
@@ -145,11 +144,6 @@
     recordStreamEventGap(request, call, entry);
   }
   if (input.status < minUnsuccessfulStatus) {
-    recordRunTime(
-      state.runTimes,
-      request.route.name,
-      nowMs - call.startedAtMs,
-    );
     for (const part of request.sharedParts) {
       effects.push(
         ...recordAnsweredPart(state, part, request.attemptId, nowMs),
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -1,5 +1,4 @@
 import {ErrorKind} from '@ryeworks/types';
-import {decideKeepUntilMs, getElapsedMs} from '../admission/lateness.js';
 import {decideMaxWaitMs} from '../admission/maxWait.js';
 import {refuseOrQueue} from '../admission/refuseOrQueue.js';
 import {findQuarantine} from '../crashes/isQuarantined.js';
@@ -165,8 +164,6 @@
     route.latencyTargetMs,
     input.promptTokens,
   );
-  const timeoutAtMs = getTimeoutAtMs(route, input);
-  const lateAtMs = nowMs + maxWaitMs - getElapsedMs(route, input);
   return {
     requestId: input.requestId,
     attemptId: input.attemptId,
@@ -178,15 +175,7 @@
     receivedAtMs: input.receivedAtMs,
     // What it waited before it came here is no wait for an endpoint.
     maxWaitMs: nowMs - input.receivedAtMs + maxWaitMs,
-    lateAtMs,
-    keepUntilMs: decideKeepUntilMs(
-      state.runTimes,
-      route,
-      input.receivedAtMs,
-      timeoutAtMs,
-    ),
-    isLate: lateAtMs <= nowMs,
-    timeoutAtMs,
+    timeoutAtMs: getTimeoutAtMs(route, input),
     promptTokens: input.promptTokens,
     sharedParts: input.sharedParts,
     units,
