Large fleets: slots that no higher tier waits for, and few endpoints over all zones

Cause: in a fleet of more than 20 VMs the lowest tier may use 0.6 of each engine's slots even if no higher tier comes: 2 of 4 or 3 of 5. At 0.65 of the capacity in steady state, its requests are refused while slots are idle. And a VM calls the only server of a small service in its zone until that one is full by outdated digests, whatever the others do. Fewer than three callable endpoints in the zone: two of all zones are sampled.

--- a/admin/runTests.js
+++ b/admin/runTests.js
@@ -4,6 +4,11 @@
 
 /** Number of test files that run concurrently. */
 const concurrency = 3;
+/**
+ * Tests that run one at a time after all others: they load a process to its limits,
+ * which other tests on the same machine would distort.
+ */
+const exclusiveTests = ['hostileCallers'];
 /** Number of output lines printed for each failed test point. */
 const linesPerFailure = 25;
 
@@ -64,13 +69,21 @@
   )
   .sort();
 const count = tests.length;
+
+/** Returns whether a test must run alone. */
+function isExclusive(path) {
+  return exclusiveTests.some(name => path.endsWith(`/${name}.test.js`));
+}
+
+const exclusiveQueue = tests.filter(isExclusive);
+const sharedQueue = tests.filter(path => !isExclusive(path));
 let passed = 0;
 let failed = 0;
 
-/** Runs test files until the queue is empty. */
-async function runQueue() {
+/** Runs test files until a queue is empty. */
+async function runQueue(queue) {
   for (;;) {
-    const test = tests.shift();
+    const test = queue.shift();
     if (test === undefined) return;
     const source = getSource(test);
     const {code, output} = await runTest(test);
@@ -88,6 +101,9 @@
   }
 }
 
-await Promise.all(Array.from({length: concurrency}, runQueue));
+await Promise.all(
+  Array.from({length: concurrency}, () => runQueue(sharedQueue)),
+);
+await runQueue(exclusiveQueue);
 console.log(`${passed} passed, ${failed} failed`);
 process.exit(failed === 0 && count > 0 ? 0 : 1);
--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -249,6 +249,29 @@
   );
 });
 
+// Load pattern: 30 VMs in front of one application server in each zone. Guards
+// against a zone whose callers all get its only server, while others are idle.
+t.test('few endpoints of a service are shared by all zones', async t => {
+  const servers = ['a', 'b', 'c', 'd'].map((zone, index) =>
+    createEndpoint(`e${index}`, names.ledger, {
+      slots: 6,
+      availabilityZone: `zone-${zone}`,
+    }),
+  );
+  let localCalls = 0;
+  for (let vm = 0; vm < 60; vm++) {
+    const seed = getHash(`vm-${vm}`);
+    const state = createReadyState(servers, createDesiredState(), seed);
+    for (let peer = 0; peer < 30; peer++) {
+      const inFlight = peer < 4 ? {e0: 1} : {};
+      deliver(state, createDigest({vm: `peer-${peer}`, inFlight}), 0);
+    }
+    const id = dispatchRequest(state, createRequest('reading', 10), 10);
+    if (id === 'e0') localCalls += 1;
+  }
+  t.ok(localCalls <= 20, `${localCalls} of 60 go to the busy local server`);
+});
+
 t.test('a large fleet keeps more slots free for the highest tier', async t => {
   const state = createReadyState([{...engine, slots: 7}]);
   for (let peer = 0; peer < 30; peer++) {
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -23,6 +23,11 @@
 const loadWeights = {highestTier: 0.3, lowerTiers: 1.5} as const;
 /** Number of endpoints from which a VM of a large fleet picks the cheapest. */
 const maxSampledEndpoints = 3;
+/**
+ * The same for a service with fewer endpoints than that in the local zone. With few
+ * endpoints in all, more choices would send most calls to the one that seems idle.
+ */
+const maxSampledOverZones = 2;
 /** Weight of an endpoint's failure rate in the cost of a call. */
 const failureWeight = 4;
 
@@ -70,9 +75,10 @@
 }
 
 /**
- * Samples a few random endpoints, from the local zone if any of them is there
+ * Samples a few random endpoints, from the local zone if enough of them are there
  * because what is known of its load is most recent. If many VMs all picked the
- * cheapest endpoint by the same outdated load, their requests would pile up on it.
+ * cheapest endpoint by the same outdated load, their requests would pile up on it; so
+ * they would on the only one of the zone.
  */
 function sampleEndpoints(
   state: DispatchState,
@@ -82,8 +88,10 @@
   const inLocalZone = entries.filter(
     ({endpoint}) => endpoint.availabilityZone === localZone,
   );
-  const pool = inLocalZone.length > 0 ? inLocalZone : entries;
-  return sampleRandom(state.random, pool, maxSampledEndpoints);
+  if (inLocalZone.length < maxSampledEndpoints) {
+    return sampleRandom(state.random, entries, maxSampledOverZones);
+  }
+  return sampleRandom(state.random, inLocalZone, maxSampledEndpoints);
 }
 
 /**
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -2,6 +2,7 @@
   DispatchState,
   getDispatchRate,
   getQueue,
+  getRankContention,
   getStarvedRanks,
 } from '../dispatchState.js';
 import {createLog, Effect, Log} from '../effect.js';
@@ -196,6 +197,17 @@
   return startWaiting(state, request, nowMs);
 }
 
+/** Records that the most urgent request in a queue has to wait. */
+function recordQueueHead(
+  state: DispatchState,
+  service: string,
+  nowMs: number,
+): void {
+  const [first] = getQueue(state, service);
+  if (first === undefined) return;
+  getRankContention(state, service, nowMs).recordWait(first.rank, nowMs);
+}
+
 /** Queues a request and dispatches the requests that endpoints can take. */
 export function startWaiting(
   state: DispatchState,
@@ -212,6 +224,7 @@
   const effects = admitWaiting(state, request.service, nowMs);
   effects.push(...askForPermits(state, request.service, nowMs));
   if (queue.length > 0) {
+    recordQueueHead(state, request.service, nowMs);
     state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
   }
   return effects;
@@ -279,6 +292,7 @@
       ...admitWaiting(state, service, nowMs),
       ...askForPermits(state, service, nowMs),
     );
+    recordQueueHead(state, service, nowMs);
     queued += queue.length;
   }
   if (queued > 0) state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -5,6 +5,7 @@
   TimerQueue,
 } from '@ryeworks/utils';
 import {DispatchRate} from './admission/dispatchRate.js';
+import {RankContention} from './admission/rankContention.js';
 import {StarvedRanks} from './admission/starvedRanks.js';
 import {WaitingQueue} from './admission/waitingQueue.js';
 import {
@@ -88,6 +89,8 @@
   readonly dispatchRates: Map<string, DispatchRate>;
   /** Ranks whose requests wait in vain, by service. */
   readonly starvedRanks: Map<string, StarvedRanks>;
+  /** Ranks whose requests have had to wait lately, by service. */
+  readonly rankContention: Map<string, RankContention>;
   /** Retry budgets by service. */
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly moves: MoveTable;
@@ -164,6 +167,7 @@
     queues: new Map(),
     dispatchRates: new Map(),
     starvedRanks: new Map(),
+    rankContention: new Map(),
     retryBudgets: new Map(),
     moves: createMoveTable(),
     hasCheckedVersion: false,
@@ -222,6 +226,16 @@
   return getOrCreate(state.starvedRanks, service, () => new StarvedRanks());
 }
 
+/** Returns the contention of a service's ranks; creates it on first use. */
+export function getRankContention(
+  state: DispatchState,
+  service: string,
+  nowMs: number,
+): RankContention {
+  const create = () => new RankContention(nowMs);
+  return getOrCreate(state.rankContention, service, create);
+}
+
 /** Returns the retry budget of a service; creates it on first use. */
 export function getRetryBudget(
   state: DispatchState,
