--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -263,7 +263,7 @@
     const seed = getHash(`vm-${vm}`);
     const state = createReadyState(servers, createDesiredState(), seed);
     for (let peer = 0; peer < 30; peer++) {
-      const inFlight = peer < 4 ? {e0: 1} : {};
+      const inFlight: Record<string, number> = peer < 4 ? {e0: 1} : {};
       deliver(state, createDigest({vm: `peer-${peer}`, inFlight}), 0);
     }
     const id = dispatchRequest(state, createRequest('reading', 10), 10);
