--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -253,6 +253,20 @@
     to: 'if (true)',
     test: `${dispatch}/__tests__/overload.test.js`,
   },
+  {
+    promise: 'a large fleet keeps slots free while a higher tier waits at a peer',
+    file: `${dispatch}/peers/handlePeerMessage.js`,
+    from: /getRankContention\(state, service, nowMs\)\.recordWait\(rank, nowMs\);/,
+    to: '',
+    test: `${dispatch}/__tests__/rankContention.test.js`,
+  },
+  {
+    promise: 'a service with few endpoints is shared by all zones',
+    file: `${dispatch}/admission/pickEndpoint.js`,
+    from: /inLocalZone\.length < maxSampledEndpoints/,
+    to: 'inLocalZone.length === 0',
+    test: `${dispatch}/__tests__/admission.test.js`,
+  },
   {
     promise: "a customer's limit leaves room for usage that is known late",
     file: `${dispatch}/limits/customerUsage.js`,
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -245,6 +245,10 @@
       request: attemptId,
       waitedMs: Math.round(nowMs - receivedAtMs),
       queued: getQueue(state, service).length,
+      isContended: getRankContention(state, service, nowMs).isContended(
+        rank,
+        nowMs,
+      ),
       dispatchedPerSecond: dispatchRate.getPerSecond(nowMs),
       reportingPeers: countPeersWithRecentDigest(state.peers, nowMs),
     }),
