--- a/packages/ryeworks-dispatch/src/__tests__/warmUp.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/warmUp.test.ts
@@ -3,6 +3,7 @@
   Digest,
   DispatchState,
   Endpoint,
+  handleInput,
   openNotice,
   PermitAsk,
   StartCall,
@@ -187,3 +188,33 @@
   t.equal(state.endpoints.byId.get('l1')!.limit, undefined);
   t.ok(sendRequest(state, 27_000));
 });
+
+// Guards against warm-ups that are reported in deployments which have none, and
+// against one that outlasts the desired state that asked for it.
+t.test('a limit that is only named reports no warm-up', async t => {
+  for (const services of [[], warmUps]) {
+    const state = createState(createCold({coldForMs: 0}), services);
+    const limits = {l1: {perSecond: 3, isLifted: false, ageMs: 0}};
+    deliver(state, createDigest({limits}), 10);
+    state.timers.set('digest', '', 20);
+    const effects = handleInput(state, {kind: 'timerDue'}, 20);
+    const counted = listEffects(effects, 'count').map(({name}) => name);
+    t.notOk(counted.includes('warm_ups'));
+    t.ok(state.endpoints.byId.get('l1')!.limit);
+  }
+  const state = createState();
+  t.equal(sendRequest(state, 10), undefined);
+  const desiredState = createDesiredState(2);
+  runInput(state, {kind: 'desiredStateRead', desiredState}, 20);
+  runDigestTimer(state, 30);
+  t.ok(sendRequest(state, 40));
+});
+
+// Guards against a report of a peer that outweighs what the endpoint itself writes.
+t.test('an entry that is written without a cold time ends it', async t => {
+  const state = createState();
+  const endpoint = createCold({coldForMs: 0});
+  runInput(state, {kind: 'endpointChanged', endpoint}, 1000);
+  const count = countCalls(state, 1000, 8000);
+  t.ok(count > 100, `${count} calls, at a rate that rises`);
+});
--- a/packages/ryeworks-dispatch/src/dispatchOptions.ts
+++ b/packages/ryeworks-dispatch/src/dispatchOptions.ts
@@ -36,7 +36,7 @@
   const {coldBounds, drainMs, limitBounds} = from;
   const {retryBounds, trialAllowance, trialRatio} = from;
   return {
-    coldBounds,
+    ...(coldBounds === undefined ? {} : {coldBounds}),
     drainMs,
     limitBounds,
     retryBounds,
--- a/packages/ryeworks-dispatch/src/rateLimits/warmUp.ts
+++ b/packages/ryeworks-dispatch/src/rateLimits/warmUp.ts
@@ -56,7 +56,10 @@
   if (entry.limit === undefined && coldUntilMs <= nowMs) return [];
   const warmUp = findWarmUp(state, endpoint.service);
   if (warmUp === undefined) {
-    if (entry.limit !== undefined) entry.limit.coldUntilMs = -rampMs;
+    const {limit} = entry;
+    // The service has no warm-up any more: its rate need not rise step by step.
+    const hadWarmUp = limit !== undefined && Number.isFinite(limit.coldUntilMs);
+    if (hadWarmUp) limit.coldUntilMs = nowMs - rampMs;
     return [];
   }
   const wasCold = entry.limit !== undefined && isCold(entry.limit, nowMs);
@@ -97,8 +100,9 @@
 ): void {
   const {coldForMs} = entry.endpoint;
   const isKnown = coldForMs === entry.listedColdForMs;
+  const isWarm = coldForMs === 0 || entry.coldUntilMs <= nowMs;
   // A list of the same entry tells nothing new of a time that passes.
-  if (isKnown && !(isRead && entry.coldUntilMs <= nowMs)) return;
+  if (isKnown && !(isRead && isWarm)) return;
   entry.listedColdForMs = coldForMs;
   entry.coldUntilMs = coldForMs > 0 ? nowMs + coldForMs : nowMs;
 }
