--- a/packages/ryeworks-dispatch/src/__tests__/changedBounds.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/changedBounds.test.ts
@@ -9,6 +9,7 @@
   drainMs: 700,
   trialRatio: 0.3,
   trialAllowance: 11,
+  hedgeRatio: 0.05,
 };
 
 // Guards against a bound that keeps its value of the start when settings change.
--- a/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/fixtures.ts
@@ -131,6 +131,7 @@
     drainMs: 2000,
     trialRatio: 0.1,
     trialAllowance: 50,
+    hedgeRatio: 0,
   });
 }
 
--- a/packages/ryeworks-dispatch/src/dispatchOptions.ts
+++ b/packages/ryeworks-dispatch/src/dispatchOptions.ts
@@ -16,12 +16,25 @@
    * fraction, summed over all VMs.
    */
   readonly trialAllowance: number;
+  /**
+   * Fraction of a service's requests that may be hedged, 0 to 0.2; 0 sends no
+   * hedged requests.
+   */
+  readonly hedgeRatio: number;
 }
 
 /** Returns the bounds alone, without what else the given object holds. */
 export function getBounds(from: DispatchBounds): DispatchBounds {
-  const {drainMs, limitBounds, retryBounds, trialAllowance, trialRatio} = from;
-  return {drainMs, limitBounds, retryBounds, trialAllowance, trialRatio};
+  const {drainMs, hedgeRatio, limitBounds, retryBounds} = from;
+  const {trialAllowance, trialRatio} = from;
+  return {
+    drainMs,
+    hedgeRatio,
+    limitBounds,
+    retryBounds,
+    trialAllowance,
+    trialRatio,
+  };
 }
 
 /** Options that govern the dispatch decisions of one VM. */
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -15,6 +15,7 @@
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointTable, EndpointTable} from './endpoints/endpointTable.js';
 import {LastZoneResponses} from './endpoints/zoneCooldown.js';
+import {createHedgingState, HedgingState} from './hedging/hedgingState.js';
 import {RequestReceived} from './input.js';
 import {UsageByCustomer} from './limits/customerUsage.js';
 import {createMoveTable, MoveTable} from './moves/moveTable.js';
@@ -90,6 +91,7 @@
   readonly starvedRanks: Map<string, StarvedRanks>;
   /** Retry budgets by service. */
   readonly retryBudgets: Map<string, RetryBudget>;
+  readonly hedging: HedgingState;
   readonly moves: MoveTable;
   /**
    * Whether the first desired state was compared with what peers have applied.
@@ -165,6 +167,7 @@
     dispatchRates: new Map(),
     starvedRanks: new Map(),
     retryBudgets: new Map(),
+    hedging: createHedgingState(),
     moves: createMoveTable(),
     hasCheckedVersion: false,
     hasListedEndpoints: false,
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
@@ -0,0 +1,62 @@
+import {RetryBounds} from '../retries/retryBudget.js';
+
+/** Length of one time slice of the window, in ms. */
+const sliceMs = 500;
+/**
+ * Fraction of the ratio that a VM uses. The rest covers windows in which the load
+ * falls, and the requests of a VM that has restarted.
+ */
+const usedFraction = 0.8;
+
+/** Requests and hedged requests in one time slice. */
+interface Slice {
+  readonly startMs: number;
+  requests: number;
+  hedges: number;
+}
+
+/**
+ * Limits the hedged requests that this VM sends to one service to a fraction of
+ * its own requests in the retry window. As there is no allowance, the sum over all
+ * VMs keeps to the same fraction without any message between them.
+ */
+export class HedgeBudget {
+  private readonly slices: Slice[] = [];
+
+  /** Records a request of a caller. */
+  recordRequest(bounds: RetryBounds, nowMs: number): void {
+    this.getSlice(bounds, nowMs).requests += 1;
+  }
+
+  /** Returns whether another hedged request keeps to the ratio. */
+  hasRoom(ratio: number, bounds: RetryBounds, nowMs: number): boolean {
+    this.getSlice(bounds, nowMs);
+    let requests = 0;
+    let hedges = 0;
+    for (const slice of this.slices) {
+      hedges += slice.hedges;
+      // A slice that lies only partly in the window counts for its hedges alone.
+      if (slice.startMs > nowMs - bounds.windowMs) requests += slice.requests;
+    }
+    const usedRatio = usedFraction * Math.min(ratio, bounds.ratio);
+    return hedges + 1 <= usedRatio * requests;
+  }
+
+  /** Uses up one hedged request of the budget. */
+  consumeHedge(bounds: RetryBounds, nowMs: number): void {
+    this.getSlice(bounds, nowMs).hedges += 1;
+  }
+
+  private getSlice({windowMs}: RetryBounds, nowMs: number): Slice {
+    while (this.slices.length > 0) {
+      if (this.slices[0].startMs > nowMs - windowMs - sliceMs) break;
+      this.slices.shift();
+    }
+    const startMs = Math.floor(nowMs / sliceMs) * sliceMs;
+    const last = this.slices.at(-1);
+    if (last?.startMs === startMs) return last;
+    const slice = {startMs, requests: 0, hedges: 0};
+    this.slices.push(slice);
+    return slice;
+  }
+}
--- a/packages/ryeworks-gateway/src/__tests__/testOptions.ts
+++ b/packages/ryeworks-gateway/src/__tests__/testOptions.ts
@@ -13,4 +13,5 @@
   drainMs: 2000,
   trialRatio: 0.1,
   trialAllowance: 50,
+  hedgeRatio: 0,
 };
--- a/packages/ryeworks-gateway/src/settings/settingsEffects.ts
+++ b/packages/ryeworks-gateway/src/settings/settingsEffects.ts
@@ -31,6 +31,7 @@
   drainMs: atOnce,
   trialRatio: atOnce,
   trialAllowance: atOnce,
+  hedgeRatio: atOnce,
 };
 
 /** A setting that differs from the one before. */
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -181,6 +181,7 @@
         drainMs: fleetDrainMs,
         trialRatio: 0.1,
         trialAllowance: 50,
+        hedgeRatio: 0,
       },
       this.events,
       (sender, effect) => this.handleEffect(sender, effect),
--- a/packages/ryeworksd/src/bin/ryeworksd.ts
+++ b/packages/ryeworksd/src/bin/ryeworksd.ts
@@ -99,17 +99,31 @@
     stopAtSignal(await createEntryProcess(settings));
   });
 
+/** Options of the command `platform`. */
+interface PlatformOptions {
+  readonly settings?: string;
+  readonly checkSettings: boolean;
+  readonly hedgeRatio: string;
+}
+
 program
   .command('platform')
   .description("Serves callers of the users' platform.")
   .option('--settings <file>', 'settings; the platform names them by default')
   .option('--check-settings', 'check the settings and exit', false)
-  .action(async (options: {settings?: string; checkSettings: boolean}) => {
+  .option(
+    '--hedge-ratio <number>',
+    'fraction of requests that may be hedged if the settings name none',
+    '0',
+  )
+  .action(async (options: PlatformOptions) => {
     const platform = await import('@ryeworks/users-platform');
     const file = options.settings ?? platform.getSettingsFile(process.env);
-    const settings = await runOrExit(exitInvalidConfig, () =>
-      platform.loadNodeSettings(file),
-    );
+    const [settings, defaults] = await runOrExit(exitInvalidConfig, () => {
+      const hedgeRatio = platform.parseHedgeRatio(options.hedgeRatio);
+      const loaded = platform.loadNodeSettings(file, {hedgeRatio});
+      return [loaded, {hedgeRatio}] as const;
+    });
     if (options.checkSettings) {
       console.log(`${file}: ok`);
       return;
@@ -118,7 +132,12 @@
     const gateway = await runOrExit(exitFailed, () =>
       platform.createPlatformGateway(settings),
     );
-    const reloadSettings = platform.watchSettings(file, settings, gateway);
+    const reloadSettings = platform.watchSettings(
+      file,
+      settings,
+      gateway,
+      defaults,
+    );
     stopAtError(gateway);
     stopAtSignal(gateway, reloadSettings);
   });
