Hedged requests: a second call beside a late one, within a budget

Cause: a call that is later than almost all of its kind spoils the tail of the latency although another endpoint is idle; a standby call comes only after a silence of 0.6 or 1.5 of the latency target. Change: startCall schedules the timer 'hedge' at the learned 95th percentile of the route and prompt class; expireHedgeDelay decides on the obstacles, both budgets and the endpoint, and starts a second call, which resolveStandby resolves as it does for a standby call. A late call that loses is no failure of its endpoint unless its silence timeout has passed; its time still counts for the learned delay and for the endpoint's mean. An unsent hedged call counts against max_attempts.

--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -33,6 +33,8 @@
   | 'requestTimeout'
   /** Starts a standby call for a call that made no progress for too long. */
   | 'silence'
+  /** Starts a hedged request beside a call that is late. */
+  | 'hedge'
   /** Retries a request whose retry was put off. */
   | 'retry'
   /** Refuses queued requests that have waited too long. */
--- a/packages/ryeworks-dispatch/src/endpoints/latency.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/latency.ts
@@ -35,6 +35,20 @@
   entry.firstEventMs = addSample(entry.firstEventMs, sample, firstEventWeight);
 }
 
+/**
+ * Records that a call had no first event until it was canceled in favor of a hedged
+ * request. Without it, an endpoint would look faster the more often it is late.
+ */
+export function recordLateFirstEvent(
+  entry: EndpointEntry,
+  elapsedMs: number,
+  promptTokens: number,
+): void {
+  const sample = elapsedMs / getPromptFactor(promptTokens);
+  if (sample <= entry.firstEventMs) return;
+  entry.firstEventMs = addSample(entry.firstEventMs, sample, firstEventWeight);
+}
+
 /** Records the mean time between the events of a response. */
 export function recordEventGap(entry: EndpointEntry, gapMs: number): void {
   entry.eventGapMs = addSample(entry.eventGapMs, gapMs, eventGapWeight);
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -17,6 +17,7 @@
   handleStoreReachabilityChanged,
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
+import {expireHedgeDelay} from './hedging/expireHedgeDelay.js';
 import {
   BoundsChanged,
   DesiredStateRead,
@@ -76,6 +77,7 @@
 > = {
   requestTimeout: expireRequest,
   silence: expireSilentCall,
+  hedge: expireHedgeDelay,
   retry: expireRetryDelay,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
@@ -148,6 +150,7 @@
 const requestPurposes: ReadonlySet<TimerPurpose> = new Set([
   'requestTimeout',
   'silence',
+  'hedge',
   'retry',
   'earlyRequest',
 ]);
--- /dev/null
+++ b/packages/ryeworks-dispatch/src/hedging/expireHedgeDelay.ts
@@ -0,0 +1,70 @@
+import {DispatchState, getRetryBudget} from '../dispatchState.js';
+import {createCount, createLog, Effect} from '../effect.js';
+import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {ActiveCall, ActiveRequest} from '../requests/activeRequest.js';
+import {startHedgedCall} from '../requests/startCall.js';
+import {
+  findHedgeObstacle,
+  HedgeObstacle,
+  hedgeObstacle,
+} from './hedgeObstacle.js';
+import {getServiceHedging} from './hedgingState.js';
+import {pickHedgeEndpoint} from './pickHedgeEndpoint.js';
+
+/**
+ * Returns the endpoint of a hedged request, charged to both budgets, or the reason
+ * why there is none.
+ */
+function acquireHedgeEndpoint(
+  state: DispatchState,
+  request: ActiveRequest,
+  call: ActiveCall,
+  nowMs: number,
+): EndpointEntry | HedgeObstacle {
+  const obstacle = findHedgeObstacle(state, request, call, nowMs);
+  if (obstacle !== undefined) return obstacle;
+  const entry = pickHedgeEndpoint(state, request, call, nowMs);
+  if (entry === undefined) return hedgeObstacle.noEndpoint;
+  const {service} = request;
+  const {retryBounds} = state.options;
+  const vmCount = state.peers.byVm.size + 1;
+  const retryBudget = getRetryBudget(state, service);
+  if (!retryBudget.consumeRetry(retryBounds, vmCount, false, nowMs)) {
+    return hedgeObstacle.retryBudgetUsed;
+  }
+  const {budget} = getServiceHedging(state.hedging, service);
+  budget.consumeHedge(retryBounds, nowMs);
+  return entry;
+}
+
+/** Starts a hedged request if the only call of a request is late. */
+export function expireHedgeDelay(
+  state: DispatchState,
+  requestId: string,
+  nowMs: number,
+): Effect[] {
+  const request = state.requests.get(requestId);
+  if (request === undefined || request.calls.length !== 1) return [];
+  const [call] = request.calls;
+  const {endpointId, lateAtMs, startedAtMs} = call;
+  // The timer may be that of an earlier call.
+  if (lateAtMs === undefined || lateAtMs > nowMs) return [];
+  if (state.options.hedgeRatio === 0 || request.firstEventAtMs > 0) return [];
+  const {slowness} = getServiceHedging(state.hedging, request.service);
+  slowness.recordCall(endpointId, true, nowMs);
+  const found = acquireHedgeEndpoint(state, request, call, nowMs);
+  if (typeof found === 'string') {
+    return [createCount('hedges_denied', {reason: found})];
+  }
+  return [
+    createCount('hedges_sent'),
+    createLog('call_hedged', {
+      request: request.attemptId,
+      endpoint: endpointId,
+      hedgeEndpoint: found.endpoint.id,
+      delayMs: Math.round(lateAtMs - startedAtMs),
+      afterMs: Math.round(nowMs - startedAtMs),
+    }),
+    ...startHedgedCall(state, request, found, nowMs),
+  ];
+}
--- a/packages/ryeworks-dispatch/src/requests/activeRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/activeRequest.ts
@@ -14,6 +14,10 @@
   /** When the endpoint's process started, in ms since 1970; 0 if unknown. */
   readonly processStartedAtMs: number;
   readonly startedAtMs: number;
+  /** Whether it is a hedged request beside a late call. */
+  readonly isHedge: boolean;
+  /** When it counts as late, in ms; undefined if that is not decided. */
+  lateAtMs: number | undefined;
   /** Whether it was written to the endpoint. */
   isSent: boolean;
   /** Whether it has delivered an event or byte. */
@@ -62,7 +66,7 @@
   callsStarted: number;
   /**
    * The calls that have not ended, in the order of their start. A later one is a
-   * standby call, made because all before it are silent.
+   * standby call, made because all before it are silent, or a hedged request.
    */
   calls: ActiveCall[];
   /** Number of calls that were sent and may have run. */
--- a/packages/ryeworks-dispatch/src/requests/endRequest.ts
+++ b/packages/ryeworks-dispatch/src/requests/endRequest.ts
@@ -35,6 +35,7 @@
   const {calls} = request;
   request.calls = [];
   state.timers.clear('silence', request.requestId);
+  state.timers.clear('hedge', request.requestId);
   const effects: Effect[] = [];
   for (const call of calls) effects.push(...releaseSlot(state, call, nowMs));
   return effects;
--- a/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
+++ b/packages/ryeworks-dispatch/src/requests/findRetryObstacle.ts
@@ -52,13 +52,15 @@
   nowMs: number,
 ): RetryObstacle | undefined {
   const {maxAttempts} = request.route;
-  const {callsStarted, isRetryable, possibleRuns, sentCalls} = request;
+  const {calls, callsStarted, isRetryable, possibleRuns, sentCalls} = request;
   const timeLeftMs = request.timeoutAtMs - nowMs;
   if (isQuarantined(state.crashes, request, nowMs)) {
     return retryObstacle.quarantined;
   }
   if (!provesNotRun[failure] && !isRetryable) return retryObstacle.mayHaveRun;
-  if (possibleRuns >= maxAttempts) return retryObstacle.attemptsUsed;
+  const unsentHedges = calls.filter(call => call.isHedge && !call.isSent);
+  const runs = possibleRuns + unsentHedges.length;
+  if (runs >= maxAttempts) return retryObstacle.attemptsUsed;
   const maxSentCalls = maxAttempts + extraSentCalls;
   if (sentCalls >= maxSentCalls) return retryObstacle.arrivalsUsed;
   if (callsStarted >= maxCalls) return retryObstacle.callsUsed;
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -10,6 +10,7 @@
 } from '../endpoints/endpointTable.js';
 import {recordEventGap, recordFirstEvent} from '../endpoints/latency.js';
 import {recordZoneResponse} from '../endpoints/zoneCooldown.js';
+import {recordFirstProgress} from '../hedging/recordHedging.js';
 import {
   CallDone,
   CallerGone,
@@ -48,6 +49,19 @@
   return [];
 }
 
+/** Lets a call that makes progress, and no other, go on. */
+function handleProgress(
+  state: DispatchState,
+  request: ActiveRequest,
+  call: ActiveCall,
+  nowMs: number,
+): Effect[] {
+  return [
+    ...recordFirstProgress(state, request, call, nowMs),
+    ...resolveStandby(state, request, call, nowMs),
+  ];
+}
+
 /** Records progress of a response, and the time to its first event. */
 export function handleCallProgressed(
   state: DispatchState,
@@ -57,7 +71,7 @@
   const found = findCall(state, input);
   if (found === undefined) return [];
   const {call, request} = found;
-  const effects = resolveStandby(state, request, call, nowMs);
+  const effects = handleProgress(state, request, call, nowMs);
   call.lastProgressAtMs = nowMs;
   call.events = input.events;
   call.isSilenceLogged = false;
@@ -130,7 +144,7 @@
   const found = findCall(state, input);
   if (found === undefined) return [];
   const {call, request} = found;
-  const effects = resolveStandby(state, request, call, nowMs);
+  const effects = handleProgress(state, request, call, nowMs);
   const entry = getEndpointEntry(state, call);
   if (entry !== undefined) {
     recordOutcome(entry, true);
--- a/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleRequestReceived.ts
@@ -8,6 +8,7 @@
 import {findRoute, pickService} from '../desired/routeTable.js';
 import {DispatchState, getRetryBudget, isReady} from '../dispatchState.js';
 import {createCount, createLog, Effect, Log} from '../effect.js';
+import {recordHedgeableRequest} from '../hedging/recordHedging.js';
 import {RequestReceived} from '../input.js';
 import {LimitShare, consumeUnits} from '../limits/customerUsage.js';
 import {decideTrial} from '../moves/decideTrial.js';
@@ -244,6 +245,7 @@
   state.requests.set(request.requestId, request);
   const bounds = state.options.retryBounds;
   getRetryBudget(state, service).recordRequest(bounds, nowMs);
+  recordHedgeableRequest(state, service, nowMs);
   const {requestId, timeoutAtMs} = request;
   state.timers.set('requestTimeout', requestId, timeoutAtMs);
   const tier = `${request.tier}`;
--- a/packages/ryeworks-dispatch/src/requests/standbyCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/standbyCall.ts
@@ -11,11 +11,13 @@
   recordUnanswered,
   toleratedCuts,
 } from '../endpoints/endpointTable.js';
+import {recordLateFirstEvent} from '../endpoints/latency.js';
+import {recordLostCall} from '../hedging/recordHedging.js';
 import {ActiveCall, ActiveRequest} from './activeRequest.js';
 import {markAvoided} from './avoidedEndpoints.js';
 import {releaseSlot} from './endRequest.js';
 import {getEndpointEntry} from './findCall.js';
-import {scheduleSilenceTimeout} from './silenceTimeout.js';
+import {getSilenceTimeoutMs, scheduleSilenceTimeout} from './silenceTimeout.js';
 
 /**
  * Returns an endpoint that can take over a request at once; undefined if there
@@ -35,6 +37,33 @@
   return pickEndpoint(state, untried, snapshot, nowMs);
 }
 
+/** The reasons why a call is canceled in favor of another one. */
+const cancelReason = {
+  silent: 'silent',
+  /** A silent call went on, so its standby call is canceled. */
+  resumed: 'resumed',
+  /** A hedged request made progress first; the late call is not a failure. */
+  hedgeWon: 'hedge_won',
+  hedgeLost: 'hedge_lost',
+} as const;
+
+/** Returns the reason why a call is canceled in favor of the kept one. */
+function classifyCancel(
+  state: DispatchState,
+  request: ActiveRequest,
+  canceled: ActiveCall,
+  kept: ActiveCall,
+  nowMs: number,
+): (typeof cancelReason)[keyof typeof cancelReason] {
+  if (canceled.callNumber > kept.callNumber) {
+    return canceled.isHedge ? cancelReason.hedgeLost : cancelReason.resumed;
+  }
+  if (!kept.isHedge) return cancelReason.silent;
+  const silentMs = nowMs - canceled.lastProgressAtMs;
+  const isSilent = silentMs >= getSilenceTimeoutMs(state, request, canceled);
+  return isSilent ? cancelReason.silent : cancelReason.hedgeWon;
+}
+
 /** Cancels a call of a request in favor of the one that made progress. */
 function cancelCall(
   state: DispatchState,
@@ -45,8 +74,16 @@
 ): Effect[] {
   const {attemptId, requestId} = request;
   const {callNumber, endpointId} = canceled;
-  const wasSilent = callNumber < kept.callNumber;
+  const reason = classifyCancel(state, request, canceled, kept, nowMs);
+  const wasSilent = reason === cancelReason.silent;
   const entry = getEndpointEntry(state, canceled);
+  if (callNumber < kept.callNumber) {
+    recordLostCall(state, request, canceled, nowMs);
+  }
+  if (entry !== undefined && reason === cancelReason.hedgeWon) {
+    const elapsedMs = nowMs - canceled.startedAtMs;
+    recordLateFirstEvent(entry, elapsedMs, request.promptTokens);
+  }
   if (entry !== undefined && wasSilent) {
     recordOutcome(entry, false);
     recordUnanswered(entry, toleratedCuts, nowMs);
@@ -60,7 +97,7 @@
       call: callNumber,
       keptEndpoint: kept.endpointId,
       keptCall: kept.callNumber,
-      reason: wasSilent ? 'silent' : 'resumed',
+      reason,
     }),
     ...releaseSlot(state, canceled, nowMs),
   ];
--- a/packages/ryeworks-dispatch/src/requests/startCall.ts
+++ b/packages/ryeworks-dispatch/src/requests/startCall.ts
@@ -3,6 +3,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {createCount, createLog, Effect} from '../effect.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
+import {scheduleHedge} from '../hedging/scheduleHedge.js';
 import {noCounts} from '../moves/moveTable.js';
 import {consumePermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from './activeRequest.js';
@@ -13,6 +14,7 @@
   state: DispatchState,
   request: ActiveRequest,
   entry: EndpointEntry,
+  isHedge: boolean,
   nowMs: number,
 ): void {
   consumePermit(state, entry, nowMs);
@@ -23,6 +25,8 @@
     endpointId: entry.endpoint.id,
     processStartedAtMs: entry.notices.startedAtMs,
     startedAtMs: nowMs,
+    isHedge,
+    lateAtMs: undefined,
     isSent: false,
     hasFirstEvent: false,
     lastProgressAtMs: nowMs,
@@ -46,13 +50,27 @@
   entry: EndpointEntry,
   nowMs: number,
 ): Effect[] {
-  addCall(state, request, entry, nowMs);
+  addCall(state, request, entry, false, nowMs);
   return [
     createCount('calls_repeated', {reason: 'silent'}),
     ...createCallEffects(state, request, entry, nowMs),
   ];
 }
 
+/**
+ * Starts a hedged request beside a late call. As with a standby call, the first
+ * progress decides which of them goes on.
+ */
+export function startHedgedCall(
+  state: DispatchState,
+  request: ActiveRequest,
+  entry: EndpointEntry,
+  nowMs: number,
+): Effect[] {
+  addCall(state, request, entry, true, nowMs);
+  return createCallEffects(state, request, entry, nowMs);
+}
+
 /** Starts the first call of a request, or its next one after a failure. */
 export function startCall(
   state: DispatchState,
@@ -61,12 +79,13 @@
   nowMs: number,
 ): Effect[] {
   request.phase = 'calling';
-  addCall(state, request, entry, nowMs);
+  addCall(state, request, entry, false, nowMs);
   const labels = {tier: `${request.tier}`};
   const valueMs = Math.round(nowMs - request.receivedAtMs);
   return [
     ...createCallEffects(state, request, entry, nowMs),
     {kind: 'observe', name: 'waited_ms', labels, valueMs},
+    ...scheduleHedge(state, request, nowMs),
   ];
 }
 
