--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -347,6 +347,32 @@
     to: "request.phase = 'waiting'; const refused = undefined;",
     test: `${dispatch}/__tests__/stops.test.js`,
   },
+  {
+    promise: 'hedged requests keep to their budget over all VMs',
+    file: `${dispatch}/hedging/hedgeBudget.js`,
+    from: /return hedges \+ 1 <= usedRatio \* requests;/,
+    to: 'return true;',
+    test: `${dispatch}/__tests__/hedging.test.js`,
+  },
+  {
+    promise: 'what may run at most once is not hedged',
+    file: `${dispatch}/hedging/scheduleHedge.js`,
+    from: /!isRetryable \|\| firstEventAtMs > 0/,
+    to: 'firstEventAtMs > 0',
+    test: `${dispatch}/__tests__/hedging.test.js`,
+    also: {
+      file: `${dispatch}/requests/findRetryObstacle.js`,
+      from: /!provesNotRun\[failure\] && !isRetryable/,
+      to: 'false',
+    },
+  },
+  {
+    promise: 'the call that loses against a hedged request is canceled',
+    file: `${dispatch}/requests/standbyCall.js`,
+    from: /\{ kind: 'cancelCall', requestId, callNumber \},/,
+    to: '',
+    test: `${dispatch}/__tests__/hedging.test.js`,
+  },
   {
     promise: 'a body is kept until no other call can follow',
     file: `${dispatch}/requests/startCall.js`,
--- a/packages/ryeworks-dispatch/src/__tests__/hedging.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/hedging.test.ts
@@ -396,6 +396,22 @@
   });
 }
 
+// Guards against a second answer to a stream that has begun.
+t.test('a stream is hedged before its first event only', async t => {
+  for (const hasBegun of [false, true]) {
+    const models = [1, 2, 3].map(number =>
+      createEndpoint(`m${number}`, names.model),
+    );
+    const state = createLearnedState('urgent', models);
+    const {first} = startRequest(state, 'urgent', learnedAtMs);
+    const progress = {kind: 'callProgressed', ...first, events: 1} as const;
+    if (hasBegun) runInput(state, progress, learnedAtMs + 1);
+    const effects = runTimers(state, learnedAtMs + answerMs * 2);
+    const count = listEffects(effects, 'startCall').length;
+    t.equal(count, hasBegun ? 0 : 1);
+  }
+});
+
 // Guards against deployments that are changed by what they did not ask for.
 t.test('without a ratio nothing is learned and no timer is set', async t => {
   const state = createReadyState(createLedgers(4));
--- a/packages/ryeworks-lab/src/measure/hedging.ts
+++ b/packages/ryeworks-lab/src/measure/hedging.ts
@@ -113,6 +113,9 @@
   const {fault, load, seed, strategy} = run;
   const events = new EventQueue();
   const random = createRandomSource(seed);
+  // Apart, so that all strategies meet the same requests and faults.
+  const arrivalRandom = createRandomSource(seed + 1000);
+  const faultRandom = createRandomSource(seed + 2000);
   const startedAtMs = new Map<string, number>();
   const latenciesMs: number[] = [];
   let requests = 0;
@@ -233,8 +236,8 @@
       events.schedule(10_000, startFault);
       return;
     }
-    const id = ids[random.nextInt(ids.length)];
-    const durationMs = fault === 'hang' ? 1000 : 200 + random.nextInt(400);
+    const id = ids[faultRandom.nextInt(ids.length)];
+    const durationMs = fault === 'hang' ? 1000 : 200 + faultRandom.nextInt(400);
     slowUntilMs.set(id, nowMs + durationMs);
     events.schedule(fault === 'hang' ? 5000 : 1000, startFault);
   };
@@ -245,7 +248,7 @@
   const perMs = (load * endpointCount * slots) / meanMs;
   const sendNext = (): void => {
     if (events.nowMs > endMs) return;
-    const vm = vms.get(`vm-${random.nextInt(vmCount)}`)!;
+    const vm = vms.get(`vm-${arrivalRandom.nextInt(vmCount)}`)!;
     const requestId = `r${startedAtMs.size}`;
     startedAtMs.set(requestId, events.nowMs);
     if (events.nowMs >= warmUpMs) requests += 1;
@@ -261,7 +264,7 @@
       totalTokens: undefined,
       sharedParts: [],
     });
-    const gapMs = -Math.log(Math.max(1e-9, random.next())) / perMs;
+    const gapMs = -Math.log(Math.max(1e-9, arrivalRandom.next())) / perMs;
     events.schedule(gapMs, sendNext);
   };
   sendNext();
--- a/packages/ryeworks-lab/src/measure/runHedgingMeasurement.ts
+++ b/packages/ryeworks-lab/src/measure/runHedgingMeasurement.ts
@@ -4,7 +4,7 @@
 import {hedgingFaults, hedgingStrategies, measureHedging} from './hedging.js';
 
 const loads = [0.3, 0.7, 0.95, 1.2];
-const seeds = [1, 2];
+const seeds = [1, 2, 3, 4];
 /** Largest share of extra calls of hedged requests: the ratio that is set. */
 const maxExtraShare = 0.05;
 
