--- a/packages/ryeworks-dispatch/src/__tests__/hedging.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/hedging.test.ts
@@ -1,5 +1,6 @@
 import {createRandomSource} from '@ryeworks/utils';
 import t from 'tap';
+import {getLearnedDelay} from '../hedging/hedgingState.js';
 import {
   DesiredState,
   DispatchState,
@@ -255,6 +256,11 @@
     const endpoints = route === 'booking' ? createLedgers(4) : models;
     const desired = createDesiredState(1, changes);
     const state = createLearnedState(route, endpoints, desired);
+    // Even if a delay is known.
+    const learned = getLearnedDelay(state.hedging, route, 100, learnedAtMs);
+    for (let count = 0; count < 100; count++) {
+      learned.recordSample(answerMs, learnedAtMs);
+    }
     startRequest(state, route, learnedAtMs);
     const effects: Effect[] = [];
     for (let ms = 0; ms < 7900; ms += 10) {
