--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -1,4 +1,5 @@
 import {crashMutations} from './crashMutations.js';
+import {loadMutations} from './loadMutations.js';
 import {shellMutations} from './shellMutations.js';
 
 const scheduler = 'packages/ryeworks-scheduler/dist';
@@ -232,13 +233,6 @@
     to: '&& false',
     test: `${dispatch}/__tests__/callObstacles.test.js`,
   },
-  {
-    promise: 'a customer does not wait behind the queue of another one',
-    file: `${dispatch}/admission/fairQueue.js`,
-    from: /Math\.max\(virtualTime, finishTags\.get\(customer\) \?\? 0\)/,
-    to: '0',
-    test: `${dispatch}/__tests__/fairQueueing.test.js`,
-  },
   {
     promise: 'the last endpoint of a service is called while it drains',
     file: `${dispatch}/endpoints/callObstacles.js`,
@@ -260,20 +254,6 @@
     to: 'if (true)',
     test: `${dispatch}/__tests__/overload.test.js`,
   },
-  {
-    promise: 'a large fleet keeps slots free while a higher tier waits at a peer',
-    file: `${dispatch}/peers/handlePeerMessage.js`,
-    from: /getRankContention\(state, service, nowMs\)\.recordWait\(rank, nowMs\);/,
-    to: '',
-    test: `${dispatch}/__tests__/rankContention.test.js`,
-  },
-  {
-    promise: 'a service with few endpoints is shared by all zones',
-    file: `${dispatch}/admission/pickEndpoint.js`,
-    from: /inLocalZone\.length < maxSampledEndpoints/,
-    to: 'inLocalZone.length === 0',
-    test: `${dispatch}/__tests__/admission.test.js`,
-  },
   {
     promise: "a customer's limit leaves room for usage that is known late",
     file: `${dispatch}/limits/customerUsage.js`,
@@ -368,27 +348,6 @@
     to: "request.phase = 'waiting'; const refused = undefined;",
     test: `${dispatch}/__tests__/stops.test.js`,
   },
-  {
-    promise: 'a cold endpoint gets calls on permits only (FAILBACK)',
-    file: `${dispatch}/rateLimits/warmUp.js`,
-    from: /if \(!wasCold && coldUntilMs <= nowMs\)/,
-    to: 'if (true)',
-    test: `${lab}/__tests__/warmUp.test.js`,
-  },
-  {
-    promise: 'no call reaches a zone that is evacuated (EVAC)',
-    file: `${dispatch}/endpoints/callObstacles.js`,
-    from: /evacuations\.has\(endpoint\.availabilityZone\)/,
-    to: 'false',
-    test: `${dispatch}/__tests__/evacuations.test.js`,
-  },
-  {
-    promise: 'a request is served in the regions of its customer only (HOME)',
-    file: `${dispatch}/endpoints/allowedRegions.js`,
-    from: /&& isAllowed\(customerRegions, region\)/,
-    to: '',
-    test: `${dispatch}/__tests__/allowedRegions.test.js`,
-  },
   {
     promise: 'a body is kept until no other call can follow',
     file: `${dispatch}/requests/startCall.js`,
@@ -405,5 +364,6 @@
 export const proofMutations = [
   ...coreMutations,
   ...crashMutations,
+  ...loadMutations,
   ...shellMutations,
 ];
--- a/packages/ryeworks-dispatch/src/__tests__/changedBounds.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/changedBounds.test.ts
@@ -10,6 +10,7 @@
   trialRatio: 0.3,
   trialAllowance: 11,
   coldBounds: {overrun: 2, allowance: 6},
+  hedgeRatio: 0.05,
 };
 
 // Guards against a bound that keeps its value of the start when settings change.
--- a/packages/ryeworks-dispatch/src/dispatchOptions.ts
+++ b/packages/ryeworks-dispatch/src/dispatchOptions.ts
@@ -29,15 +29,21 @@
   readonly trialAllowance: number;
   /** `defaultColdBounds` if undefined. */
   readonly coldBounds?: ColdBounds;
+  /**
+   * Fraction of a service's requests that may be hedged, 0 to 0.2; 0 sends no
+   * hedged requests.
+   */
+  readonly hedgeRatio: number;
 }
 
 /** Returns the bounds alone, without what else the given object holds. */
 export function getBounds(from: DispatchBounds): DispatchBounds {
-  const {coldBounds, drainMs, limitBounds} = from;
+  const {coldBounds, drainMs, hedgeRatio, limitBounds} = from;
   const {retryBounds, trialAllowance, trialRatio} = from;
   return {
     ...(coldBounds === undefined ? {} : {coldBounds}),
     drainMs,
+    hedgeRatio,
     limitBounds,
     retryBounds,
     trialAllowance,
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -17,6 +17,7 @@
 import {DispatchOptions} from './dispatchOptions.js';
 import {createEndpointTable, EndpointTable} from './endpoints/endpointTable.js';
 import {LastZoneResponses} from './endpoints/zoneCooldown.js';
+import {createHedgingState, HedgingState} from './hedging/hedgingState.js';
 import {RequestReceived} from './input.js';
 import {UsageByCustomer} from './limits/customerUsage.js';
 import {createMoveTable, MoveTable} from './moves/moveTable.js';
@@ -34,6 +35,8 @@
   | 'requestTimeout'
   /** Starts a standby call for a call that made no progress for too long. */
   | 'silence'
+  /** Starts a hedged request beside a call that is late. */
+  | 'hedge'
   /** Retries a request whose retry was put off. */
   | 'retry'
   /** Refuses queued requests that have waited too long. */
@@ -104,6 +107,7 @@
   readonly rankContention: Map<string, RankContention>;
   /** Retry budgets by service. */
   readonly retryBudgets: Map<string, RetryBudget>;
+  readonly hedging: HedgingState;
   readonly moves: MoveTable;
   /**
    * Whether the first desired state was compared with what peers have applied.
@@ -187,6 +191,7 @@
     starvedRanks: new Map(),
     rankContention: new Map(),
     retryBudgets: new Map(),
+    hedging: createHedgingState(),
     moves: createMoveTable(),
     hasCheckedVersion: false,
     hasListedEndpoints: false,
--- a/packages/ryeworks-dispatch/src/handleInput.ts
+++ b/packages/ryeworks-dispatch/src/handleInput.ts
@@ -18,6 +18,7 @@
   sweepMissing,
 } from './endpoints/handleEndpoints.js';
 import {handleEvacuationsRead} from './endpoints/evacuations.js';
+import {expireHedgeDelay} from './hedging/expireHedgeDelay.js';
 import {
   BoundsChanged,
   DesiredStateRead,
@@ -78,6 +79,7 @@
 > = {
   requestTimeout: expireRequest,
   silence: expireSilentCall,
+  hedge: expireHedgeDelay,
   retry: expireRetryDelay,
   sweepWaiting,
   earlyRequest: expireEarlyRequest,
@@ -151,6 +153,7 @@
 const requestPurposes: ReadonlySet<TimerPurpose> = new Set([
   'requestTimeout',
   'silence',
+  'hedge',
   'retry',
   'earlyRequest',
 ]);
--- a/packages/ryeworks-gateway/src/settings/settingsEffects.ts
+++ b/packages/ryeworks-gateway/src/settings/settingsEffects.ts
@@ -34,6 +34,7 @@
   coldBounds: atOnce,
   trialRatio: atOnce,
   trialAllowance: atOnce,
+  hedgeRatio: atOnce,
 };
 
 /** A setting that differs from the one before. */
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -195,6 +195,7 @@
         trialAllowance: 50,
         evacuationMs: this.options.evacuationMs,
         regionByZone: this.options.regionByZone,
+        hedgeRatio: 0,
       },
       this.events,
       (sender, effect) => this.handleEffect(sender, effect),
