Revert slots of lower tiers by contention; small services over all zones stay

Change: the fractions are those of before. Only services with fewer than three endpoints listed in the zone are sampled over all zones; before, the rule also applied to zones whose endpoints were cold or full (warmUp.test.ts, 195 VMs).

--- a/admin/loadMutations.js
+++ b/admin/loadMutations.js
@@ -10,19 +10,11 @@
     to: '0',
     test: `${dispatch}/__tests__/fairQueueing.test.js`,
   },
-  {
-    promise:
-      'a large fleet keeps slots free while a higher tier waits at a peer',
-    file: `${dispatch}/peers/handlePeerMessage.js`,
-    from: /getRankContention\(state, service, nowMs\)\.recordWait\(rank, nowMs\);/,
-    to: '',
-    test: `${dispatch}/__tests__/rankContention.test.js`,
-  },
   {
     promise: 'a service with few endpoints is shared by all zones',
     file: `${dispatch}/admission/pickEndpoint.js`,
-    from: /inLocalZone\.length < maxSampledEndpoints/,
-    to: 'inLocalZone.length === 0',
+    from: /localCount < maxSampledEndpoints/,
+    to: 'localCount === 0',
     test: `${dispatch}/__tests__/admission.test.js`,
   },
   {
--- a/packages/ryeworks-dispatch/src/admission/capacity.ts
+++ b/packages/ryeworks-dispatch/src/admission/capacity.ts
@@ -1,4 +1,4 @@
-import {DispatchState, getRankContention} from '../dispatchState.js';
+import {DispatchState} from '../dispatchState.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {countPeerCalls} from '../peers/peerTable.js';
 import {isLargeFleet} from '../peers/relayDigests.js';
@@ -16,14 +16,10 @@
 /**
  * Calls that an endpoint may receive in a large fleet, as a fraction of its
  * slots, by the same distance. With many VMs, their calls in flight become
- * known late, so slots are kept free for higher tiers: behind responses of the
- * lowest tier their requests would wait for seconds. More are kept free while
- * requests of higher tiers have to wait.
+ * known late, so more slots are kept free for the highest tier: behind
+ * responses of the lowest tier its requests would wait for seconds.
  */
-const capacityFractions = {
-  free: [1.15, 1, 0.8],
-  contended: [1.15, 0.85, 0.6],
-} as const;
+const capacityFractionByTierDistance = [1.15, 0.85, 0.6] as const;
 
 /**
  * Returns the distance of a request's tier from the highest tier of its
@@ -46,20 +42,14 @@
   state: DispatchState,
   entry: EndpointEntry,
   request: ActiveRequest,
-  nowMs: number,
 ): number {
-  const {service, slots} = entry.endpoint;
+  const {slots} = entry.endpoint;
   const maxDistance = extraCallsByTierDistance.length - 1;
   const distance = Math.min(maxDistance, getTierDistance(state, request));
-  if (!isLargeFleet(state)) {
-    return Math.max(1, slots + extraCallsByTierDistance[distance]);
-  }
-  const contention = getRankContention(state, service, nowMs);
-  const isContended = contention.isContended(request.rank, nowMs);
-  const fractions = isContended
-    ? capacityFractions.contended
-    : capacityFractions.free;
-  return Math.max(1, Math.round(slots * fractions[distance]));
+  const capacity = isLargeFleet(state)
+    ? Math.round(slots * capacityFractionByTierDistance[distance])
+    : slots + extraCallsByTierDistance[distance];
+  return Math.max(1, capacity);
 }
 
 /** Counts the calls of all VMs at an endpoint, as far as this VM knows them. */
@@ -80,5 +70,5 @@
   nowMs: number,
 ): boolean {
   const calls = countCalls(state, entry, nowMs);
-  return calls < getCapacity(state, entry, request, nowMs);
+  return calls < getCapacity(state, entry, request);
 }
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -31,6 +31,11 @@
 /** Weight of an endpoint's failure rate in the cost of a call. */
 const failureWeight = 4;
 
+/** Returns whether an endpoint is in the zone of this VM. */
+function isLocal(state: DispatchState, {endpoint}: EndpointEntry): boolean {
+  return endpoint.availabilityZone === state.options.availabilityZone;
+}
+
 /** Estimates the cost of a call to an endpoint. */
 function estimateCost(
   state: DispatchState,
@@ -50,9 +55,7 @@
     request.promptTokens,
   );
   const failureFactor = 1 + failureWeight * entry.failureRate;
-  const isInLocalZone =
-    entry.endpoint.availabilityZone === state.options.availabilityZone;
-  const zoneFactor = isInLocalZone ? 1 : remoteZoneCostFactor;
+  const zoneFactor = isLocal(state, entry) ? 1 : remoteZoneCostFactor;
   return (
     (1 + firstEventMs) * (1 + loadWeight * load) * failureFactor * zoneFactor
   );
@@ -63,6 +66,8 @@
   readonly entries: readonly EndpointEntry[];
   /** Their mean time to the first event, in ms; 0 if unknown. */
   readonly firstEventMs: number;
+  /** Number of them in the local zone. */
+  readonly localCount: number;
 }
 
 /** Creates a snapshot of a service, to pick endpoints at one moment. */
@@ -71,27 +76,28 @@
   service: string,
 ): ServiceSnapshot {
   const entries = [...listEndpoints(state.endpoints, service)];
-  return {entries, firstEventMs: getMeanFirstEventMs(entries)};
+  const localCount = entries.filter(entry => isLocal(state, entry)).length;
+  const firstEventMs = getMeanFirstEventMs(entries);
+  return {entries, firstEventMs, localCount};
 }
 
 /**
- * Samples a few random endpoints, from the local zone if enough of them are there
+ * Samples a few random endpoints, from the local zone if any of them is there
  * because what is known of its load is most recent. If many VMs all picked the
  * cheapest endpoint by the same outdated load, their requests would pile up on it; so
  * they would on the only one of the zone.
  */
 function sampleEndpoints(
   state: DispatchState,
-  entries: EndpointEntry[],
+  callable: EndpointEntry[],
+  localCount: number,
 ): EndpointEntry[] {
-  const localZone = state.options.availabilityZone;
-  const inLocalZone = entries.filter(
-    ({endpoint}) => endpoint.availabilityZone === localZone,
-  );
-  if (inLocalZone.length < maxSampledEndpoints) {
-    return sampleRandom(state.random, entries, maxSampledOverZones);
+  if (localCount < maxSampledEndpoints) {
+    return sampleRandom(state.random, callable, maxSampledOverZones);
   }
-  return sampleRandom(state.random, inLocalZone, maxSampledEndpoints);
+  const inLocalZone = callable.filter(entry => isLocal(state, entry));
+  const pool = inLocalZone.length > 0 ? inLocalZone : callable;
+  return sampleRandom(state.random, pool, maxSampledEndpoints);
 }
 
 /**
@@ -101,12 +107,12 @@
 export function pickEndpoint(
   state: DispatchState,
   request: ActiveRequest,
-  {entries, firstEventMs}: ServiceSnapshot,
+  {entries, firstEventMs, localCount}: ServiceSnapshot,
   nowMs: number,
 ): EndpointEntry | undefined {
   const callable = listCallableEndpoints(state, request, entries, nowMs);
   const choices = isLargeFleet(state)
-    ? sampleEndpoints(state, callable)
+    ? sampleEndpoints(state, callable, localCount)
     : callable;
   let cheapest: EndpointEntry | undefined;
   let lowestCost = Number.POSITIVE_INFINITY;
--- a/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
+++ b/packages/ryeworks-dispatch/src/admission/refuseOrQueue.ts
@@ -3,7 +3,6 @@
   getDispatchRate,
   getFairQueue,
   getQueue,
-  getRankContention,
   getStarvedRanks,
 } from '../dispatchState.js';
 import {createCount, createLog, Effect, Log} from '../effect.js';
@@ -232,17 +231,6 @@
   return [createCount('fair_queue_reordered', {tier: `${request.tier}`})];
 }
 
-/** Records that the most urgent request in a queue has to wait. */
-function recordQueueHead(
-  state: DispatchState,
-  service: string,
-  nowMs: number,
-): void {
-  const [first] = getQueue(state, service);
-  if (first === undefined) return;
-  getRankContention(state, service, nowMs).recordWait(first.rank, nowMs);
-}
-
 /** Queues a request and dispatches the requests that endpoints can take. */
 export function startWaiting(
   state: DispatchState,
@@ -259,7 +247,6 @@
   effects.push(...admitWaiting(state, request.service, nowMs));
   effects.push(...askForPermits(state, request.service, nowMs));
   if (queue.length > 0) {
-    recordQueueHead(state, request.service, nowMs);
     state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
   }
   return effects;
@@ -285,10 +272,6 @@
       queued: getQueue(state, service).length,
       customer: request.customer,
       waitingCustomers: countCustomers(getQueue(state, service)),
-      isContended: getRankContention(state, service, nowMs).isContended(
-        rank,
-        nowMs,
-      ),
       dispatchedPerSecond: dispatchRate.getPerSecond(nowMs),
       reportingPeers: countPeersWithRecentDigest(state.peers, nowMs),
     }),
@@ -336,7 +319,6 @@
       ...admitWaiting(state, service, nowMs),
       ...askForPermits(state, service, nowMs),
     );
-    recordQueueHead(state, service, nowMs);
     queued += queue.length;
   }
   if (queued > 0) state.timers.set('sweepWaiting', '', nowMs + sweepPeriodMs);
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -6,7 +6,6 @@
 } from '@ryeworks/utils';
 import {DispatchRate} from './admission/dispatchRate.js';
 import {FairQueue} from './admission/fairQueue.js';
-import {RankContention} from './admission/rankContention.js';
 import {StarvedRanks} from './admission/starvedRanks.js';
 import {WaitingQueue} from './admission/waitingQueue.js';
 import {
@@ -103,8 +102,6 @@
   readonly dispatchRates: Map<string, DispatchRate>;
   /** Ranks whose requests wait in vain, by service. */
   readonly starvedRanks: Map<string, StarvedRanks>;
-  /** Ranks whose requests have had to wait lately, by service. */
-  readonly rankContention: Map<string, RankContention>;
   /** Retry budgets by service. */
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly hedging: HedgingState;
@@ -189,7 +186,6 @@
     fairQueues: new Map(),
     dispatchRates: new Map(),
     starvedRanks: new Map(),
-    rankContention: new Map(),
     retryBudgets: new Map(),
     hedging: createHedgingState(),
     moves: createMoveTable(),
@@ -262,16 +258,6 @@
   return getOrCreate(state.starvedRanks, service, () => new StarvedRanks());
 }
 
-/** Returns the contention of a service's ranks; creates it on first use. */
-export function getRankContention(
-  state: DispatchState,
-  service: string,
-  nowMs: number,
-): RankContention {
-  const create = () => new RankContention(nowMs);
-  return getOrCreate(state.rankContention, service, create);
-}
-
 /** Returns the retry budget of a service; creates it on first use. */
 export function getRetryBudget(
   state: DispatchState,
--- a/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
+++ b/packages/ryeworks-dispatch/src/peers/handlePeerMessage.ts
@@ -1,6 +1,6 @@
 import {admitWaiting} from '../admission/admitWaiting.js';
 import {applyCrashReports} from '../crashes/crashReports.js';
-import {DispatchState, getQueue, getRankContention} from '../dispatchState.js';
+import {DispatchState, getQueue} from '../dispatchState.js';
 import {checkFirstVersion} from '../desired/checkFirstVersion.js';
 import {fetchNewerVersion} from '../desired/fetchNewerVersion.js';
 import {createCount, createLog, Effect} from '../effect.js';
@@ -30,18 +30,6 @@
   nowMs: number,
 ) => Effect[];
 
-/** Records which requests have to wait at a peer of this zone. */
-function recordPeerHeads(
-  state: DispatchState,
-  {availabilityZone, heads}: Digest,
-  nowMs: number,
-): void {
-  if (availabilityZone !== state.options.availabilityZone) return;
-  for (const [service, {rank}] of Object.entries(heads)) {
-    getRankContention(state, service, nowMs).recordWait(rank, nowMs);
-  }
-}
-
 /**
  * Applies a digest to the peer table, and fetches the sender's desired state or
  * store view if they are newer.
@@ -61,7 +49,6 @@
   for (const usage of applyDigest(state.peers, digest, isRelayed, nowMs)) {
     addPeerUsage(state.usageByCustomer, usage.customer, usage.units, nowMs);
   }
-  recordPeerHeads(state, digest, nowMs);
   effects.push(
     ...applyLimitReports(state, digest.limits ?? {}, vm, nowMs),
     ...applyLeavingReports(state, digest.leaving ?? {}, vm, nowMs),
