Hedged requests: the budget holds while the load falls

Cause: the requests of a busy time allowed hedged requests after it; a fall to a quarter left 35 hedged requests in a window of 250 requests, of 25 allowed.

--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -350,8 +350,8 @@
   {
     promise: 'hedged requests keep to their budget over all VMs',
     file: `${dispatch}/hedging/hedgeBudget.js`,
-    from: /return hedges \+ 1 <= usedRatio \* requests;/,
-    to: 'return true;',
+    from: /return checkedFractions\.every/,
+    to: 'return true || checkedFractions.every',
     test: `${dispatch}/__tests__/hedging.test.js`,
   },
   {
--- a/packages/ryeworks-dispatch/src/__tests__/hedging.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/hedging.test.ts
@@ -1,5 +1,6 @@
 import {createRandomSource} from '@ryeworks/utils';
 import t from 'tap';
+import {HedgeBudget} from '../hedging/hedgeBudget.js';
 import {getLearnedDelay} from '../hedging/hedgingState.js';
 import {
   DesiredState,
@@ -112,6 +113,35 @@
   });
 }
 
+// Guards against hedged requests that the requests of an earlier, busier time allow.
+t.test('the budget holds while the load falls', async t => {
+  const bounds = {ratio: 0.2, windowMs, allowance: 0};
+  for (const laterGapMs of [20, 40, 200]) {
+    const budget = new HedgeBudget();
+    const requestTimes: number[] = [];
+    const hedgeTimes: number[] = [];
+    const countRecent = (times: readonly number[], nowMs: number) =>
+      times.filter(atMs => atMs > nowMs - windowMs).length;
+    let excess = Number.NEGATIVE_INFINITY;
+    for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
+      const isBusy = nowMs < 15_000;
+      if (nowMs % (isBusy ? 10 : laterGapMs) === 0) {
+        budget.recordRequest(bounds, nowMs);
+        requestTimes.push(nowMs);
+        // From then on, each fifth call is late.
+        const isLate = !isBusy && requestTimes.length % 5 === 0;
+        if (isLate && budget.hasRoom(hedgeRatio, bounds, nowMs)) {
+          budget.consumeHedge(bounds, nowMs);
+          hedgeTimes.push(nowMs);
+        }
+      }
+      const allowed = hedgeRatio * countRecent(requestTimes, nowMs);
+      excess = Math.max(excess, countRecent(hedgeTimes, nowMs) - allowed);
+    }
+    t.ok(excess <= 0 && hedgeTimes.length > 0, `largest excess: ${excess}`);
+  }
+});
+
 // Guards against hedged requests that exceed the retry budget.
 t.test('hedged requests are charged to the retry budget', async t => {
   const state = createLearnedState();
--- a/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
+++ b/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
@@ -8,6 +8,13 @@
  */
 const usedFraction = 0.8;
 
+/**
+ * Parts of the window, up to now, in which the ratio must hold as well. If only the
+ * whole window counted, the requests of a busy time would allow hedged requests long
+ * after the load has fallen.
+ */
+const checkedFractions = [1, 0.25] as const;
+
 /** Requests and hedged requests in one time slice. */
 interface Slice {
   readonly startMs: number;
@@ -31,15 +38,26 @@
   /** Returns whether another hedged request keeps to the ratio. */
   hasRoom(ratio: number, bounds: RetryBounds, nowMs: number): boolean {
     this.getSlice(bounds, nowMs);
-    let requests = 0;
-    let hedges = 0;
-    for (const slice of this.slices) {
-      hedges += slice.hedges;
-      // A slice that lies only partly in the window counts for its hedges alone.
-      if (slice.startMs > nowMs - bounds.windowMs) requests += slice.requests;
-    }
     const usedRatio = usedFraction * Math.min(ratio, bounds.ratio);
-    return hedges + 1 <= usedRatio * requests;
+    return checkedFractions.every(fraction => {
+      const sums = this.sumSlices(bounds.windowMs * fraction, nowMs);
+      const allowed = usedRatio * sums.requests;
+      const isWhole = fraction === 1;
+      return sums.hedges + 1 <= (isWhole ? allowed : Math.max(1, allowed));
+    });
+  }
+
+  /**
+   * Returns the hedged requests of at least the last `spanMs`, and the requests of
+   * at most that: a slice that lies partly in it counts for its hedged ones only.
+   */
+  private sumSlices(spanMs: number, nowMs: number) {
+    const sums = {requests: 0, hedges: 0};
+    for (const {hedges, requests, startMs} of this.slices) {
+      if (startMs > nowMs - spanMs - sliceMs) sums.hedges += hedges;
+      if (startMs > nowMs - spanMs) sums.requests += requests;
+    }
+    return sums;
   }
 
   /** Uses up one hedged request of the budget. */
