Limits on callers outside our control (in progress)

Change: connection limits, pieces for the HTTP parser, a budget for heads and bytes sent ahead, few bodies of small chunks at a time, guards on all listeners.

--- a/admin/shellMutations.js
+++ b/admin/shellMutations.js
@@ -60,4 +60,25 @@
     to: 'if (true)',
     test: `${gateway}/__tests__/readBody.test.js`,
   },
+  {
+    promise: 'no connection is closed while its request is being answered',
+    file: `${gateway}/callers/connectionLimits.js`,
+    from: /if \(this\.options\.isAnswering\(connection\)\)\s+continue;/,
+    to: '',
+    test: `${gateway}/__tests__/connectionLimits.test.js`,
+  },
+  {
+    promise: 'the progress of a caller is measured in bytes per second',
+    file: `${gateway}/callers/connectionLimits.js`,
+    from: /bytes \* 1000 < durationMs \* minBytesPerSecond/,
+    to: 'bytes === 0',
+    test: `${gateway}/__tests__/connectionLimits.test.js`,
+  },
+  {
+    promise: 'bodies of small chunks are read a few at a time',
+    file: `${gateway}/callers/smallChunkLimits.js`,
+    from: /if \(ahead >= maxReading\)\s+return false;/,
+    to: '',
+    test: `${gateway}/__tests__/connectionLimits.test.js`,
+  },
 ];
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -162,6 +162,7 @@
   requests_refused: ['reason', 'tier'],
   requests_ended: ['outcome', 'tier'],
   requests_unanswered: ['cause'],
+  connections_limited: ['listener', 'reason'],
   internal_errors: ['source'],
   calls_started: ['tier'],
   calls_failed: ['failure'],
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -5,13 +5,17 @@
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {RequestInfo, WireFormat} from '../deploymentInterfaces.js';
 import {HeldBody} from '../memory/heldBody.js';
-import {MemoryBudget} from '../memory/memoryBudget.js';
+import {MemoryBudget, MemoryCharge} from '../memory/memoryBudget.js';
 import {Clock, HostPort, queuedOutcome} from '@ryeworks/utils';
 import {CallerConnections, RequestEnd} from './callerConnections.js';
+import {deriveCallerMaximums} from './connectionLimits.js';
 import {findHeadFault, hasUnknownExpectation} from './headFault.js';
+import {LimitReason, ListenerGuard} from './listenerGuard.js';
 import {OpenRequest, OpenRequests} from './openRequest.js';
 import {BodyReader} from './readBody.js';
+import {findInlet} from './socketInlet.js';
 import {
+  excessRefusal,
   formatUnreadableAnswer,
   getUnreadableRefusal,
   isDisconnect,
@@ -43,6 +47,17 @@
  * sends for longer may not get the refusal.
  */
 const maxDiscardMs = 5000;
+/** Interval at which the progress of the connections is measured, in ms. */
+const progressCheckMs = 500;
+/** Fewest bytes of a header field: its name, and two for each of its ends. */
+const minFieldBytes = 5;
+/**
+ * Memory for a request and its answer, and for one of its header fields, in bytes:
+ * Node's objects, and two strings with their entries in its lists, which are copied
+ * for the call of the endpoint.
+ */
+const requestMemoryBytes = 4096;
+const fieldMemoryBytes = 400;
 /** Retry-after time of a request for whose body there is no memory, in ms. */
 const unreadRetryAfterMs = 1000;
 
@@ -63,6 +78,10 @@
 
 /** Dependencies of a caller server. */
 export interface CallerServerOptions {
+  /** Open files that the process may have; undefined if not limited. */
+  readonly maxDescriptors: number | undefined;
+  /** Called when a connection is refused or closed because of a limit. */
+  readonly reportLimit: (reason: LimitReason, listener: string) => void;
   readonly clock: Clock;
   readonly loop: DispatchLoop;
   readonly wire: WireFormat;
@@ -89,17 +108,32 @@
  */
 export class CallerServer {
   private readonly server: Server;
-  private readonly connections = new CallerConnections();
+  private readonly connections: CallerConnections;
+  private readonly guard: ListenerGuard;
+  /** What the headers of the open requests take. */
+  private readonly headCharges = new Map<string, MemoryCharge>();
   private readonly bodyReader: BodyReader;
   private nextRequestNumber = 1;
   /** Connections on which nothing can be read any more. */
   private readonly unreadable = new WeakSet<Socket>();
+  private progressTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
   private isClosed = false;
 
   constructor(private readonly options: CallerServerOptions) {
     const {budget, clock} = options;
     this.bodyReader = new BodyReader(budget, clock.readNowMs);
+    this.connections = new CallerConnections({
+      budget,
+      handleExcess: socket => this.refuseExcess(socket),
+    });
+    this.guard = new ListenerGuard({
+      ...deriveCallerMaximums(options.maxDescriptors),
+      listener: 'callers',
+      readNowMs: clock.readNowMs,
+      report: options.reportLimit,
+      isAnswering: socket => this.connections.isAnswering(socket),
+    });
     this.server = createServer(
       {
         maxHeaderSize: maxParserHeaderBytes,
@@ -117,7 +151,9 @@
     this.server.on('connect', (_request, socket) =>
       this.handleConnect(socket as Socket),
     );
-    this.server.on('connection', socket => this.connections.add(socket));
+    this.server.on('connection', socket => {
+      if (this.guard.admit(socket)) this.connections.add(socket);
+    });
     this.server.on('clientError', (error: ReadError, socket) =>
       this.handleReadError(error, socket as Socket),
     );
@@ -131,6 +167,11 @@
 
   /** Starts to accept connections. */
   listen({host, port}: HostPort): Promise<void> {
+    this.progressTimer = setInterval(() => {
+      this.guard.sweep();
+      this.connections.resumeAll();
+    }, progressCheckMs);
+    this.progressTimer.unref();
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, () => resolve());
@@ -138,7 +179,11 @@
   }
 
   /** Applies the bounds of the desired state. */
-  applyBounds({headerTimeoutMs, idleTimeoutMs}: CallerBounds): void {
+  applyBounds(bounds: CallerBounds): void {
+    const {headerTimeoutMs, idleTimeoutMs, maxHeaderBytes} = bounds;
+    // Node leaves out the fields beyond it; one more is refused for its size.
+    this.server.maxHeadersCount =
+      Math.floor(maxHeaderBytes / minFieldBytes) + 1;
     this.server.headersTimeout = headerTimeoutMs;
     this.server.keepAliveTimeout = idleTimeoutMs + keepAliveMarginMs;
   }
@@ -166,6 +211,7 @@
   /** Stops listening and closes every connection. */
   close(): Promise<void> {
     this.isClosed = true;
+    clearInterval(this.progressTimer);
     // The process may exit before the connections emit their ends.
     this.connections.endRequests();
     return new Promise(resolve => {
@@ -186,7 +232,11 @@
     const receivedAtMs = clock.readNowMs();
     const requestId = `${this.nextRequestNumber++}`;
     response.sendDate = false;
-    this.connections.addRequest({
+    const headCharge = new MemoryCharge(this.options.budget);
+    this.headCharges.set(requestId, headCharge);
+    const fields = request.rawHeaders.length / 2;
+    headCharge.set(requestMemoryBytes + fields * fieldMemoryBytes);
+    const isAdded = this.connections.addRequest({
       request,
       response,
       begin: () => {
@@ -197,7 +247,28 @@
           },
         );
       },
-      handleEnd: end => this.handleEnd(requestId, request, response, end),
+      handleEnd: end => {
+        this.releaseHead(requestId);
+        this.handleEnd(requestId, request, response, end);
+      },
+    });
+    if (!isAdded) this.releaseHead(requestId);
+  }
+
+  private releaseHead(requestId: string): void {
+    this.headCharges.get(requestId)?.set(0);
+    this.headCharges.delete(requestId);
+  }
+
+  /** Ends a connection whose unread bytes there is no memory for. */
+  private refuseExcess(socket: Socket): void {
+    if (this.unreadable.has(socket)) return;
+    this.unreadable.add(socket);
+    this.options.reportLimit('memoryShort', 'callers');
+    findInlet(socket)?.startDiscarding();
+    this.connections.getQueue(socket)?.endReading(() => {
+      socket.write(formatUnreadableAnswer(excessRefusal));
+      socket.destroySoon();
     });
   }
 
@@ -213,6 +284,10 @@
       return;
     }
     const headFault = findHeadFault(request, maxHeaderBytes);
+    if (headFault === undefined && !this.options.budget.canHoldSmall(0)) {
+      this.refuse(request, response, 'memoryShort');
+      return;
+    }
     if (headFault !== undefined) {
       this.refuse(request, response, headFault);
       return;
@@ -382,7 +457,10 @@
     reportUnreadable(error, requestInfo.attemptId);
     // An error in the rest of its body is no other request.
     this.unreadable.add(request.socket);
-    void openRequest.refuseUnread(error, unreadRetryAfterMs, maxDiscardMs);
+    void openRequest.refuseUnread(error, unreadRetryAfterMs, {
+      maxMs: maxDiscardMs,
+      maxBytes: this.getBounds().maxBodyBytes,
+    });
     response.once('close', () => openRequest.release());
   }
 }
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -42,6 +42,12 @@
   return {status, headers, body};
 }
 
+/** How much of the rest of a refused body is read and discarded. */
+export interface DiscardBounds {
+  readonly maxMs: number;
+  readonly maxBytes: number;
+}
+
 /** A caller's request that was read and is not completely answered yet. */
 export class OpenRequest {
   /**
@@ -170,20 +176,19 @@
 
   /**
    * Refuses a request whose body was not read to its end, and closes the
-   * connection. Discards the rest of the body before that, for `maxDiscardMs` at
-   * most: if a connection is closed with unread bytes, the caller's system may
+   * connection. Discards the rest of the body before that, within `bounds`: if a connection is closed with unread bytes, the caller's system may
    * drop the answer before the caller has read it.
    */
   async refuseUnread(
     kind: ErrorKind,
     retryAfterMs: number,
-    maxDiscardMs: number,
+    {maxBytes, maxMs}: DiscardBounds,
   ): Promise<void> {
     const answer = createErrorAnswer(kind, retryAfterMs);
     this.closeAfterAnswerIf(() => true);
     this.writeHead(answer);
     this.response.write(answer.body);
-    await dropBody(this.request, maxDiscardMs);
+    await dropBody(this.request, maxMs, maxBytes);
     this.response.end();
   }
 
--- a/packages/ryeworks-gateway/src/callers/readBody.ts
+++ b/packages/ryeworks-gateway/src/callers/readBody.ts
@@ -4,6 +4,9 @@
 import {IncomingMessage} from 'node:http';
 import {HeldBody} from '../memory/heldBody.js';
 import {MemoryBudget} from '../memory/memoryBudget.js';
+import {isTooSlow} from './connectionLimits.js';
+import {SmallChunkLimits} from './smallChunkLimits.js';
+import {findInlet} from './socketInlet.js';
 
 /** Size up to which a body counts as small, in bytes. */
 const maxSmallBytes = 65_536;
@@ -37,6 +40,9 @@
   readonly expectedBytes: number;
   /** When its last part arrived, or when its socket was read on, in ms. */
   progressedAtMs: number;
+  /** When its rate was last checked, in ms, and its size then, in bytes. */
+  windowStartMs: number;
+  windowBytes: number;
   /** Since when its socket is not read, in ms; undefined if it is read. */
   waitingSinceMs: number | undefined;
   readonly finish: (outcome: BodyOutcome) => void;
@@ -60,6 +66,7 @@
   /** In the order of their arrival. */
   private readonly reading = new Set<ReadingBody>();
   private waiting = 0;
+  private readonly smallChunks = new SmallChunkLimits<ReadingBody>();
   private cancelCheck: (() => void) | undefined;
 
   constructor(
@@ -89,17 +96,25 @@
         bounds,
         expectedBytes,
         progressedAtMs: this.readNowMs(),
+        windowStartMs: this.readNowMs(),
+        windowBytes: 0,
         waitingSinceMs: undefined,
         finish: outcome => {
           if (!this.reading.delete(reading)) return;
           if (reading.waitingSinceMs !== undefined) this.waiting -= 1;
           request.removeAllListeners('data');
+          const inlet = findInlet(request.socket);
           if ('body' in outcome) {
             body.charge.set(body.sizeBytes);
           } else {
             request.pause();
             body.release();
+            // What follows would cost processor time without use.
+            if (this.smallChunks.isCostly(reading)) inlet?.startDiscarding();
           }
+          if (this.smallChunks.drop(reading)) this.resumeBodies();
+          inlet?.setSmallPieces(false);
+          inlet?.release();
           resolve(outcome);
         },
       };
@@ -132,6 +147,15 @@
     }
     reading.progressedAtMs = this.readNowMs();
     body.add(chunk);
+    if (
+      this.smallChunks.recordChunk(
+        reading,
+        chunk.length,
+        reading.progressedAtMs,
+      )
+    ) {
+      this.holdCostly(reading);
+    }
     const neededBytes = Math.min(
       expectedBytes,
       body.sizeBytes + readAheadBytes,
@@ -149,17 +173,39 @@
       if (reading.body.charge.bytes >= reading.expectedBytes) continue;
       reading.waitingSinceMs = nowMs;
       this.waiting += 1;
-      reading.request.pause();
+      this.pause(reading);
     }
     this.resumeBodies();
   }
 
+  /** Lets a body of small chunks wait while older ones are read. */
+  private holdCostly(reading: ReadingBody): void {
+    findInlet(reading.request.socket)?.setSmallPieces(true);
+    if (this.smallChunks.canRead(reading)) return;
+    if (reading.waitingSinceMs === undefined) {
+      reading.waitingSinceMs = this.readNowMs();
+      this.waiting += 1;
+    }
+    this.pause(reading);
+  }
+
+  /**
+   * Stops reading a body. What its connection has received is kept as it is: as
+   * chunks of the paused request, it would take many times its size.
+   */
+  private pause({request}: ReadingBody): void {
+    const inlet = findInlet(request.socket);
+    if (inlet === undefined) request.pause();
+    else inlet.hold();
+  }
+
   /** Reads on: all bodies, or while the budget is short, the oldest that fit. */
   private resumeBodies(): void {
     if (this.waiting === 0) return;
     for (const reading of this.reading) {
       if (reading.waitingSinceMs === undefined) continue;
       const {body, expectedBytes, request} = reading;
+      if (!this.smallChunks.canRead(reading)) continue;
       if (this.budget.isShort) {
         const rest = expectedBytes - body.charge.bytes;
         if (!this.budget.canHoldLarge(rest)) return;
@@ -167,8 +213,13 @@
       }
       reading.waitingSinceMs = undefined;
       reading.progressedAtMs = this.readNowMs();
+      reading.windowStartMs = reading.progressedAtMs;
+      reading.windowBytes = body.sizeBytes;
+      this.smallChunks.startTurn(reading, reading.progressedAtMs);
       this.waiting -= 1;
-      request.resume();
+      const inlet = findInlet(request.socket);
+      if (inlet === undefined) request.resume();
+      else inlet.release();
     }
   }
 
@@ -181,13 +232,35 @@
     }, checkPeriodMs);
   }
 
+  /**
+   * Returns whether a body makes no progress for what it keeps others from: memory
+   * while it is short, or processor time while other bodies of small chunks wait.
+   */
+  private isInTheWay(reading: ReadingBody, nowMs: number): boolean {
+    const {body, bounds, waitingSinceMs, windowBytes, windowStartMs} = reading;
+    const {headerTimeoutMs} = bounds;
+    if (waitingSinceMs !== undefined) return false;
+    if (this.smallChunks.hasUsedTurn(reading, nowMs, headerTimeoutMs))
+      return true;
+    const elapsedMs = nowMs - windowStartMs;
+    if (elapsedMs < headerTimeoutMs) return false;
+    reading.windowStartMs = nowMs;
+    reading.windowBytes = body.sizeBytes;
+    const isSlow = isTooSlow(body.sizeBytes - windowBytes, elapsedMs);
+    return isSlow && this.budget.isShort;
+  }
+
   /** Ends the bodies that do not go on, or that are read for too long. */
   private endSlowBodies(nowMs: number): void {
     for (const reading of [...this.reading]) {
       const {bounds, finish, progressedAtMs, waitingSinceMs} = reading;
       const {deadlineAtMs = Number.POSITIVE_INFINITY, headerTimeoutMs} = bounds;
       const quietMs = nowMs - (waitingSinceMs ?? progressedAtMs);
-      if (quietMs < headerTimeoutMs && nowMs < deadlineAtMs) continue;
+      const isEnded =
+        quietMs >= headerTimeoutMs ||
+        nowMs >= deadlineAtMs ||
+        this.isInTheWay(reading, nowMs);
+      if (!isEnded) continue;
       const isWaiting = waitingSinceMs !== undefined;
       finish({refusal: isWaiting ? 'memoryShort' : 'bodyTooSlow'});
     }
@@ -196,11 +269,12 @@
 
 /**
  * Discards what is left of a request's body, until it has ended or the caller has
- * disconnected, for `maxMs` at most.
+ * disconnected, for `maxMs` and `maxBytes` at most.
  */
 export function dropBody(
   request: IncomingMessage,
   maxMs: number,
+  maxBytes: number,
 ): Promise<void> {
   return new Promise(resolve => {
     if (request.complete || request.socket.destroyed) {
@@ -214,6 +288,13 @@
         resolve();
       });
     }
+    let discardedBytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      discardedBytes += chunk.length;
+      if (discardedBytes <= maxBytes) return;
+      clearTimeout(timer);
+      resolve();
+    });
     request.resume();
   });
 }
--- a/packages/ryeworks-gateway/src/callers/unreadableRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/unreadableRequest.ts
@@ -13,6 +13,11 @@
 }
 
 const malformed: UnreadableRefusal = {status: 400, reason: 'malformedRequest'};
+/** Refusal of what a connection holds when there is no memory for it. */
+export const excessRefusal: UnreadableRefusal = {
+  status: 503,
+  reason: 'memoryShort',
+};
 /** Refusals by error code; any other error is a malformed request. */
 const refusals: Readonly<Record<string, UnreadableRefusal>> = {
   ERR_HTTP_REQUEST_TIMEOUT: {status: 408, reason: 'headersTooSlow'},
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -25,6 +25,7 @@
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {CallerServer} from './callers/callerServer.js';
 import {createAnswerHandlers} from './callers/createAnswerHandlers.js';
+import {LimitReason} from './callers/listenerGuard.js';
 import {OpenRequests} from './callers/openRequest.js';
 import {createFaultHandler, reportFault} from './core/createFaultHandler.js';
 import {createFetchHandlers} from './core/createFetchHandlers.js';
@@ -136,6 +137,14 @@
   return budget;
 }
 
+/** Creates the function that reports connections beyond a limit. */
+function createLimitReporter(logger: Logger, metrics: PrometheusMetrics) {
+  return (reason: LimitReason, listener: string) => {
+    metrics.count('connections_limited', {listener, reason});
+    logger.warn('connection_limited', {listener, reason});
+  };
+}
+
 /**
  * Creates the dependency injection container, the only place where the
  * components are wired together.
@@ -190,6 +199,8 @@
       ({budget, clock, logger, loop, metrics, openRequests}: Components) =>
         new CallerServer({
           budget,
+          maxDescriptors: settings.maxDescriptors,
+          reportLimit: createLimitReporter(logger, metrics),
           clock,
           loop,
           wire,
@@ -328,6 +339,8 @@
       isReady: () => isReady(state) && state.stop === undefined,
       getDesiredState: () => state.desiredState.current,
       getStoreView: () => createStoreView(state),
+      readNowMs: components.clock.readNowMs,
+      reportLimit: createLimitReporter(logger, metrics),
     },
     disposables,
   );
--- a/packages/ryeworks-gateway/src/gatewaySettings.ts
+++ b/packages/ryeworks-gateway/src/gatewaySettings.ts
@@ -24,6 +24,8 @@
   readonly relayCapacity: number;
   /** Memory that the process may use, in bytes; undefined if not limited. */
   readonly memoryBytes: number | undefined;
+  /** Open files that the process may have; undefined if not limited. */
+  readonly maxDescriptors: number | undefined;
   /** Maximum log lines per second; lines beyond it are dropped and counted. */
   readonly logLinesPerSecond: number;
 }
--- a/packages/ryeworks-gateway/src/memory/heldBody.ts
+++ b/packages/ryeworks-gateway/src/memory/heldBody.ts
@@ -1,6 +1,14 @@
 import {ByteCollector} from '@ryeworks/utils';
 import {MemoryBudget, MemoryCharge} from './memoryBudget.js';
 
+/** Returns a copy of a small part of a block, which would keep the whole block. */
+function copySmallPart(chunk: Buffer): Buffer {
+  if (chunk.length * 2 > chunk.buffer.byteLength) return chunk;
+  const copied = Buffer.allocUnsafeSlow(chunk.length);
+  chunk.copy(copied);
+  return copied;
+}
+
 /** A request's body, kept once. */
 export class HeldBody {
   readonly charge: MemoryCharge;
@@ -20,7 +28,9 @@
   /** Adds a chunk. */
   add(chunk: Buffer): void {
     this.size += chunk.length;
-    this.collector.addChunk(chunk);
+    // The collector keeps the first chunk as it is, and copies small ones after it.
+    const isFirst = this.size === chunk.length;
+    this.collector.addChunk(isFirst ? copySmallPart(chunk) : chunk);
   }
 
   /** Returns the body in chunks. */
--- a/packages/ryeworks-gateway/src/reports/textServer.ts
+++ b/packages/ryeworks-gateway/src/reports/textServer.ts
@@ -1,6 +1,10 @@
 import {createServer, IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
 import {gzipSync} from 'node:zlib';
 import {HostPort} from '@ryeworks/utils';
+import {ConnectionMaximums} from '../callers/connectionLimits.js';
+import {LimitReason, ListenerGuard} from '../callers/listenerGuard.js';
+import {findInlet, SocketInlet} from '../callers/socketInlet.js';
 
 /** Answer of a text server. */
 export interface TextAnswer {
@@ -9,6 +13,13 @@
   readonly text: string;
 }
 
+/** Limits of a text server, and who is told of them. */
+export interface TextServerLimits extends ConnectionMaximums {
+  readonly listener: string;
+  readonly readNowMs: () => number;
+  readonly report: (reason: LimitReason, listener: string) => void;
+}
+
 /**
  * Functions that create the answers of a text server, by path. A function that
  * returns the same object again has its answer compressed only once.
@@ -23,6 +34,13 @@
  */
 const minCompressedBytes = 32 * 1024;
 
+/** Time within which a client must send the headers of a request, in ms. */
+const headersTimeoutMs = 5000;
+/** Time after which a connection without any transfer is closed, in ms. */
+const silenceTimeoutMs = 15_000;
+/** Interval at which the progress of the connections is measured, in ms. */
+const progressCheckMs = 500;
+
 const notFound: TextAnswer = {
   status: 404,
   contentType: 'text/plain',
@@ -34,6 +52,8 @@
   text: 'failed\n',
 };
 
+/** Bytes of answers, so that clients which read slowly share them; kept as below. */
+const plainBodies = new WeakMap<TextAnswer, Buffer>();
 /** Compressed answers; kept as long as the answers themselves. */
 const compressedBodies = new WeakMap<TextAnswer, Buffer>();
 
@@ -62,6 +82,21 @@
   return body;
 }
 
+/** Returns the body of an answer as it is. */
+function getPlainBody(answer: TextAnswer): Buffer {
+  const known = plainBodies.get(answer);
+  if (known !== undefined) return known;
+  const body = Buffer.from(answer.text);
+  plainBodies.set(answer, body);
+  return body;
+}
+
+/** Returns whether a request has a body, which no route of a text server reads. */
+function hasBody({headers}: IncomingMessage): boolean {
+  const length = headers['content-length'] ?? '0';
+  return length !== '0' || headers['transfer-encoding'] !== undefined;
+}
+
 /** Sends an answer, compressed if the client accepts that and it is large. */
 function sendAnswer(
   request: IncomingMessage,
@@ -71,11 +106,14 @@
   const {contentType, status, text} = answer;
   const acceptsGzip = request.headers['accept-encoding'] === 'gzip';
   const isCompressed = acceptsGzip && text.length >= minCompressedBytes;
-  const body = isCompressed ? getCompressedBody(answer) : Buffer.from(text);
+  const body = isCompressed ? getCompressedBody(answer) : getPlainBody(answer);
+  const isLast = hasBody(request);
+  if (isLast) findInlet(request.socket)?.startDiscarding();
   response.writeHead(status, {
     'content-type': contentType,
     'content-length': body.length,
     ...(isCompressed ? {'content-encoding': 'gzip'} : {}),
+    ...(isLast ? {connection: 'close'} : {}),
   });
   response.end(body);
 }
@@ -88,16 +126,45 @@
 export function startTextServer(
   {host, port}: HostPort,
   routes: TextRoutes,
+  limits: TextServerLimits,
 ): Promise<() => void> {
-  const server = createServer((request, response) => {
+  /** Connections with a request that is not answered, or an unread answer. */
+  const answering = new Set<Socket>();
+  const guard = new ListenerGuard({
+    ...limits,
+    isAnswering: () => false,
+  });
+  const options = {headersTimeout: headersTimeoutMs};
+  const server = createServer(options, (request, response) => {
+    const {socket} = request;
+    answering.add(socket);
+    response.once('close', () => {
+      answering.delete(socket);
+      // The end of this answer is handled before the next request.
+      setImmediate(() => findInlet(socket)?.flush());
+    });
     void getAnswer(routes, request.url ?? '/').then(answer =>
       sendAnswer(request, response, answer),
     );
   });
+  server.on('connection', socket => {
+    if (!guard.admit(socket)) return;
+    new SocketInlet(socket, {
+      budget: undefined,
+      // One request at a time: what is sent ahead stays as it was received.
+      canPass: () => !answering.has(socket),
+      handlePassed: () => {},
+    });
+    socket.once('close', () => answering.delete(socket));
+  });
+  server.setTimeout(silenceTimeoutMs);
+  const timer = setInterval(() => guard.sweep(), progressCheckMs);
+  timer.unref();
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
       resolve(() => {
+        clearInterval(timer);
         server.close();
         server.closeAllConnections();
       });
--- a/packages/ryeworks-gateway/src/settings/settingsEffects.ts
+++ b/packages/ryeworks-gateway/src/settings/settingsEffects.ts
@@ -24,6 +24,7 @@
   seedPeers: nextStart,
   relayCapacity: nextStart,
   memoryBytes: nextStart,
+  maxDescriptors: nextStart,
   logLinesPerSecond: nextStart,
   stopGraceMs: atOnce,
   retryBounds: atOnce,
