Inlet: a stop passes on what was received together

Cause: requests that had been received in one read and were not parsed yet were dropped when a stop closed their connection (requestsAhead, queuedAnswers failed). A refused body was discarded up to max_body_bytes only, so that a caller which reads after sending lost its 413 (callerConnections failed). Change: mustPass; 16 MiB are discarded at most.

--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -90,6 +90,8 @@
     const inlet: SocketInlet = new SocketInlet(socket, {
       budget,
       canPass: () => this.canPass(connection),
+      // A stop drops what is not parsed when it closes the connection.
+      mustPass: () => this.isStopping && budget.canHoldSmall(0),
       handlePassed: bytes => this.handlePassed(connection, bytes),
     });
     const connection: CallerConnection = {
@@ -204,7 +206,10 @@
   /** Reads no more than what was sent ahead on each connection. */
   startStopping(): void {
     this.isStopping = true;
-    for (const {queue} of this.connections.values()) queue.startStopping();
+    for (const {inlet, queue} of this.connections.values()) {
+      queue.startStopping();
+      inlet.flush();
+    }
   }
 
   /** Ends the tracking of all requests, whose connections are about to close. */
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -47,6 +47,8 @@
  * sends for longer may not get the refusal.
  */
 const maxDiscardMs = 5000;
+/** The same in bytes: four times the largest body that is usually allowed. */
+const maxDiscardBytes = 16_777_216;
 /** Interval at which the progress of the connections is measured, in ms. */
 const progressCheckMs = 500;
 /** Fewest bytes of a header field: its name, and two for each of its ends. */
@@ -459,7 +461,7 @@
     this.unreadable.add(request.socket);
     void openRequest.refuseUnread(error, unreadRetryAfterMs, {
       maxMs: maxDiscardMs,
-      maxBytes: this.getBounds().maxBodyBytes,
+      maxBytes: maxDiscardBytes,
     });
     response.once('close', () => openRequest.release());
   }
--- a/packages/ryeworks-gateway/src/callers/socketInlet.ts
+++ b/packages/ryeworks-gateway/src/callers/socketInlet.ts
@@ -21,6 +21,8 @@
   readonly budget: MemoryBudget | undefined;
   /** Returns whether the next piece may be passed to the parser. */
   readonly canPass: () => boolean;
+  /** Returns whether all that was received together must be passed, also in a pause. */
+  readonly mustPass?: () => boolean;
   /** Called when a piece of this size was parsed. */
   readonly handlePassed: (bytes: number) => void;
 }
@@ -45,6 +47,8 @@
 export class SocketInlet {
   /** What was received and is not passed on yet. */
   private rest: Buffer | undefined;
+  /** Whether the rest belongs to what had been received before a pause. */
+  private isWhole = false;
   private hasEnded = false;
   private wantsRead = false;
   private isScheduled = false;
@@ -117,10 +121,12 @@
       return false;
     }
     if (this.isDiscarding) return true;
+    if (this.socket.isPaused()) this.isWhole = false;
+    else if (this.rest === undefined) this.isWhole = true;
     this.rest =
       this.rest === undefined ? chunk : Buffer.concat([this.rest, chunk]);
     if (!this.isScheduled) this.passPieces();
-    return this.rest === undefined;
+    return this.rest === undefined && !this.socket.isPaused();
   }
 
   /** Reads more only once everything is passed on. */
@@ -131,10 +137,14 @@
 
   private canPass(): boolean {
     const {socket} = this;
-    if (this.isHeld || socket.isPaused()) return false;
     // Its HTTP server asserts that nothing arrives while it reads no more.
-    if ((socket as PausedSocket)._paused) return false;
-    return this.options.canPass();
+    if (this.isHeld || (socket as PausedSocket)._paused) return false;
+    if (this.isWhole && this.options.mustPass?.()) {
+      // Whoever has paused it does so again when it has resumed.
+      if (socket.isPaused()) socket.resume();
+      return true;
+    }
+    return !socket.isPaused() && this.options.canPass();
   }
 
   private passPieces(): void {
