--- a/packages/ryeworks-gateway/src/__tests__/connectionLimits.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/connectionLimits.test.ts
@@ -66,7 +66,9 @@
 t.test('a request that is being answered keeps its connection', async t => {
   const {limits, open} = createLimits(1);
   const {connection} = open('answering', 0);
+  limits.sweep(5000);
   connection.isAnswering = true;
+  t.equal(open('new', 5000).isAdmitted, false, 'one that was slow before');
   limits.sweep(10_000);
   t.equal(open('new', 10_000).isAdmitted, false);
   connection.isAnswering = false;
