--- a/admin/shellMutations.js
+++ b/admin/shellMutations.js
@@ -81,4 +81,11 @@
     to: '',
     test: `${gateway}/__tests__/connectionLimits.test.js`,
   },
+  {
+    promise: 'requests that are received together are parsed one by one',
+    file: `${gateway}/callers/socketInlet.js`,
+    from: /return at < 0 \? piece\.length : at \+ headEnd\.length;/,
+    to: 'return piece.length;',
+    test: `${gateway}/__tests__/socketInlet.test.js`,
+  },
 ];
