Review of the new parts: inlet, limits in the log, small services, hedging state

Cause: a review of the whole diff. Pieces could be parsed after a connection was destroyed; a log line for each refused connection let callers fill the log; the rule for small services also applied to large services with few endpoints in the zone; the hedging state of removed services was kept; a stream that was resumed counted its silence as a time to the first event; the region was checked twice. Change: as the review proposed, with a test of a large service.

--- a/admin/loadMutations.js
+++ b/admin/loadMutations.js
@@ -13,8 +13,8 @@
   {
     promise: 'a service with few endpoints is shared by all zones',
     file: `${dispatch}/admission/pickEndpoint.js`,
-    from: /localCount < maxSampledEndpoints/,
-    to: 'localCount === 0',
+    from: /localCount < maxSampledEndpoints &&/,
+    to: 'localCount === 0 &&',
     test: `${dispatch}/__tests__/admission.test.js`,
   },
   {
--- a/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/admission.test.ts
@@ -272,6 +272,26 @@
   t.ok(localCalls <= 20, `${localCalls} of 60 go to the busy local server`);
 });
 
+// Guards against a VM that hardly ever calls the endpoints of its own zone, because
+// they are few among many.
+t.test('few local endpoints of a large service are preferred', async t => {
+  const engines = Array.from({length: 20}, (_, index) =>
+    createEndpoint(`m${index}`, names.model, {
+      slots,
+      availabilityZone: index < 2 ? 'zone-a' : 'zone-b',
+    }),
+  );
+  for (let vm = 0; vm < 20; vm++) {
+    const seed = getHash(`vm-${vm}`);
+    const state = createReadyState(engines, createDesiredState(), seed);
+    for (let peer = 0; peer < 30; peer++) {
+      deliver(state, createDigest({vm: `peer-${peer}`}), 0);
+    }
+    const id = dispatchRequest(state, createRequest('relaxed', 10), 10)!;
+    t.ok(id === 'm0' || id === 'm1', id);
+  }
+});
+
 t.test('a large fleet keeps more slots free for the highest tier', async t => {
   const state = createReadyState([{...engine, slots: 7}]);
   for (let peer = 0; peer < 30; peer++) {
--- a/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
+++ b/packages/ryeworks-dispatch/src/admission/pickEndpoint.ts
@@ -24,10 +24,12 @@
 /** Number of endpoints from which a VM of a large fleet picks the cheapest. */
 const maxSampledEndpoints = 3;
 /**
- * The same for a service with fewer endpoints than that in the local zone. With few
- * endpoints in all, more choices would send most calls to the one that seems idle.
+ * The same for a small service with fewer endpoints than that in the local zone: more
+ * choices would send most calls to the one that seems idle.
  */
 const maxSampledOverZones = 2;
+/** Number of callable endpoints up to which a service is small. */
+const maxSmallService = 2 * maxSampledEndpoints;
 /** Weight of an endpoint's failure rate in the cost of a call. */
 const failureWeight = 4;
 
@@ -92,7 +94,9 @@
   callable: EndpointEntry[],
   localCount: number,
 ): EndpointEntry[] {
-  if (localCount < maxSampledEndpoints) {
+  const isSmall =
+    localCount < maxSampledEndpoints && callable.length <= maxSmallService;
+  if (isSmall) {
     return sampleRandom(state.random, callable, maxSampledOverZones);
   }
   const inLocalZone = callable.filter(entry => isLocal(state, entry));
--- a/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
@@ -63,8 +63,8 @@
     nowMs: number,
   ): boolean;
   /**
-   * When it ends, in ms: `nowMs` if it may end at any moment, Infinity if only a
-   * restart of the endpoint ends it.
+   * When it ends, in ms: `nowMs` if it may end at any moment, Infinity if no
+   * end is known: only a restart of the endpoint or an operator ends it.
    */
   getEndMs(entry: EndpointEntry, nowMs: number): number;
 }
@@ -110,13 +110,17 @@
   nowMs: number,
 ) => boolean;
 
-/** Checks of single endpoints; `otherVersion` depends on all of a service. */
+/**
+ * Checks of single endpoints; the version and the region are checked in
+ * `listServingEndpoints`.
+ */
 const requestObstacleChecks: Record<
-  Exclude<RequestObstacle, typeof requestObstacle.otherVersion>,
+  Exclude<
+    RequestObstacle,
+    typeof requestObstacle.otherVersion | typeof requestObstacle.otherRegion
+  >,
   RequestObstacleCheck
 > = {
-  other_region: (state, {endpoint}, request) =>
-    !isInAllowedRegion(state, endpoint, request),
   avoided: (_state, {endpoint}, request, nowMs) =>
     isAvoided(request, endpoint.id, nowMs),
   quarantined: ({crashes}, _entry, request, nowMs) =>
@@ -176,8 +180,8 @@
 ): readonly EndpointEntry[] {
   const {isTrial, service} = request;
   const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
-  return allowed.filter(
-    entry => !requestObstacleChecks.other_region(state, entry, request, nowMs),
+  return allowed.filter(({endpoint}) =>
+    isInAllowedRegion(state, endpoint, request),
   );
 }
 
@@ -212,10 +216,9 @@
   state: DispatchState,
   request: ActiveRequest,
   entries: readonly EndpointEntry[],
-  nowMs: number,
 ): number | undefined {
-  const isElsewhere = entries.some(entry =>
-    requestObstacleChecks.other_region(state, entry, request, nowMs),
+  const isElsewhere = entries.some(
+    ({endpoint}) => !isInAllowedRegion(state, endpoint, request),
   );
   return isElsewhere ? Number.POSITIVE_INFINITY : undefined;
 }
@@ -232,7 +235,7 @@
   nowMs: number,
 ): number | undefined {
   const allowed = listServingEndpoints(state, request, entries, nowMs);
-  if (allowed.length === 0) return findNoneMs(state, request, entries, nowMs);
+  if (allowed.length === 0) return findNoneMs(state, request, entries);
   let earliestMs = Number.POSITIVE_INFINITY;
   for (const entry of allowed) {
     if (isLastResort(state, entry, nowMs)) return undefined;
--- a/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
+++ b/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
@@ -24,8 +24,9 @@
 
 /**
  * Limits the hedged requests that this VM sends to one service to a fraction of
- * its own requests in the retry window. As there is no allowance, the sum over all
- * VMs keeps to the same fraction without any message between them.
+ * its own requests in the retry window. The whole window has no allowance, so the sum
+ * over all VMs keeps to the same fraction without any message between them; the last
+ * quarter of the window always allows one.
  */
 export class HedgeBudget {
   private readonly slices: Slice[] = [];
--- a/packages/ryeworks-dispatch/src/hedging/hedgingState.ts
+++ b/packages/ryeworks-dispatch/src/hedging/hedgingState.ts
@@ -8,6 +8,8 @@
  * about 10 KB.
  */
 const maxDelays = 400;
+/** Largest number of services that are kept; a removed one is not used again. */
+const maxServices = 200;
 /** Prompts of fewer tokens are all in the first class. */
 const firstClassTokens = 1000;
 /** Highest class of prompts; each class spans a factor of two. */
@@ -62,8 +64,10 @@
   {services}: HedgingState,
   service: string,
 ): ServiceHedging {
-  return getOrCreate(services, service, () => ({
+  const known = getOrCreate(services, service, () => ({
     budget: new HedgeBudget(),
     slowness: new SharedSlowness(),
   }));
+  if (services.size > maxServices) removeOldest(services);
+  return known;
 }
--- a/packages/ryeworks-dispatch/src/hedging/learnedDelay.ts
+++ b/packages/ryeworks-dispatch/src/hedging/learnedDelay.ts
@@ -1,11 +1,11 @@
-// The package's index loads its WebAssembly code as well, about 100 ms at a start.
+// The package's index would also load its WebAssembly code, which delays the start.
 import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
 
 const {default: Int32Histogram} = histogramModule;
 
 /**
- * Fraction of the hedged requests allowed that ordinary late calls use up. With all
- * of it, none were left for the calls to an endpoint that hangs.
+ * Fraction of the hedged requests allowed that ordinary late calls use up. The rest is
+ * kept for calls to an endpoint that hangs.
  */
 const ordinaryFraction = 0.5;
 /** Bounds of the percentile from which a call is late. */
--- a/packages/ryeworks-dispatch/src/hedging/recordHedging.ts
+++ b/packages/ryeworks-dispatch/src/hedging/recordHedging.ts
@@ -68,7 +68,7 @@
   call: ActiveCall,
   nowMs: number,
 ): void {
-  if (call.hasFirstEvent || call.isHedge) return;
+  if (call.hasFirstEvent || call.isHedge || request.firstEventAtMs > 0) return;
   if (state.options.hedgeRatio === 0 || !request.isRetryable) return;
   recordDelay(state, request, call, nowMs);
 }
--- a/packages/ryeworks-gateway/src/callers/callerConnections.ts
+++ b/packages/ryeworks-gateway/src/callers/callerConnections.ts
@@ -29,12 +29,13 @@
   currentResponse: ServerResponse | undefined;
   /** Number of requests whose headers were read. */
   requests: number;
-  /** The same after the last piece, and whether the last body was complete then. */
+  /** Value of `requests` after the last piece. */
   passedRequests: number;
+  /** Whether the body of `lastRequest` was complete after the last piece. */
   wasBodyRead: boolean;
 }
 
-/** Number of fields from which a head is large: an ordinary one has a fifth. */
+/** Number of fields from which a head is large; ordinary heads have about 20. */
 const largeHeadFields = 100;
 
 /** Returns whether the head of a request that waits takes much memory. */
--- a/packages/ryeworks-gateway/src/callers/openRequest.ts
+++ b/packages/ryeworks-gateway/src/callers/openRequest.ts
@@ -176,8 +176,9 @@
 
   /**
    * Refuses a request whose body was not read to its end, and closes the
-   * connection. Discards the rest of the body before that, within `bounds`: if a connection is closed with unread bytes, the caller's system may
-   * drop the answer before the caller has read it.
+   * connection. Discards the rest of the body before that, within `bounds`: if a
+   * connection is closed with unread bytes, the caller's system may drop the answer
+   * before the caller has read it.
    */
   async refuseUnread(
     kind: ErrorKind,
--- a/packages/ryeworks-gateway/src/callers/socketInlet.ts
+++ b/packages/ryeworks-gateway/src/callers/socketInlet.ts
@@ -96,7 +96,7 @@
     this.schedule();
   }
 
-  /** Sets whether only one small piece is passed on in a turn. */
+  /** Passes on one small piece in a turn, or several large ones. */
   setSmallPieces(hasSmallPieces: boolean): void {
     this.hasSmallPieces = hasSmallPieces;
     this.nextPieceBytes = smallPieceBytes;
@@ -138,12 +138,9 @@
   private canPass(): boolean {
     const {socket} = this;
     // Its HTTP server asserts that nothing arrives while it reads no more.
-    if (this.isHeld || (socket as PausedSocket)._paused) return false;
-    if (this.isWhole && this.options.mustPass?.()) {
-      // Whoever has paused it does so again when it has resumed.
-      if (socket.isPaused()) socket.resume();
-      return true;
-    }
+    if (socket.destroyed || this.isHeld) return false;
+    if ((socket as PausedSocket)._paused) return false;
+    if (this.isWhole && this.options.mustPass?.()) return true;
     return !socket.isPaused() && this.options.canPass();
   }
 
@@ -157,6 +154,8 @@
         return;
       }
       if (!this.canPass()) break;
+      // Whoever has paused it does so again when it has resumed.
+      if (this.socket.isPaused()) this.socket.resume();
       const {rest} = this;
       const end = this.decidePieceEnd(rest);
       this.rest = end < rest.length ? rest.subarray(end) : undefined;
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -22,6 +22,7 @@
   formatHostPort,
   getHash,
   systemClock,
+  getOrCreate,
 } from '@ryeworks/utils';
 import {asFunction, asValue, AwilixContainer, createContainer} from 'awilix';
 import {CallerServer} from './callers/callerServer.js';
@@ -140,11 +141,36 @@
   return budget;
 }
 
-/** Creates the function that reports connections beyond a limit. */
-function createLimitReporter(logger: Logger, metrics: PrometheusMetrics) {
+/** Minimum time between two log lines about the same limit of a listener, in ms. */
+const limitLogPeriodMs = 1000;
+
+/**
+ * Creates the function that reports connections beyond a limit. A line tells of all
+ * since the line before: callers that connect in a loop must not fill the log.
+ */
+function createLimitReporter(
+  logger: Logger,
+  metrics: PrometheusMetrics,
+  clock: Clock,
+) {
+  const unreported = new Map<
+    string,
+    {connections: number; loggedAtMs: number}
+  >();
+  const createEntry = () => ({
+    connections: 0,
+    loggedAtMs: Number.NEGATIVE_INFINITY,
+  });
   return (reason: LimitReason, listener: string) => {
     metrics.count('connections_limited', {listener, reason});
-    logger.warn('connection_limited', {listener, reason});
+    const entry = getOrCreate(unreported, `${listener} ${reason}`, createEntry);
+    entry.connections += 1;
+    const nowMs = clock.readNowMs();
+    if (nowMs - entry.loggedAtMs < limitLogPeriodMs) return;
+    const {connections} = entry;
+    logger.warn('connection_limited', {listener, reason, connections});
+    entry.connections = 0;
+    entry.loggedAtMs = nowMs;
   };
 }
 
@@ -205,7 +231,7 @@
         new CallerServer({
           budget,
           maxDescriptors: settings.maxDescriptors,
-          reportLimit: createLimitReporter(logger, metrics),
+          reportLimit: createLimitReporter(logger, metrics, clock),
           clock,
           loop,
           wire,
@@ -349,7 +375,7 @@
       getDesiredState: () => state.desiredState.current,
       getStoreView: () => createStoreView(state),
       readNowMs: components.clock.readNowMs,
-      reportLimit: createLimitReporter(logger, metrics),
+      reportLimit: createLimitReporter(logger, metrics, components.clock),
     },
     disposables,
   );
--- a/packages/ryeworks-gateway/src/reports/textServer.ts
+++ b/packages/ryeworks-gateway/src/reports/textServer.ts
@@ -52,7 +52,7 @@
   text: 'failed\n',
 };
 
-/** Bytes of answers, so that clients which read slowly share them; kept as below. */
+/** Encoded bodies by answer, shared by all clients that still read them. */
 const plainBodies = new WeakMap<TextAnswer, Buffer>();
 /** Compressed answers; kept as long as the answers themselves. */
 const compressedBodies = new WeakMap<TextAnswer, Buffer>();
