One window of slices for both retry budgets; regions are resolved once a request

Cause: the hedge budget repeated the time slices of the retry budget, the socket inlet and held bodies each copied small parts of a block, and the lists of allowed regions were looked up for every endpoint of a service. Change: retries/requestSlices.ts, copySmallPart in ryeworks-utils, and listInAllowedRegions, which returns all endpoints if no list applies. No behavior changes and no test does.

--- a/packages/ryeworks-dispatch/src/endpoints/allowedRegions.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/allowedRegions.ts
@@ -1,6 +1,6 @@
 import {DispatchState} from '../dispatchState.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
-import {Endpoint} from './endpoint.js';
+import {EndpointEntry} from './endpointTable.js';
 
 /** Returns whether a list allows a region; a zone in no region is in no list. */
 function isAllowed(
@@ -12,23 +12,29 @@
 }
 
 /**
- * Returns whether a request may be served in the region of an endpoint, by the
- * current lists of its route and its customer. Those of its arrival apply if there
- * is no such route any more; a customer that was removed has none.
+ * Lists the endpoints in whose regions a request may be served, by the current lists
+ * of its route and its customer. Those of its arrival apply if there is no such route
+ * any more; a customer that was removed has none.
  */
-export function isInAllowedRegion(
+export function listInAllowedRegions(
   {desiredState, options}: DispatchState,
-  {availabilityZone}: Endpoint,
+  entries: readonly EndpointEntry[],
   {customer, route}: ActiveRequest,
-): boolean {
+): readonly EndpointEntry[] {
   const current = desiredState.routesByName.get(route.name) ?? route;
   const routeRegions = current.allowedRegions;
   const customerRegions =
     desiredState.customersByName.get(customer)?.allowedRegions;
-  if (routeRegions === undefined && customerRegions === undefined) return true;
+  if (routeRegions === undefined && customerRegions === undefined) {
+    return entries;
+  }
   const {regionByZone = {}} = options;
-  const region = Object.hasOwn(regionByZone, availabilityZone)
-    ? regionByZone[availabilityZone]
-    : undefined;
-  return isAllowed(routeRegions, region) && isAllowed(customerRegions, region);
+  return entries.filter(({endpoint: {availabilityZone}}) => {
+    const region = Object.hasOwn(regionByZone, availabilityZone)
+      ? regionByZone[availabilityZone]
+      : undefined;
+    return (
+      isAllowed(routeRegions, region) && isAllowed(customerRegions, region)
+    );
+  });
 }
--- a/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/callObstacles.ts
@@ -5,7 +5,7 @@
 import {hasPermit} from '../rateLimits/permits.js';
 import {ActiveRequest} from '../requests/activeRequest.js';
 import {isAvoided} from '../requests/avoidedEndpoints.js';
-import {isInAllowedRegion} from './allowedRegions.js';
+import {listInAllowedRegions} from './allowedRegions.js';
 import {hasStatedLeaving, isReportedLeaving} from './noticeRecord.js';
 import {EndpointEntry} from './endpointTable.js';
 
@@ -180,9 +180,7 @@
 ): readonly EndpointEntry[] {
   const {isTrial, service} = request;
   const allowed = listAllowedEndpoints(state, service, entries, isTrial, nowMs);
-  return allowed.filter(({endpoint}) =>
-    isInAllowedRegion(state, endpoint, request),
-  );
+  return listInAllowedRegions(state, allowed, request);
 }
 
 /**
@@ -217,10 +215,10 @@
   request: ActiveRequest,
   entries: readonly EndpointEntry[],
 ): number | undefined {
-  const isElsewhere = entries.some(
-    ({endpoint}) => !isInAllowedRegion(state, endpoint, request),
-  );
-  return isElsewhere ? Number.POSITIVE_INFINITY : undefined;
+  const inRegions = listInAllowedRegions(state, entries, request);
+  return inRegions.length < entries.length
+    ? Number.POSITIVE_INFINITY
+    : undefined;
 }
 
 /**
--- a/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
+++ b/packages/ryeworks-dispatch/src/hedging/hedgeBudget.ts
@@ -1,7 +1,6 @@
+import {RequestSlices, sliceMs} from '../retries/requestSlices.js';
 import {RetryBounds} from '../retries/retryBudget.js';
 
-/** Length of one time slice of the window, in ms. */
-const sliceMs = 500;
 /**
  * Fraction of the ratio that a VM uses. The rest covers windows in which the load
  * falls, and the requests of a VM that has restarted.
@@ -15,13 +14,6 @@
  */
 const checkedFractions = [1, 0.25] as const;
 
-/** Requests and hedged requests in one time slice. */
-interface Slice {
-  readonly startMs: number;
-  requests: number;
-  hedges: number;
-}
-
 /**
  * Limits the hedged requests that this VM sends to one service to a fraction of
  * its own requests in the retry window. The whole window has no allowance, so the sum
@@ -29,16 +21,16 @@
  * quarter of the window always allows one.
  */
 export class HedgeBudget {
-  private readonly slices: Slice[] = [];
+  private readonly slices = new RequestSlices();
 
   /** Records a request of a caller. */
   recordRequest(bounds: RetryBounds, nowMs: number): void {
-    this.getSlice(bounds, nowMs).requests += 1;
+    this.slices.getCurrent(bounds.windowMs, nowMs).requests += 1;
   }
 
   /** Returns whether another hedged request keeps to the ratio. */
   hasRoom(ratio: number, bounds: RetryBounds, nowMs: number): boolean {
-    this.getSlice(bounds, nowMs);
+    this.slices.getCurrent(bounds.windowMs, nowMs);
     const usedRatio = usedFraction * Math.min(ratio, bounds.ratio);
     return checkedFractions.every(fraction => {
       const sums = this.sumSlices(bounds.windowMs * fraction, nowMs);
@@ -54,8 +46,8 @@
    */
   private sumSlices(spanMs: number, nowMs: number) {
     const sums = {requests: 0, hedges: 0};
-    for (const {hedges, requests, startMs} of this.slices) {
-      if (startMs > nowMs - spanMs - sliceMs) sums.hedges += hedges;
+    for (const {repeats, requests, startMs} of this.slices) {
+      if (startMs > nowMs - spanMs - sliceMs) sums.hedges += repeats;
       if (startMs > nowMs - spanMs) sums.requests += requests;
     }
     return sums;
@@ -63,19 +55,6 @@
 
   /** Uses up one hedged request of the budget. */
   consumeHedge(bounds: RetryBounds, nowMs: number): void {
-    this.getSlice(bounds, nowMs).hedges += 1;
-  }
-
-  private getSlice({windowMs}: RetryBounds, nowMs: number): Slice {
-    while (this.slices.length > 0) {
-      if (this.slices[0].startMs > nowMs - windowMs - sliceMs) break;
-      this.slices.shift();
-    }
-    const startMs = Math.floor(nowMs / sliceMs) * sliceMs;
-    const last = this.slices.at(-1);
-    if (last?.startMs === startMs) return last;
-    const slice = {startMs, requests: 0, hedges: 0};
-    this.slices.push(slice);
-    return slice;
+    this.slices.getCurrent(bounds.windowMs, nowMs).repeats += 1;
   }
 }
--- a/packages/ryeworks-dispatch/src/retries/retryBudget.ts
+++ b/packages/ryeworks-dispatch/src/retries/retryBudget.ts
@@ -1,5 +1,4 @@
-/** Length of one time slice of the window, in ms. */
-const sliceMs = 500;
+import {RequestSlices} from './requestSlices.js';
 
 /** Bounds of the retries to one service, over all VMs. */
 export interface RetryBounds {
@@ -18,20 +17,13 @@
  */
 const budgetFractions = {beforeResponse: 0.7, duringResponse: 0.9} as const;
 
-/** Requests and retries in one time slice. */
-interface Slice {
-  readonly startMs: number;
-  requests: number;
-  retries: number;
-}
-
 /** Limits the retries that this VM sends to one service. */
 export class RetryBudget {
-  private readonly slices: Slice[] = [];
+  private readonly slices = new RequestSlices();
 
   /** Records a request of a caller. */
   recordRequest(bounds: RetryBounds, nowMs: number): void {
-    this.getSlice(bounds, nowMs).requests += 1;
+    this.slices.getCurrent(bounds.windowMs, nowMs).requests += 1;
   }
 
   /**
@@ -47,12 +39,12 @@
     hasResponseStarted: boolean,
     nowMs: number,
   ): boolean {
-    const slice = this.getSlice(bounds, nowMs);
+    const slice = this.slices.getCurrent(bounds.windowMs, nowMs);
     let requests = 0;
     let retries = 0;
     for (const windowSlice of this.slices) {
       requests += windowSlice.requests;
-      retries += windowSlice.retries;
+      retries += windowSlice.repeats;
     }
     const ownAllowance = bounds.allowance / Math.max(1, vmCount);
     const fraction = hasResponseStarted
@@ -60,20 +52,7 @@
       : budgetFractions.beforeResponse;
     const allowed = fraction * (bounds.ratio * requests + ownAllowance);
     if (retries + 1 > allowed) return false;
-    slice.retries += 1;
+    slice.repeats += 1;
     return true;
   }
-
-  private getSlice(bounds: RetryBounds, nowMs: number): Slice {
-    while (this.slices.length > 0) {
-      if (this.slices[0].startMs > nowMs - bounds.windowMs - sliceMs) break;
-      this.slices.shift();
-    }
-    const startMs = Math.floor(nowMs / sliceMs) * sliceMs;
-    const last = this.slices.at(-1);
-    if (last?.startMs === startMs) return last;
-    const slice = {startMs, requests: 0, retries: 0};
-    this.slices.push(slice);
-    return slice;
-  }
 }
--- a/packages/ryeworks-gateway/src/callers/socketInlet.ts
+++ b/packages/ryeworks-gateway/src/callers/socketInlet.ts
@@ -1,3 +1,4 @@
+import {copySmallPart} from '@ryeworks/utils';
 import {Socket} from 'node:net';
 import {MemoryBudget, MemoryCharge} from '../memory/memoryBudget.js';
 
@@ -163,7 +164,7 @@
       this.options.handlePassed(end);
     }
     this.isScheduled = false;
-    this.copySmallRest();
+    if (this.rest !== undefined) this.rest = copySmallPart(this.rest);
     this.charge?.set(this.heldBytes);
     if (this.rest === undefined) this.finish();
   }
@@ -176,15 +177,6 @@
     return at < 0 ? piece.length : at + headEnd.length;
   }
 
-  /** Copies a small rest, which would keep the whole block that was read. */
-  private copySmallRest(): void {
-    const {rest} = this;
-    if (rest === undefined || rest.length * 2 > rest.buffer.byteLength) return;
-    const copied = Buffer.allocUnsafeSlow(rest.length);
-    rest.copy(copied);
-    this.rest = copied;
-  }
-
   private schedule(): void {
     if (this.isScheduled || this.rest === undefined) return;
     this.isScheduled = true;
--- a/packages/ryeworks-gateway/src/memory/heldBody.ts
+++ b/packages/ryeworks-gateway/src/memory/heldBody.ts
@@ -1,14 +1,6 @@
-import {ByteCollector} from '@ryeworks/utils';
+import {ByteCollector, copySmallPart} from '@ryeworks/utils';
 import {MemoryBudget, MemoryCharge} from './memoryBudget.js';
 
-/** Returns a copy of a small part of a block, which would keep the whole block. */
-function copySmallPart(chunk: Buffer): Buffer {
-  if (chunk.length * 2 > chunk.buffer.byteLength) return chunk;
-  const copied = Buffer.allocUnsafeSlow(chunk.length);
-  chunk.copy(copied);
-  return copied;
-}
-
 /** A request's body, kept once. */
 export class HeldBody {
   readonly charge: MemoryCharge;
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -1,6 +1,7 @@
 export * from './byteCollector.js';
 export * from './callHttp.js';
 export * from './clock.js';
+export * from './copySmallPart.js';
 export * from './disposableStore.js';
 export * from './getOrCreate.js';
 export * from './hostPort.js';
