--- a/review/10/case.js
+++ b/review/10/case.js
@@ -1,9 +1,12 @@
 import {fileURLToPath} from 'node:url';
 import {createRoute} from '../lib-2/deployment.js';
-import {hasTrouble, runCase, startRepeating} from '../lib-2/scene.js';
+import {runCase, startRepeating} from '../lib-2/scene.js';
 import {sleep} from '../lib-2/vm.js';
 import {sendEvents, Worker} from '../lib-2/worker.js';
 
+/** Whether the disruption is played. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const machineCount = 10;
 /** Time between the starts of two machines, in ms: all start within 0.3 s. */
 const startGapMs = 30;
--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,9 +1,12 @@
 import {fileURLToPath} from 'node:url';
 import {createRoute} from '../lib-2/deployment.js';
-import {hasTrouble, runCase, startRepeating} from '../lib-2/scene.js';
+import {runCase, startRepeating} from '../lib-2/scene.js';
 import {sleep} from '../lib-2/vm.js';
 import {sendAnswer, sendEvents} from '../lib-2/worker.js';
 
+/** Whether the disruption is played. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const services = {
   writer: {count: 24, slots: 8},
   ledger: {count: 5, slots: 6},
--- a/review/lib-2/scene.js
+++ b/review/lib-2/scene.js
@@ -6,8 +6,6 @@
 import {createVms, sleep} from './vm.js';
 import {Worker} from './worker.js';
 
-/** Whether the disruption of a case is played. */
-export const hasTrouble = process.env.TROUBLE !== '0';
 /** Time after which the platform starts a process again, in ms. */
 const restartMs = 300;
 
