Metrics no longer end the process: prom-client is taken by its default export

Cause: prom-client, a CommonJS package, is imported dynamically. A bundle provides only its default export then, so that Registry was undefined. Nothing handled the rejection, which became an uncaught exception. The tests started dist/, not the bundle.

Change: the default export is taken; the linter demands it of dynamic imports of packages. A failure of the metrics is logged and drops what is pending. A listener no longer throws at a second error of accept, nor at an answer that cannot be sent.

All tests not run yet.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,6 +38,16 @@
           selector: "CallExpression[callee.property.name='forEach']",
           message: 'Use a for-of loop with early exits.',
         },
+        {
+          // Own packages and Node's modules are no CommonJS packages.
+          selector:
+            'VariableDeclarator[id.type="ObjectPattern"][init.type="AwaitExpression"]' +
+            '[init.argument.type="ImportExpression"]' +
+            ':not([init.argument.source.value=/^(node:|@ryeworks.|[.])/])' +
+            ':not([id.properties.0.key.name="default"])',
+          message:
+            'Take the default export: a bundle provides no other one of a CommonJS package that is imported dynamically.',
+        },
       ],
     },
   },
--- a/packages/ryeworks-gateway/src/callers/callerServer.ts
+++ b/packages/ryeworks-gateway/src/callers/callerServer.ts
@@ -175,7 +175,8 @@
     }, progressCheckMs);
     this.progressTimer.unref();
     return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
+      // Later errors, of connections that cannot be accepted, must not be thrown.
+      this.server.on('error', reject);
       this.server.listen(port, host, () => resolve());
     });
   }
--- a/packages/ryeworks-gateway/src/createGateway.ts
+++ b/packages/ryeworks-gateway/src/createGateway.ts
@@ -192,12 +192,18 @@
     logger: asFunction(({clock}: Components) =>
       createGatewayLogger(settings, clock),
     ).singleton(),
-    metrics: asFunction(({budget, state}: Components) =>
-      createPrometheusMetrics(counterLabels, histogramLabels, {
-        held_bytes: () => budget.heldBytes,
-        held_bytes_limit: () => budget.limitBytes,
-        evacuated_zones: () => state.evacuations.size,
-        cold_endpoints: () => countColdEndpoints(state),
+    metrics: asFunction(({budget, logger, state}: Components) =>
+      createPrometheusMetrics({
+        counterLabels,
+        histogramLabels,
+        gaugeReaders: {
+          held_bytes: () => budget.heldBytes,
+          held_bytes_limit: () => budget.limitBytes,
+          evacuated_zones: () => state.evacuations.size,
+          cold_endpoints: () => countColdEndpoints(state),
+        },
+        reportError: ({message}) =>
+          logger.error('metrics_failed', {detail: message}),
       }),
     ).singleton(),
     budget: asFunction(({logger}: Components) =>
--- a/packages/ryeworks-gateway/src/reports/textServer.ts
+++ b/packages/ryeworks-gateway/src/reports/textServer.ts
@@ -118,6 +118,20 @@
   response.end(body);
 }
 
+/** Answers a request; closes its connection if the answer cannot be sent. */
+async function handleRequest(
+  routes: TextRoutes,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  try {
+    const answer = await getAnswer(routes, request.url ?? '/');
+    sendAnswer(request, response, answer);
+  } catch {
+    request.socket.destroy();
+  }
+}
+
 /**
  * Starts an HTTP server for a few paths and returns a function that closes it.
  * Uses `node:http`, because loading a framework would take half of the restart
@@ -143,9 +157,7 @@
       // The end of this answer is handled before the next request.
       setImmediate(() => findInlet(socket)?.flush());
     });
-    void getAnswer(routes, request.url ?? '/').then(answer =>
-      sendAnswer(request, response, answer),
-    );
+    void handleRequest(routes, request, response);
   });
   server.on('connection', socket => {
     if (!guard.admit(socket)) return;
@@ -161,7 +173,8 @@
   const timer = setInterval(() => guard.sweep(), progressCheckMs);
   timer.unref();
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
+    // Later errors, of connections that cannot be accepted, must not be thrown.
+    server.on('error', reject);
     server.listen(port, host, () => {
       resolve(() => {
         clearInterval(timer);
--- a/packages/ryeworks-logger/src/createPrometheusMetrics.ts
+++ b/packages/ryeworks-logger/src/createPrometheusMetrics.ts
@@ -1,5 +1,11 @@
 import type {Counter, Histogram, Registry} from 'prom-client';
 
+/** The part of prom-client that is used. */
+export type PrometheusClient = Pick<
+  typeof import('prom-client'),
+  'Counter' | 'Gauge' | 'Histogram' | 'Registry'
+>;
+
 /** Upper bounds of the buckets of every histogram, in ms. */
 const bucketsMs = [5, 20, 50, 100, 200, 400, 800, 1500, 3000, 8000, 20_000];
 
@@ -47,13 +53,34 @@
  */
 const maxPendingValues = 2000;
 
-/** Loads prom-client and creates all counters and histograms. */
-async function createRegisteredMetrics(
-  counterLabels: MetricDefinitions,
-  histogramLabels: MetricDefinitions,
-  gaugeReaders: GaugeReaders,
-): Promise<RegisteredMetrics> {
-  const {Counter, Gauge, Histogram, Registry} = await import('prom-client');
+/** What is known of the metrics when they are created. */
+export interface PrometheusMetricsOptions {
+  readonly counterLabels: MetricDefinitions;
+  readonly histogramLabels: MetricDefinitions;
+  readonly gaugeReaders?: GaugeReaders;
+  /** Called when observations are lost, since prom-client cannot take them. */
+  readonly reportError: (error: Error) => void;
+  /** Loads prom-client; from its package by default. */
+  readonly loadClient?: () => Promise<PrometheusClient>;
+}
+
+/**
+ * Loads prom-client. It is a CommonJS package: a bundle provides only the default
+ * export of such a package if it is imported dynamically.
+ */
+async function loadPrometheusClient(): Promise<PrometheusClient> {
+  const {default: client} = await import('prom-client');
+  return client;
+}
+
+/** Loads prom-client and creates all counters, histograms and gauges. */
+async function createRegisteredMetrics({
+  counterLabels,
+  gaugeReaders = {},
+  histogramLabels,
+  loadClient = loadPrometheusClient,
+}: PrometheusMetricsOptions): Promise<RegisteredMetrics> {
+  const {Counter, Gauge, Histogram, Registry} = await loadClient();
   const registry = new Registry();
   const registers = [registry];
   const counters = new Map<string, Counter>();
@@ -88,13 +115,14 @@
  * Creates counters and histograms that a Prometheus server scrapes, in contrast
  * to those of `createMetrics`, which are pushed and cannot be scraped.
  * prom-client is not loaded in a restart, but when the metrics are first
- * requested or a series has many pending values.
+ * requested or a series has many pending values. If it cannot be loaded or does
+ * not take a series, the pending values are dropped and the error is reported;
+ * the next request for the metrics tries again.
  */
 export function createPrometheusMetrics(
-  counterLabels: MetricDefinitions,
-  histogramLabels: MetricDefinitions,
-  gaugeReaders: GaugeReaders = {},
+  options: PrometheusMetricsOptions,
 ): PrometheusMetrics {
+  const {reportError} = options;
   const pendingByKey = new Map<string, PendingSeries>();
   let registeredMetrics: Promise<RegisteredMetrics> | undefined;
 
@@ -108,31 +136,55 @@
     return series;
   }
 
-  /** Passes the pending observations to prom-client. */
-  function flushPending({counters, histograms}: RegisteredMetrics): void {
+  /** Passes the pending observations of one series to prom-client. */
+  function flushSeries(
+    {counters, histograms}: RegisteredMetrics,
+    {count, labels, name, values}: PendingSeries,
+  ): void {
+    if (count > 0) counters.get(name)?.inc(labels, count);
+    const histogram = histograms.get(name);
+    for (const value of values) histogram?.observe(labels, value);
+  }
+
+  /** Passes all pending observations to prom-client. */
+  function flushPending(metrics: RegisteredMetrics): void {
     for (const series of pendingByKey.values()) {
-      if (series.count > 0) {
-        counters.get(series.name)?.inc(series.labels, series.count);
-        series.count = 0;
+      const pending = {...series, values: series.values.splice(0)};
+      series.count = 0;
+      try {
+        flushSeries(metrics, pending);
+      } catch (error) {
+        reportError(error as Error);
       }
-      const histogram = histograms.get(series.name);
-      for (const value of series.values) {
-        histogram?.observe(series.labels, value);
-      }
-      series.values.length = 0;
     }
   }
 
+  /** Drops the pending times, which would take ever more memory. */
+  function dropPendingValues(): void {
+    for (const {values} of pendingByKey.values()) values.length = 0;
+  }
+
   /** Loads prom-client if needed and brings its metrics up to date. */
   async function getRegisteredMetrics(): Promise<RegisteredMetrics> {
-    registeredMetrics ??= createRegisteredMetrics(
-      counterLabels,
-      histogramLabels,
-      gaugeReaders,
-    );
-    const metrics = await registeredMetrics;
-    flushPending(metrics);
-    return metrics;
+    registeredMetrics ??= createRegisteredMetrics(options);
+    try {
+      const metrics = await registeredMetrics;
+      flushPending(metrics);
+      return metrics;
+    } catch (error) {
+      registeredMetrics = undefined;
+      dropPendingValues();
+      throw error;
+    }
+  }
+
+  /** Makes room in a series with many pending values; never fails. */
+  async function passPendingValues(): Promise<void> {
+    try {
+      await getRegisteredMetrics();
+    } catch (error) {
+      reportError(error as Error);
+    }
   }
 
   return {
@@ -142,11 +194,16 @@
     observe: (name, labels, valueMs) => {
       const {values} = getPendingSeries(name, labels);
       values.push(valueMs);
-      if (values.length === maxPendingValues) void getRegisteredMetrics();
+      if (values.length === maxPendingValues) void passPendingValues();
     },
     format: async () => {
-      const {registry} = await getRegisteredMetrics();
-      return registry.metrics();
+      try {
+        const {registry} = await getRegisteredMetrics();
+        return await registry.metrics();
+      } catch (error) {
+        reportError(error as Error);
+        throw error;
+      }
     },
   };
 }
