Move orders are named by the write that gave them, not by their entry

An order that replaced another one of its service was completed 1.6 s later, of 12 s.

Cause: digests named a move by the creation of its entry, which a replaced entry keeps. The age, the evidence and the verdict that peers told of the first order passed for those of the second.

Change: the status of an entry tells the write that gave the order, its duration and the versions in use before. Related faults of the same class: the version of a replaced, reverted or removed order no longer passes for an old version of the next one; a service that is moved back uses its old version at once; the same version ordered again starts anew.

--- a/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/callObstacles.test.ts
@@ -68,7 +68,8 @@
       toVersion: 'v2',
       durationMs: closedMs,
       position: {era: 1, revision: 1},
-      createdAt: {era: 1, revision: 1},
+      orderedAt: {era: 1, revision: 1},
+      provenVersions: [],
       phase: undefined,
     };
     runInput(state, {kind: 'movesRead', era: 1, orders: [order]}, setAtMs);
--- a/packages/ryeworks-dispatch/src/__tests__/completedMove.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/completedMove.test.ts
@@ -15,7 +15,8 @@
   toVersion: 'v2',
   durationMs: 12_000,
   position,
-  createdAt: position,
+  orderedAt: position,
+  provenVersions: [],
   phase: 'completed',
 };
 /** Calls that one crash of an endpoint cuts. */
--- a/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/moves.test.ts
@@ -23,7 +23,8 @@
   toVersion: 'v2',
   durationMs: 12_000,
   position: {era: 1, revision: 10},
-  createdAt: {era: 1, revision: 10},
+  orderedAt: {era: 1, revision: 10},
+  provenVersions: [],
   phase: undefined,
 };
 
--- a/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/silentCalls.test.ts
@@ -257,8 +257,8 @@
   ]);
   const position = {era: 1, revision: 10};
   const order = {service: names.model, toVersion: 'v2', durationMs: 12_000};
-  const placed = {position, createdAt: position, phase: undefined};
-  const orders = [{...order, ...placed}];
+  const placed = {position, orderedAt: position, phase: undefined};
+  const orders = [{...order, ...placed, provenVersions: []}];
   runInput(state, {kind: 'movesRead', era: 1, orders}, 0);
   const requestId = startTrial(state);
   const move = state.moves.get(names.model)!;
--- a/packages/ryeworks-dispatch/src/__tests__/storeEra.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeEra.test.ts
@@ -259,9 +259,9 @@
   phase: MovePhase | undefined,
   toVersion = 'v2',
 ): MoveOrder {
-  const createdAt = position;
+  const orderedAt = position;
   const fields = {service: names.ledger, toVersion, durationMs: 8000};
-  return {...fields, phase, createdAt, position};
+  return {...fields, phase, orderedAt, position, provenVersions: []};
 }
 
 /** Delivers the orders of an era. */
--- a/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/storeWatching.test.ts
@@ -28,7 +28,8 @@
   toVersion: 'v2',
   durationMs: 8000,
   position: {era: 1, revision: 99},
-  createdAt: {era: 1, revision: 99},
+  orderedAt: {era: 1, revision: 99},
+  provenVersions: [],
   phase: undefined,
 };
 
--- a/packages/ryeworks-dispatch/src/dispatchState.ts
+++ b/packages/ryeworks-dispatch/src/dispatchState.ts
@@ -20,6 +20,7 @@
 import {RequestReceived} from './input.js';
 import {UsageByCustomer} from './limits/customerUsage.js';
 import {createMoveTable, MoveTable} from './moves/moveTable.js';
+import {ProvenVersions} from './moves/provenVersions.js';
 import {createPeerTable, PeerTable} from './peers/peerTable.js';
 import {Digest} from './peers/peerMessage.js';
 import {LimitOwners} from './rateLimits/limitOwnersState.js';
@@ -106,6 +107,7 @@
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly hedging: HedgingState;
   readonly moves: MoveTable;
+  readonly provenVersions: ProvenVersions;
   /**
    * Whether the first desired state was compared with what peers have applied.
    */
@@ -189,6 +191,7 @@
     retryBudgets: new Map(),
     hedging: createHedgingState(),
     moves: createMoveTable(),
+    provenVersions: new Map(),
     hasCheckedVersion: false,
     hasListedEndpoints: false,
     isStoreReachable: false,
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -2,6 +2,7 @@
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {movePhase} from './moveOrder.js';
 import {MoveState} from './moveTable.js';
+import {listProvenEntries} from './provenVersions.js';
 
 /** One step of a move. */
 interface MoveStep {
@@ -87,6 +88,20 @@
   return true;
 }
 
+/**
+ * Returns the endpoints of a service without a move that may serve requests: those
+ * of unproven versions only if no others stay.
+ */
+function listRemaining(
+  state: DispatchState,
+  service: string,
+  entries: readonly EndpointEntry[],
+): readonly EndpointEntry[] {
+  const proven = listProvenEntries(state, service, entries);
+  const isAnyStaying = proven.some(({endpoint}) => !endpoint.isDraining);
+  return isAnyStaying ? proven : entries;
+}
+
 /**
  * Returns the endpoints that may serve a request. While its service is being
  * moved, these are the endpoints of the new version for a trial and those of
@@ -95,6 +110,9 @@
  * endpoints of the old versions stop without draining when the move completes.
  * A version that was detected as bad serves no requests, unless its move was
  * completed: the old endpoints have stopped, and it can no longer be withdrawn.
+ * Versions of earlier orders that were not completed serve no requests while
+ * there are others. If a service is moved back to the version that it had, that
+ * version serves all requests at once.
  */
 export function listAllowedEndpoints(
   state: DispatchState,
@@ -104,15 +122,18 @@
   nowMs: number,
 ): readonly EndpointEntry[] {
   const move = state.moves.get(service);
-  if (move === undefined) return entries;
+  if (move === undefined) return listRemaining(state, service, entries);
   const {toVersion} = move.order;
   const isNew = (entry: EndpointEntry) => entry.endpoint.version === toVersion;
-  const oldEntries = entries.filter(entry => !isNew(entry));
+  const newEntries = entries.filter(isNew);
+  const allOld = entries.filter(entry => !isNew(entry));
   const isOnlyVersion =
-    oldEntries.length === 0 && move.order.phase === movePhase.completed;
+    allOld.length === 0 && move.order.phase === movePhase.completed;
   if (isOnlyVersion) return entries;
-  if (move.isBad) return oldEntries;
-  const newEntries = entries.filter(isNew);
+  const provenOld = listProvenEntries(state, service, allOld);
+  if (move.isBad) return provenOld.length > 0 ? provenOld : allOld;
+  const oldEntries =
+    provenOld.length + newEntries.length > 0 ? provenOld : allOld;
   const isNewPreferred = isTrial || getNewVersionShare(move, nowMs) >= 1;
   const [preferred, others] = isNewPreferred
     ? [newEntries, oldEntries]
--- a/packages/ryeworks-dispatch/src/moves/handleMoves.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMoves.ts
@@ -6,13 +6,17 @@
 import {startMove} from './handleMovesRead.js';
 import {getElapsedFraction, getNewVersionShare} from './decideTrial.js';
 import {MoveState, noCounts, VersionEvidence} from './moveTable.js';
-import {MovePhase} from './moveOrder.js';
+import {hasEnded, MovePhase} from './moveOrder.js';
 import {
   createEvidenceKey,
-  hasEnded,
   hasOldVersionCalls,
   applyReports,
 } from './moveProgress.js';
+import {
+  listProvenVersions,
+  removeMove,
+  sweepProvenVersions,
+} from './provenVersions.js';
 import {isLossLikely} from '../store/storeEra.js';
 
 /** Time between two updates of the moves, in ms. */
@@ -123,7 +127,7 @@
   for (const [service, move] of state.moves) {
     if (move.heldOrder !== undefined) {
       effects.push(...startMove(state, move.heldOrder, nowMs));
-    } else if (move.isMissing) state.moves.delete(service);
+    } else if (move.isMissing) removeMove(state, service);
   }
   return effects;
 }
@@ -136,6 +140,7 @@
 ): Effect[] {
   state.timers.set('moves', '', nowMs + moveUpdatePeriodMs);
   const effects = endOrderWaits(state, nowMs);
+  sweepProvenVersions(state);
   for (const move of state.moves.values()) {
     effects.push(...applyReports(state, move));
     effects.push(...testNewVersion(state, move));
@@ -144,8 +149,10 @@
     if (phase === undefined || !isStoreWriter(state, nowMs)) continue;
     if (nowMs - move.resultWrittenAtMs < writeRetryMs) continue;
     move.resultWrittenAtMs = nowMs;
-    const {position, service, toVersion} = move.order;
-    const result = {service, toVersion, phase, position};
+    const {durationMs, orderedAt, position, service, toVersion} = move.order;
+    const provenVersions = listProvenVersions(state, service);
+    const fields = {service, toVersion, durationMs, phase, position};
+    const result = {...fields, orderedAt, provenVersions};
     effects.push(
       {kind: 'writeMoveResult', result},
       createLog('move_result', {service, toVersion, phase, ...position}),
--- a/packages/ryeworks-dispatch/src/moves/handleMovesRead.ts
+++ b/packages/ryeworks-dispatch/src/moves/handleMovesRead.ts
@@ -2,21 +2,46 @@
 import {createLog, Effect} from '../effect.js';
 import {MovesRead} from '../input.js';
 import {isLossLikely, isOutdatedEra} from '../store/storeEra.js';
-import {isSamePosition} from '../store/storePosition.js';
+import {isLaterPosition, isSamePosition} from '../store/storePosition.js';
 import {MoveOrder} from './moveOrder.js';
 import {createMoveState, MoveState} from './moveTable.js';
+import {
+  applyProvenVersions,
+  listProvenVersions,
+  removeMove,
+  updateProvenVersions,
+} from './provenVersions.js';
 
 /**
- * Returns whether two orders request the same move. Within one era of the store
- * they do if they were created at the same position. In a later era an order may
- * have been created again, so that its contents are compared.
+ * Returns whether two orders are the same. In a later era of the store an operator
+ * may have written an order again, so that its contents are compared.
  */
-function isSameMove(existing: MoveOrder, order: MoveOrder): boolean {
-  if (existing.toVersion !== order.toVersion) return false;
-  if (existing.createdAt.era === order.createdAt.era) {
-    return isSamePosition(existing.createdAt, order.createdAt);
-  }
-  return existing.durationMs === order.durationMs;
+function isSameOrder(existing: MoveOrder, order: MoveOrder): boolean {
+  if (isSamePosition(existing.orderedAt, order.orderedAt)) return true;
+  if (existing.orderedAt.era === order.orderedAt.era) return false;
+  const {durationMs, toVersion} = existing;
+  return order.toVersion === toVersion && order.durationMs === durationMs;
+}
+
+/**
+ * Returns an order as just read, with the position at which it was written. If the
+ * entry was written again, but not its phase, an operator has replaced the order
+ * and then ordered the same again: the phase is that of the earlier order.
+ */
+function resolveOrder(
+  existing: MoveOrder | undefined,
+  order: MoveOrder,
+): MoveOrder {
+  if (existing === undefined) return order;
+  const {orderedAt, phase, position} = existing;
+  if (isSamePosition(position, order.position)) return existing;
+  if (order.phase === undefined || order.phase !== phase) return order;
+  const isRewritten =
+    isSamePosition(orderedAt, order.orderedAt) &&
+    position.era === order.position.era &&
+    isLaterPosition(order.position, position);
+  if (!isRewritten) return order;
+  return {...order, orderedAt: order.position, phase: undefined};
 }
 
 /** Starts the move that an order requests, in place of another of its service. */
@@ -25,17 +50,26 @@
   order: MoveOrder,
   nowMs: number,
 ): Effect[] {
-  state.moves.set(order.service, createMoveState(order, nowMs));
-  const {durationMs, position, service, toVersion} = order;
+  const {durationMs, orderedAt, position, service, toVersion} = order;
+  const replaced = state.moves.get(service)?.order.toVersion ?? '';
+  updateProvenVersions(state, order);
+  state.moves.set(service, createMoveState(order, nowMs));
+  const proven = listProvenVersions(state, service).join(',');
+  const orderedRevision = orderedAt.revision;
   const fields = {service, toVersion, durationMs, ...position};
-  return [createLog('move_ordered', fields)];
+  const more = {orderedRevision, replaced, proven};
+  return [createLog('move_ordered', {...fields, ...more})];
 }
 
 /**
  * Continues a move with its order as just read. In a later era the order may
  * lack a phase that was written before; it is then written again.
  */
-function applySameOrder(move: MoveState, order: MoveOrder): void {
+function applySameOrder(
+  state: DispatchState,
+  move: MoveState,
+  order: MoveOrder,
+): void {
   if (order.position.era > move.order.position.era) {
     move.wasCompleted ||= move.order.phase === 'completed';
     move.earlierOrder = move.order;
@@ -45,6 +79,7 @@
   move.isMissing = false;
   move.heldOrder = undefined;
   if (order.phase === 'reverted') move.isBad = true;
+  applyProvenVersions(state, order);
 }
 
 /**
@@ -53,13 +88,14 @@
  */
 function applyOrder(
   state: DispatchState,
-  order: MoveOrder,
+  orderRead: MoveOrder,
   nowMs: number,
 ): Effect[] {
-  const existing = state.moves.get(order.service);
+  const existing = state.moves.get(orderRead.service);
+  const order = resolveOrder(existing?.order, orderRead);
   if (existing === undefined) return startMove(state, order, nowMs);
-  if (isSameMove(existing.order, order)) {
-    applySameOrder(existing, order);
+  if (isSameOrder(existing.order, order)) {
+    applySameOrder(state, existing, order);
     return [];
   }
   if (!isLossLikely(state.storeEra, nowMs))
@@ -90,7 +126,7 @@
   for (const [service, move] of state.moves) {
     if (listed.has(service)) continue;
     if (isLikelyLost) move.isMissing = true;
-    else state.moves.delete(service);
+    else removeMove(state, service);
   }
   return effects;
 }
--- a/packages/ryeworks-dispatch/src/moves/moveProgress.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveProgress.ts
@@ -5,12 +5,21 @@
 import {MoveReport} from '../peers/peerMessage.js';
 import {isProbablyAlive, PeerState} from '../peers/peerTable.js';
 import {getNewVersionShare} from './decideTrial.js';
-import {MoveOrder, movePhase} from './moveOrder.js';
+import {hasEnded, MoveOrder} from './moveOrder.js';
 import {MoveState} from './moveTable.js';
 
-/** Creates the key of a move in digests. */
-export function createMoveKey({createdAt, service}: MoveOrder): string {
-  return `${service}|${createdAt.era}.${createdAt.revision}`;
+/**
+ * Changes of a move's start that are logged, in ms; smaller ones come from the
+ * delay of digests.
+ */
+const minLoggedChangeMs = 500;
+
+/**
+ * Creates the key of a move in digests. It names the order and not its entry: an
+ * order must not take over the age and the evidence of the one that it replaces.
+ */
+export function createMoveKey({orderedAt, service}: MoveOrder): string {
+  return `${service}|${orderedAt.era}.${orderedAt.revision}`;
 }
 
 /**
@@ -21,11 +30,6 @@
   return `${createMoveKey(order)}|${isNew ? 'new' : 'old'}`;
 }
 
-/** Returns whether a move has ended, according to the order as last read. */
-export function hasEnded({phase}: MoveOrder): boolean {
-  return phase === movePhase.completed || phase === movePhase.reverted;
-}
-
 /** Describes how far the moves under way have come on this VM. */
 export function createMoveReports(
   state: DispatchState,
@@ -62,10 +66,15 @@
     const report = findReport(peer, move);
     if (report === undefined) continue;
     const startedAtMs = peer.digestReceivedAtMs - report.ageMs;
+    const {service, toVersion} = move.order;
+    const earlierMs = Math.round(move.startedAtMs - startedAtMs);
+    if (earlierMs >= minLoggedChangeMs) {
+      const fields = {service, toVersion, earlierMs, peer: peer.vm};
+      effects.push(createLog('move_start_changed', fields));
+    }
     move.startedAtMs = Math.min(move.startedAtMs, startedAtMs);
     if (!report.isBad || move.isBad) continue;
     move.isBad = true;
-    const {service, toVersion} = move.order;
     const fields = {service, toVersion, reason: 'peer', peer: peer.vm};
     effects.push(createLog('move_version_bad', fields));
   }
--- a/packages/ryeworks-dispatch/src/moves/recordMoveEvidence.ts
+++ b/packages/ryeworks-dispatch/src/moves/recordMoveEvidence.ts
@@ -1,6 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {VersionCounts} from '../peers/peerMessage.js';
 import {ActiveCall} from '../requests/activeRequest.js';
+import {isProven} from './provenVersions.js';
 
 /** Outcome of one call, counted for the version of its endpoint. */
 export interface CallOutcome {
@@ -34,6 +35,7 @@
   const move = state.moves.get(outcome.service);
   if (move === undefined) return;
   const isNew = outcome.version === move.order.toVersion;
+  if (!isNew && !isProven(state, outcome.service, outcome.version)) return;
   const counts = isNew ? move.newEvidence : move.oldEvidence;
   const {own} = counts;
   const before = call.evidence;
--- a/packages/ryeworks-gateway/src/__tests__/storeViewMessage.test.ts
+++ b/packages/ryeworks-gateway/src/__tests__/storeViewMessage.test.ts
@@ -21,7 +21,8 @@
     {
       ...order,
       position: {era: 3, revision: 39},
-      createdAt: {era: 3, revision: 12},
+      orderedAt: {era: 3, revision: 12},
+      provenVersions: [],
     },
   ],
 };
--- a/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
+++ b/packages/ryeworks-gateway/src/peers/storeViewMessage.ts
@@ -11,10 +11,14 @@
   readonly toVersion: string;
   readonly durationMs: number;
   readonly phase?: MoveOrder['phase'];
-  /** Revision of the order's last write. */
+  /** Revision of the last write of the order's entry. */
   readonly revision: number;
-  /** Revision at which the order was created. */
+  /** Revision at which the order was written. */
   readonly createdRevision: number;
+  /** Era of `createdRevision`; undefined if it is that of the view. */
+  readonly createdEra?: number;
+  /** Undefined if none are known. */
+  readonly provenVersions?: readonly string[];
 }
 
 /**
@@ -35,15 +39,37 @@
   readonly evacuations?: EvacuationsView;
 }
 
+/** Encodes a move order for a view of an era. */
+function encodeOrder(order: MoveOrder, era: number): OrderMessage {
+  const {orderedAt, position, provenVersions, ...fields} = order;
+  return {
+    ...fields,
+    revision: position.revision,
+    createdRevision: orderedAt.revision,
+    ...(orderedAt.era === era ? {} : {createdEra: orderedAt.era}),
+    ...(provenVersions.length === 0 ? {} : {provenVersions}),
+  };
+}
+
+/** Decodes a move order of a view of an era. */
+function decodeOrder(message: OrderMessage, era: number): MoveOrder {
+  const {durationMs, phase, service, toVersion} = message;
+  const {createdEra = era, provenVersions = []} = message;
+  return {
+    service,
+    toVersion,
+    durationMs,
+    phase,
+    provenVersions,
+    orderedAt: {era: createdEra, revision: message.createdRevision},
+    position: {era, revision: message.revision},
+  };
+}
+
 /** Encodes a store view for a peer. */
 export function encodeStoreView(view: StoreViewRead): StoreViewMessage {
   const {endpoints, evacuations, orders, ordersPosition, position} = view;
-  const encodedOrders: OrderMessage[] = [];
-  for (const {createdAt, position: lastWrite, ...fields} of orders) {
-    const {revision} = lastWrite;
-    const createdRevision = createdAt.revision;
-    encodedOrders.push({...fields, revision, createdRevision});
-  }
+  const encodedOrders = orders.map(order => encodeOrder(order, position.era));
   const ordersRevision = ordersPosition.revision;
   return {
     ...position,
@@ -64,14 +90,7 @@
   defaultEra: number,
 ): StoreViewRead {
   const {endpoints, era = defaultEra, revision} = message;
-  const orders: MoveOrder[] = [];
-  for (const order of message.orders) {
-    const {durationMs, phase, service, toVersion} = order;
-    const createdAt = {era, revision: order.createdRevision};
-    const lastWrite = {era, revision: order.revision};
-    const fields = {service, toVersion, durationMs, phase};
-    orders.push({...fields, createdAt, position: lastWrite});
-  }
+  const orders = message.orders.map(order => decodeOrder(order, era));
   const position = {era, revision};
   const {ordersRevision = revision} = message;
   const ordersPosition = {era, revision: ordersRevision};
