A crash of an endpoint is found however it shows itself

Cause: a crash counted only if one probe, 50 ms after the loss, found no listener. A listener that outlasts its connections, something else that accepts connections at the address, and silence hid every crash; an answer without a length that ended with the process passed for complete and made the part sound; a loss noticed late was held against the next process.

Change: three probes within a second; a process that another one replaces, or whose entry is removed, within 10 s has crashed unless it has answered a later call; short answers without a length show a prompt to be sound only once the process answers again. The log tells the probe, whether the process has ended, and the evidence.

--- a/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -2,6 +2,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {findCrashingParts} from '../crashes/findCrashingParts.js';
 import {PartRecord} from '../crashes/crashTable.js';
+import {Endpoint} from '../endpoints/endpoint.js';
 import {CallFailure} from '../input.js';
 import {
   createDigest,
@@ -53,16 +54,26 @@
 });
 
 /** Sends a request with a prompt; returns its id and calls. */
-function send(state: DispatchState, sharedParts: string[], nowMs: number) {
-  const request = createRequest('urgent', nowMs, {sharedParts});
+function send(
+  state: DispatchState,
+  sharedParts: string[],
+  nowMs: number,
+  routeName: keyof typeof routes = 'urgent',
+) {
+  const request = createRequest(routeName, nowMs, {sharedParts});
   const effects = runInput(state, request, nowMs);
   const [call] = listEffects(effects, 'startCall');
   return {requestId: request.requestId, call, effects};
 }
 
 /** Answers a request completely. */
-function answer(state: DispatchState, sharedParts: string[], nowMs: number) {
-  const {call, requestId} = send(state, sharedParts, nowMs);
+function answer(
+  state: DispatchState,
+  sharedParts: string[],
+  nowMs: number,
+  routeName: keyof typeof routes = 'urgent',
+) {
+  const {call, requestId} = send(state, sharedParts, nowMs, routeName);
   const {callNumber} = call;
   const done = {kind: 'callDone', requestId, callNumber, status: 200} as const;
   runInput(state, done, nowMs + 1);
@@ -284,3 +295,136 @@
     }
   });
 }
+
+const ledgers = ['l1', 'l2', 'l3', 'l4', 'l5'].map(id =>
+  createEndpoint(id, names.ledger, {slots: 4}),
+);
+
+/** Starts a call, and loses its connection if wanted; returns its endpoint. */
+function loseCall(state: DispatchState, nowMs: number, isLost = true) {
+  // Not repeated elsewhere after the loss.
+  const {call, requestId} = send(state, ['bad'], nowMs, 'booking');
+  const {callNumber, endpoint} = call;
+  const event = {requestId, callNumber};
+  runInput(state, {kind: 'callSent', ...event}, nowMs);
+  if (!isLost) return endpoint;
+  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+  const flags = {hasResponseStarted: false, isConnectionLost: true};
+  runInput(state, {...failed, ...event, ...flags}, nowMs + 1);
+  return endpoint;
+}
+
+/** Delivers a probe; returns the next one. */
+function probe(
+  state: DispatchState,
+  endpoint: Endpoint,
+  isListening: boolean,
+  nowMs: number,
+) {
+  const probed = {kind: 'endpointProbed', endpoint, isListening} as const;
+  return listEffects(runInput(state, probed, nowMs), 'probeEndpoint')[0];
+}
+
+/** Lists another process in place of an endpoint's. */
+function replaceProcess(state: DispatchState, listed: Endpoint, nowMs: number) {
+  const endpoint = {...listed, startedAtMs: listed.startedAtMs + 2000};
+  runInput(state, {kind: 'endpointChanged', endpoint}, nowMs);
+}
+
+/** Returns the processes that are known to have crashed under the part. */
+function listCrashed(state: DispatchState): string[] {
+  return [...(state.crashes.records.get('bad')?.crashes.keys() ?? [])];
+}
+
+// Guards against crashes that don't count because the listener of the process
+// outlasts its connections.
+t.test('an endpoint is probed until it accepts no connections', async t => {
+  const state = createReadyState(ledgers);
+  const endpoint = loseCall(state, atMs);
+  const second = probe(state, endpoint, true, atMs + 50);
+  t.match(second, {endpoint: {id: endpoint.id}});
+  const third = probe(state, endpoint, true, atMs + 50 + second.delayMs);
+  t.strictSame(listCrashed(state), []);
+  t.equal(probe(state, third.endpoint, false, atMs + 1000), undefined);
+  t.strictSame(listCrashed(state), [`${endpoint.id}@1`]);
+});
+
+// Guards against crashes that don't count because something else accepts connections
+// at the address of the process.
+t.test('a process that is replaced after a loss has crashed', async t => {
+  for (const answersLater of [false, true]) {
+    const state = createReadyState([ledgers[0]]);
+    const endpoint = loseCall(state, atMs);
+    let next: ReturnType<typeof probe> | undefined;
+    let nowMs = atMs;
+    do {
+      nowMs += next?.delayMs ?? 50;
+      next = probe(state, endpoint, true, nowMs);
+    } while (next !== undefined);
+    if (answersLater) answer(state, ['other'], nowMs + 100, 'booking');
+    replaceProcess(state, endpoint, nowMs + 2000);
+    const crashed = answersLater ? [] : [`${endpoint.id}@1`];
+    t.strictSame(listCrashed(state), crashed, `answers: ${answersLater}`);
+  }
+});
+
+// Guards against a crash that is held against the process that came after it.
+t.test('a loss that is noticed late counts for its process', async t => {
+  const state = createReadyState([endpoints[0]]);
+  const {call, requestId} = send(state, ['bad'], 0);
+  const event = {requestId, callNumber: call.callNumber};
+  runInput(state, {kind: 'callSent', ...event}, 1);
+  t.strictSame(listCrashed(state), []);
+  replaceProcess(state, endpoints[0], atMs);
+  t.strictSame(listCrashed(state), ['m1@1']);
+  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+  const flags = {hasResponseStarted: false, isConnectionLost: true};
+  runInput(state, {...failed, ...event, ...flags}, atMs + 10);
+  probe(state, endpoints[0], true, atMs + 60);
+  t.strictSame(listCrashed(state), ['m1@1'], 'not for the new one');
+});
+
+// Guards against prompts that are blamed when many endpoints are started again.
+t.test('processes that are replaced together blame no prompt', async t => {
+  const state = createReadyState(ledgers);
+  const called = ledgers.map((_, index) =>
+    loseCall(state, atMs + index, false),
+  );
+  for (const endpoint of called) replaceProcess(state, endpoint, atMs + 900);
+  t.ok(new Set(listCrashed(state)).size < 3);
+});
+
+// Guards against a part that passes for sound because the end of a crashed process
+// looks like the end of its answer.
+t.test('an answer without a length shows nothing by itself', async t => {
+  const end = (state: DispatchState, nowMs: number) => {
+    const {call, requestId} = send(state, ['bad'], nowMs);
+    const event = {requestId, callNumber: call.callNumber};
+    runInput(state, {kind: 'callSent', ...event}, nowMs);
+    runInput(state, {kind: 'callProgressed', ...event, events: 1}, nowMs);
+    const done = {kind: 'callDone', status: 200, isUnframed: true} as const;
+    runInput(state, {...done, ...event}, nowMs + 1);
+  };
+  const isSound = ({crashes: {soundParts}}: DispatchState) =>
+    soundParts.has('bad');
+  const [endpoint] = endpoints;
+  const replaced = createReadyState([endpoint]);
+  end(replaced, 0);
+  t.notOk(isSound(replaced));
+  replaceProcess(replaced, endpoint, atMs);
+  t.strictSame(listCrashed(replaced), ['m1@1']);
+  const lost = createReadyState([endpoint]);
+  const {call, requestId} = send(lost, ['other'], 0);
+  runInput(lost, {kind: 'callSent', requestId, callNumber: 1}, 0);
+  end(lost, atMs);
+  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+  const flags = {hasResponseStarted: false, isConnectionLost: true};
+  const event = {requestId, callNumber: call.callNumber};
+  runInput(lost, {...failed, ...event, ...flags}, atMs + 2);
+  probe(lost, endpoint, false, atMs + 52);
+  t.strictSame(listCrashed(lost), ['m1@1'], 'beside a lost connection');
+  const living = createReadyState([endpoint]);
+  end(living, 0);
+  answer(living, ['other'], atMs);
+  t.ok(isSound(living), 'once a later call is answered');
+});
--- a/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
+++ b/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
@@ -1,40 +1,69 @@
 import {DispatchState} from '../dispatchState.js';
-import {createCount, createLog, Effect} from '../effect.js';
+import {createLog, Effect, ProbeEndpoint} from '../effect.js';
+import {Endpoint} from '../endpoints/endpoint.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {EndpointProbed} from '../input.js';
 import {ActiveCall, ActiveRequest} from '../requests/activeRequest.js';
-import {CrashTable, getProcess} from './crashTable.js';
+import {CrashTable, getProcess, maxEventsOfBeginning} from './crashTable.js';
+import {isReplaced} from './processEnds.js';
 import {applyReferenceProbe, probeReferences} from './probeReferences.js';
-import {addCrash} from './partRecords.js';
+import {
+  describeParts,
+  isSimultaneous,
+  recordCrash,
+  recordMoment,
+} from './recordCrash.js';
 import {isSound} from './soundParts.js';
-import {scheduleQuarantines} from './scheduleQuarantines.js';
+import {consumeEndedParts} from './unframedEnds.js';
 
-/**
- * Number of events up to which an answer has only begun. A prompt that crashes
- * endpoints does so at the beginning of its answer; one whose answer went on for
- * longer was cut by a crash that another prompt caused.
- */
-const maxEventsOfBeginning = 3;
-/** Number of processes that lose connections at once if a network path fails. */
-const minSimultaneousLosses = 3;
 /** Time between losses that happen at once, in ms. */
 const simultaneousMs = 25;
-/** Time for which a loss of connections is remembered, in ms. */
-const lossMemoryMs = 1000;
-/** Maximum number of parts of a prompt in a log line. */
-const maxLoggedParts = 32;
+/**
+ * Time from a loss, and from each probe that is accepted, to the next probe, in ms:
+ * the listener of a process that ends may outlast its connections.
+ */
+const probeDelaysMs: readonly number[] = [50, 200, 750];
 
-/** Records that a process lost connections; forgets those of long ago. */
-function recordLoss({lostAtMs}: CrashTable, process: string, nowMs: number) {
-  lostAtMs.set(process, nowMs);
-  for (const [lost, atMs] of lostAtMs) {
-    if (nowMs - atMs > lossMemoryMs) lostAtMs.delete(lost);
-  }
+/** Probes an endpoint again, unless it has accepted all probes. */
+function probeAgain(
+  endpoint: Endpoint,
+  acceptedProbes: number,
+): ProbeEndpoint[] {
+  if (acceptedProbes >= probeDelaysMs.length) return [];
+  const delayMs = probeDelaysMs[acceptedProbes];
+  return [{kind: 'probeEndpoint', endpoint, delayMs}];
+}
+
+/** Suspects parts of having crashed a process; probes it if that is news. */
+function addSuspects(
+  table: CrashTable,
+  endpoint: Endpoint,
+  parts: readonly string[],
+  nowMs: number,
+): Effect[] {
+  const suspects = parts.filter(part => !isSound(table, part, nowMs));
+  if (suspects.length === 0) return [];
+  const process = getProcess(endpoint);
+  const unchecked = table.uncheckedLosses.get(process);
+  const loss = unchecked ?? {
+    atMs: nowMs,
+    parts: new Set(),
+    acceptedProbes: 0,
+    isSimultaneous: false,
+  };
+  loss.atMs = nowMs;
+  for (const part of suspects) loss.parts.add(part);
+  const isChecked = loss.acceptedProbes >= probeDelaysMs.length;
+  if (unchecked !== undefined && !isChecked) return [];
+  loss.acceptedProbes = 0;
+  table.uncheckedLosses.set(process, loss);
+  return probeAgain(endpoint, 0);
 }
 
 /**
  * Checks whether the connection of a call was lost because its endpoint crashed
- * under the prompt. A crashed endpoint accepts no connections.
+ * under the prompt. A crashed endpoint accepts no connections, or another process
+ * takes its place.
  */
 export function checkLostCall(
   state: DispatchState,
@@ -45,45 +74,10 @@
 ): Effect[] {
   const table = state.crashes;
   const process = getProcess(endpoint);
-  recordLoss(table, process, nowMs);
-  if (call.events > maxEventsOfBeginning) return [];
-  const suspects = request.sharedParts.filter(
-    part => !isSound(table, part, nowMs),
-  );
-  if (suspects.length === 0) return [];
-  const unchecked = table.uncheckedLosses.get(process);
-  const parts = unchecked?.parts ?? new Set();
-  for (const part of suspects) parts.add(part);
-  if (unchecked !== undefined) return [];
-  table.uncheckedLosses.set(process, {atMs: nowMs, parts});
-  return [{kind: 'probeEndpoint', endpoint}];
-}
-
-/** Returns whether several endpoints lost connections at the same moment. */
-function isOutage({lostAtMs}: CrashTable, atMs: number): boolean {
-  let losses = 0;
-  for (const otherMs of lostAtMs.values()) {
-    if (Math.abs(otherMs - atMs) <= simultaneousMs) losses += 1;
-  }
-  return losses >= minSimultaneousLosses;
-}
-
-/** Records that a process has crashed under some parts. */
-function recordCrash(
-  state: DispatchState,
-  process: string,
-  parts: readonly string[],
-  nowMs: number,
-): Effect[] {
-  const table = state.crashes;
-  for (const part of parts) {
-    addCrash(table, part, process, nowMs);
-    const record = table.records.get(part)!;
-    record.lastSeenAtMs = nowMs;
-    record.observedAtMs = nowMs;
-  }
-  scheduleQuarantines(state, nowMs);
-  return [createCount('prompt_crashes')];
+  recordMoment(table.lostAtMs, process, nowMs);
+  const parts = consumeEndedParts(table, process, nowMs);
+  if (call.events <= maxEventsOfBeginning) parts.push(...request.sharedParts);
+  return addSuspects(table, endpoint, parts, nowMs);
 }
 
 /** Records the crashes among the losses that were doubted until now. */
@@ -100,8 +94,9 @@
     effects.push(
       createLog('connection_loss_confirmed', {
         process,
+        evidence: 'reference',
         reference: endpoint.id,
-        sharedParts: suspects.slice(0, maxLoggedParts).join(),
+        sharedParts: describeParts(suspects),
       }),
     );
     if (suspects.length === 0) continue;
@@ -112,7 +107,9 @@
 
 /**
  * Records a crash, if the probe of an endpoint shows that it has crashed. If
- * others have lost connections at the same moment, more probes decide.
+ * others have lost connections at the same moment, more probes decide. A loss whose
+ * endpoint accepts all probes is decided by whether its process answers again or
+ * another one takes its place.
  */
 export function handleEndpointProbed(
   state: DispatchState,
@@ -125,19 +122,30 @@
   const effects = recordConfirmedLosses(state, input, nowMs);
   const loss = table.uncheckedLosses.get(process);
   if (loss === undefined) return effects;
-  table.uncheckedLosses.delete(process);
-  const isSimultaneous = isOutage(table, loss.atMs);
+  loss.isSimultaneous ||= isSimultaneous(
+    table.lostAtMs,
+    loss.atMs,
+    simultaneousMs,
+  );
   const parts = [...loss.parts].filter(part => !isSound(table, part, nowMs));
+  const hasEnded = !isListening || isReplaced(state, endpoint);
   effects.push(
     createLog('connection_loss_checked', {
       endpoint: endpoint.id,
       isListening,
-      isSimultaneous,
-      sharedParts: parts.slice(0, maxLoggedParts).join(),
+      hasEnded,
+      isSimultaneous: loss.isSimultaneous,
+      probe: loss.acceptedProbes + 1,
+      sharedParts: describeParts(parts),
     }),
   );
-  if (isListening || parts.length === 0) return effects;
-  const next = isSimultaneous
+  if (hasEnded || parts.length === 0) table.uncheckedLosses.delete(process);
+  if (parts.length === 0) return effects;
+  if (!hasEnded) {
+    loss.acceptedProbes += 1;
+    return [...effects, ...probeAgain(endpoint, loss.acceptedProbes)];
+  }
+  const next = loss.isSimultaneous
     ? probeReferences(state, endpoint, parts, nowMs)
     : recordCrash(state, process, parts, nowMs);
   effects.push(...next);
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -1,4 +1,12 @@
 import {Endpoint} from '../endpoints/endpoint.js';
+import {ActiveCall} from '../requests/activeRequest.js';
+
+/**
+ * Number of events up to which an answer has only begun. A prompt that crashes
+ * endpoints does so at the beginning of its answer; one whose answer went on for
+ * longer was cut by a crash that another prompt caused.
+ */
+export const maxEventsOfBeginning = 3;
 
 /** What is known of a part of prompts under which endpoints have crashed. */
 export interface PartRecord {
@@ -17,9 +25,20 @@
 
 /** Connections to a process that were lost and may show that it crashed. */
 export interface ConnectionLoss {
-  readonly atMs: number;
+  /** When the last of them was lost, in ms. */
+  atMs: number;
   /** The parts of the prompts that it worked on for this VM. */
   readonly parts: Set<string>;
+  /** Number of probes that were accepted since. */
+  acceptedProbes: number;
+  /** Whether several endpoints lost connections at that moment. */
+  isSimultaneous: boolean;
+}
+
+/** An answer that only the end of its connection marked as complete. */
+export interface UnframedEnd {
+  readonly atMs: number;
+  readonly attemptId: string;
 }
 
 /**
@@ -58,12 +77,22 @@
   readonly recentPrompts: Map<string, Array<readonly string[]>>;
   /** Until when this VM reports that a part is sound, in ms, by part. */
   readonly soundReportedUntilMs: Map<string, number>;
-  /** Losses of connections that are being checked, by process. */
+  /**
+   * Losses of connections of processes that have neither ended nor answered since, by
+   * process.
+   */
   readonly uncheckedLosses: Map<string, ConnectionLoss>;
+  /**
+   * Parts of prompts that are sound unless the process has ended with its answer, by
+   * process and part.
+   */
+  readonly unframedEnds: Map<string, Map<string, UnframedEnd>>;
   /** Losses that a failed network path may explain, by availability zone. */
   readonly doubtsByZone: Map<string, ZoneDoubt>;
   /** When each process last lost connections of this VM, in ms. */
   readonly lostAtMs: Map<string, number>;
+  /** When another process was last listed in place of one, in ms. */
+  readonly replacedAtMs: Map<string, number>;
   /** Whether the quarantines are going to be updated. */
   isUpdateScheduled: boolean;
   /**
@@ -86,8 +115,10 @@
     recentPrompts: new Map(),
     soundReportedUntilMs: new Map(),
     uncheckedLosses: new Map(),
+    unframedEnds: new Map(),
     doubtsByZone: new Map(),
     lostAtMs: new Map(),
+    replacedAtMs: new Map(),
     isUpdateScheduled: false,
     storedKey: undefined,
     isWriting: false,
@@ -95,6 +126,14 @@
   };
 }
 
+/** Returns the name of the process that a call was started at. */
+export function getCalledProcess({
+  endpointId,
+  processStartedAtMs,
+}: Pick<ActiveCall, 'endpointId' | 'processStartedAtMs'>): string {
+  return `${endpointId}@${processStartedAtMs}`;
+}
+
 /** Returns the name of the process that runs as an endpoint: `ID@START`. */
 export function getProcess({
   id,
--- a/packages/ryeworks-dispatch/src/crashes/probeReferences.ts
+++ b/packages/ryeworks-dispatch/src/crashes/probeReferences.ts
@@ -6,6 +6,9 @@
 /** Maximum number of endpoints that are probed to learn whether a path works. */
 const maxReferences = 3;
 
+/** Time until they are probed, in ms. */
+const referenceDelayMs = 50;
+
 /** A loss that a crash explains, not a network path. */
 export interface ConfirmedLoss {
   readonly process: string;
@@ -62,6 +65,7 @@
   return references.map(reference => ({
     kind: 'probeEndpoint',
     endpoint: reference,
+    delayMs: referenceDelayMs,
   }));
 }
 
--- a/packages/ryeworks-dispatch/src/effect.ts
+++ b/packages/ryeworks-dispatch/src/effect.ts
@@ -40,6 +40,8 @@
 export interface ProbeEndpoint {
   readonly kind: 'probeEndpoint';
   readonly endpoint: Endpoint;
+  /** Time until the probe, in ms. */
+  readonly delayMs: number;
 }
 
 /** Answers the caller with an error that this VM generates. */
--- a/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/handleEndpoints.ts
@@ -17,6 +17,11 @@
   recordListing,
   returnGracePeriodMs,
 } from '../store/storeEra.js';
+import {
+  applyProcessEnd,
+  isReplaced,
+  processEnd,
+} from '../crashes/processEnds.js';
 import {
   applyEarlierRemoval,
   getListedEra,
@@ -96,7 +101,10 @@
 ): Effect[] {
   notices.removedEra = getListedEra(state);
   removeEndpoint(state.endpoints, endpoint.id, nowMs);
-  return reportChange('removed', endpoint);
+  return [
+    ...reportChange('removed', endpoint),
+    ...applyProcessEnd(state, endpoint, processEnd.removed, nowMs),
+  ];
 }
 
 /**
@@ -172,6 +180,11 @@
     previous.isDraining === endpoint.isDraining &&
     previous.startedAtMs === endpoint.startedAtMs;
   if (isUnchanged) return effects;
+  if (previous !== undefined && isReplaced(state, previous)) {
+    effects.push(
+      ...applyProcessEnd(state, previous, processEnd.replaced, nowMs),
+    );
+  }
   return [
     ...effects,
     ...reportChange(findChange(previous, resumed), endpoint),
--- a/packages/ryeworks-dispatch/src/input.ts
+++ b/packages/ryeworks-dispatch/src/input.ts
@@ -96,6 +96,11 @@
 export interface CallDone extends CallEvent {
   readonly kind: 'callDone';
   readonly status: number;
+  /**
+   * Whether only the end of the connection marked the end of the response, as the
+   * end of the endpoint would; undefined, like false, if not.
+   */
+  readonly isUnframed?: boolean;
 }
 
 /** The ways in which a call can fail. */
--- a/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallEvents.ts
@@ -1,4 +1,7 @@
+import {maxEventsOfBeginning} from '../crashes/crashTable.js';
+import {recordLife} from '../crashes/processEnds.js';
 import {recordAnsweredPart} from '../crashes/soundParts.js';
+import {recordUnframedEnd} from '../crashes/unframedEnds.js';
 import {callKind} from '../desired/desiredState.js';
 import {DispatchState} from '../dispatchState.js';
 import {createCount, Effect} from '../effect.js';
@@ -59,6 +62,7 @@
   return [
     ...recordFirstProgress(state, request, call, nowMs),
     ...resolveStandby(state, request, call, nowMs),
+    ...recordLife(state, call, nowMs),
   ];
 }
 
@@ -135,6 +139,24 @@
   }
 }
 
+/** Records that the parts of a prompt are sound, as its response is complete. */
+function recordAnswer(
+  state: DispatchState,
+  request: ActiveRequest,
+  call: ActiveCall,
+  {isUnframed = false}: CallDone,
+  nowMs: number,
+): Effect[] {
+  const {attemptId, sharedParts} = request;
+  if (isUnframed && call.events <= maxEventsOfBeginning) {
+    recordUnframedEnd(state.crashes, request, call, nowMs);
+    return [];
+  }
+  return sharedParts.flatMap(part =>
+    recordAnsweredPart(state, part, attemptId, nowMs),
+  );
+}
+
 /** Ends a request whose response is complete. */
 export function handleCallDone(
   state: DispatchState,
@@ -158,11 +180,7 @@
     recordStreamEventGap(request, call, entry);
   }
   if (input.status < minUnsuccessfulStatus) {
-    for (const part of request.sharedParts) {
-      effects.push(
-        ...recordAnsweredPart(state, part, request.attemptId, nowMs),
-      );
-    }
+    effects.push(...recordAnswer(state, request, call, input, nowMs));
   }
   const reason = `${input.status}`;
   return [
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -7,7 +7,12 @@
 import {ActiveRequest} from './activeRequest.js';
 import {markAvoided} from './avoidedEndpoints.js';
 import {breakRequest, failRequest, finishRequest} from './endRequest.js';
-import {findCall, FoundCall, getEndpointEntry} from './findCall.js';
+import {
+  findCall,
+  findCalledEntry,
+  FoundCall,
+  getEndpointEntry,
+} from './findCall.js';
 import {
   consumeRetry,
   findRetryObstacle,
@@ -121,8 +126,10 @@
   if (wasSent && provesNotRun[failure]) request.possibleRuns -= 1;
   markAvoided(request, call.endpointId, nowMs);
   const effects: Effect[] = [createCount('calls_failed', {failure})];
-  if (input.isConnectionLost === true && entry !== undefined) {
-    effects.push(...checkLostCall(state, request, call, entry, nowMs));
+  // The entry may be that of another process by now.
+  const calledEntry = findCalledEntry(state, call);
+  if (input.isConnectionLost === true && calledEntry !== undefined) {
+    effects.push(...checkLostCall(state, request, call, calledEntry, nowMs));
   }
   const keepEffects = releaseFailedCall(state, request, call, nowMs);
   if (keepEffects !== undefined) {
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -303,7 +303,8 @@
       this.sendHead();
       openRequest.end();
     }
-    this.submitEvent({kind: 'callDone', status});
+    const isUnframed = this.isUnframed();
+    this.submitEvent({kind: 'callDone', status, isUnframed});
   }
 
   private finish(): void {
@@ -319,7 +320,7 @@
       | Pick<CallAnswered, 'kind' | 'limitStatement' | 'notice'>
       | {kind: 'callProgressed'; events: number}
       | {kind: 'callPaused'; isPaused: boolean}
-      | {kind: 'callDone'; status: number},
+      | {kind: 'callDone'; status: number; isUnframed: boolean},
   ): void {
     const {callNumber, requestId} = this.options.effect;
     this.options.submit({...event, requestId, callNumber});
--- a/packages/ryeworks-gateway/src/endpoints/probeEndpoint.ts
+++ b/packages/ryeworks-gateway/src/endpoints/probeEndpoint.ts
@@ -4,12 +4,6 @@
 import {DispatchLoop} from '../core/dispatchLoop.js';
 import {connectEndpoint} from './connectEndpoint.js';
 
-/**
- * Time until the probe, in ms: a process that ends may still accept connections
- * when it has reset others.
- */
-const probeDelayMs = 50;
-
 /** Returns whether a connection to an endpoint can be opened. */
 function isListening({address}: Endpoint): Promise<boolean> {
   const {host, port} = parseHostPort(address);
@@ -27,9 +21,9 @@
 /** Probes an endpoint and submits the result to the core. */
 export async function probeEndpoint(
   loop: DispatchLoop,
-  {endpoint}: ProbeEndpoint,
+  {delayMs, endpoint}: ProbeEndpoint,
 ): Promise<void> {
-  await sleep(probeDelayMs, undefined, {ref: false});
+  await sleep(delayMs, undefined, {ref: false});
   loop.submit({
     kind: 'endpointProbed',
     endpoint,
--- a/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
+++ b/packages/ryeworks-lab/src/fleet/dispatchFleet.ts
@@ -25,8 +25,6 @@
 
 /** Time of a message between two VMs, in ms. */
 const linkDelayMs = 1;
-/** Time until an endpoint that has lost a connection is probed, in ms. */
-const probeDelayMs = 50;
 /** How long callers wait for an answer, in ms. */
 export const callerDeadlineMs = 8000;
 /** Longest time until a VM reads a change of the desired state, in ms. */
@@ -405,8 +403,9 @@
     this.calls.start(vm, effect, request, target, hasPath);
   }
 
-  private probeEndpoint(vm: FleetVm, {endpoint}: ProbeEndpoint): void {
-    this.events.schedule(probeDelayMs, () => {
+  private probeEndpoint(vm: FleetVm, probe: ProbeEndpoint): void {
+    const {delayMs, endpoint} = probe;
+    this.events.schedule(delayMs, () => {
       const {endpoint: running, isDown} = this.getEndpoint(endpoint.id);
       const isSame = running.startedAtMs === endpoint.startedAtMs;
       const isListening = isSame && !isDown;
