A status above 599 is no answer

Cause: the status of an answer was compared with a lower bound only.

Change: a status outside 200 to 599 is no answer; the caller gets 502.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -39,6 +39,8 @@
 const parseErrorPrefix = 'HPE_';
 /** Lowest HTTP status of an answer; Node sends no lower one to a caller. */
 const minAnswerStatus = 200;
+/** Highest HTTP status; a higher one is none. */
+const maxAnswerStatus = 599;
 /** Lowest HTTP status that reports a failure of the endpoint. */
 const minFailureStatus = 500;
 /** HTTP statuses from which a caller concludes that a request did not run. */
@@ -192,8 +194,8 @@
     // An unverified answer is not forwarded. Neither is a status from which the
     // caller would conclude that the request did not run, because the endpoint
     // did not state that, nor a status that is none.
-    const isForwardable =
-      status >= minAnswerStatus && !notRunStatuses.has(status);
+    const isStatus = status >= minAnswerStatus && status <= maxAnswerStatus;
+    const isForwardable = isStatus && !notRunStatuses.has(status);
     if (!plainCodings.has(getTransferCoding(response))) {
       this.fail('cut', 'transfer_coding');
       return;
