Own interface: a response without a length that is reset is not complete

Cause: undici takes a response without a length for complete if its connection is reset. Statuses above 599 counted as failures that the endpoint had reported.

Change: each call has a connection of its own that tells a reset from an end, by the check that the platform's side has, now in ryeworks-utils; a status outside 200 to 599 is no answer.

--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -1,5 +1,9 @@
 import {CallAnswered, CallFailure, Input, StartCall} from '@ryeworks/dispatch';
-import {parseHostPort} from '@ryeworks/utils';
+import {
+  checkConnectionEnd,
+  ConnectionEnd,
+  parseHostPort,
+} from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
 import {
   eventStreamType,
@@ -9,7 +13,6 @@
   OpenRequest,
 } from '../callers/openRequest.js';
 import {AnswerHead, WireFormat} from '../deploymentInterfaces.js';
-import {checkConnectionEnd, ConnectionEnd} from './checkConnectionEnd.js';
 import {connectEndpoint} from './connectEndpoint.js';
 import {EventBoundary} from './eventBoundary.js';
 import {EventSplitter} from './eventSplitter.js';
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -1,5 +1,6 @@
 export * from './byteCollector.js';
 export * from './callHttp.js';
+export * from './checkConnectionEnd.js';
 export * from './clock.js';
 export * from './copySmallPart.js';
 export * from './disposableStore.js';
--- a/packages/ryeworksd/src/endpoints/endpointClient.ts
+++ b/packages/ryeworksd/src/endpoints/endpointClient.ts
@@ -4,13 +4,20 @@
 import {Agent, Dispatcher, request} from 'undici';
 import {OpenRequest, OpenRequests} from '../answers/openRequests.js';
 import {SchedulerLoop} from '../core/schedulerLoop.js';
+import {connectTimeoutMs, EndpointConnection} from './endpointConnection.js';
 import {ModelAnswer} from './modelAnswer.js';
 
-/** Time allowed to open a connection to an endpoint, in ms. */
-const connectTimeoutMs = 1000;
+/** Lowest and highest HTTP status of an answer; others are none. */
+const answerStatuses = {lowest: 200, highest: 599};
 /** Minimum time between two progress reports of one call, in ms. */
 const progressIntervalMs = 250;
 
+/** Returns whether a number is the HTTP status of an answer. */
+function isAnswerStatus(status: number): boolean {
+  const {highest, lowest} = answerStatuses;
+  return status >= lowest && status <= highest;
+}
+
 /** A call to an endpoint that is in progress or may be resumed. */
 interface OpenCall {
   readonly abort: AbortController;
@@ -151,15 +158,20 @@
   ): Promise<void> {
     const {requestId} = openRequest;
     const isCurrent = () => this.calls.get(requestId) === call;
+    const connection = new EndpointConnection(call.endpoint.address);
     try {
       const response = await request(call.endpoint.address + options.path, {
-        dispatcher: this.agent,
+        dispatcher: connection.dispatcher,
         method: options.method as Dispatcher.HttpMethod,
         headers: options.headers,
         body: options.body,
         signal: call.abort.signal,
       });
       if (!isCurrent()) return;
+      if (!isAnswerStatus(response.statusCode)) {
+        this.reportFailure(openRequest, call, 'cut');
+        return;
+      }
       if (response.statusCode >= 500 || response.statusCode === 429) {
         await response.body.dump();
         // Only 500 tells that the run failed: a stream that is resumed runs on
@@ -176,7 +188,7 @@
         return;
       }
       if (call.answer === undefined || response.statusCode >= 400) {
-        await this.sendWholeResponse(openRequest, call, response);
+        await this.sendWholeResponse(openRequest, call, response, connection);
         return;
       }
       await this.streamResponse(openRequest, call, response);
@@ -187,6 +199,8 @@
         call,
         isUnsentError(error) ? 'notSent' : 'cut',
       );
+    } finally {
+      connection.close();
     }
   }
 
@@ -198,11 +212,17 @@
     openRequest: OpenRequest,
     call: OpenCall,
     response: Dispatcher.ResponseData,
+    connection: EndpointConnection,
   ): Promise<void> {
     const {requestId} = openRequest;
     this.loop.submit({kind: 'endpointFirstToken', requestId});
     const body = Buffer.from(await response.body.arrayBuffer());
+    const isComplete = await connection.isComplete(response);
     if (this.calls.get(requestId) !== call) return;
+    if (!isComplete) {
+      this.reportFailure(openRequest, call, 'cut');
+      return;
+    }
     const contentType = String(
       response.headers['content-type'] ?? 'application/octet-stream',
     );
