Losses of long ago are forgotten; no work for services without a move

Cause: a review of the diff. Parts of a lost call stayed with a process that answered nothing since, for ever; each choice of an endpoint copied the list of a service without a move, and each progress of a call built the name of its process. Change: a loss is forgotten after the 10 s within which the end of its process explains it; the lists and names are only made if there is something to look up.

--- a/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
+++ b/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
@@ -4,7 +4,13 @@
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {EndpointProbed} from '../input.js';
 import {ActiveCall, ActiveRequest} from '../requests/activeRequest.js';
-import {CrashTable, getProcess, maxEventsOfBeginning} from './crashTable.js';
+import {
+  ConnectionLoss,
+  CrashTable,
+  getProcess,
+  lossMemoryMs,
+  maxEventsOfBeginning,
+} from './crashTable.js';
 import {isReplaced} from './processEnds.js';
 import {applyReferenceProbe, probeReferences} from './probeReferences.js';
 import {
@@ -24,17 +30,39 @@
  */
 const probeDelaysMs: readonly number[] = [50, 200, 750];
 
-/** Probes an endpoint again, unless it has accepted all probes. */
-function probeAgain(
+/** Probes an endpoint once more, unless it has accepted all probes. */
+function probeNext(
   endpoint: Endpoint,
+  loss: ConnectionLoss,
   acceptedProbes: number,
 ): ProbeEndpoint[] {
-  if (acceptedProbes >= probeDelaysMs.length) return [];
+  loss.acceptedProbes = acceptedProbes;
+  loss.isProbed = acceptedProbes < probeDelaysMs.length;
+  if (!loss.isProbed) return [];
   const delayMs = probeDelaysMs[acceptedProbes];
   return [{kind: 'probeEndpoint', endpoint, delayMs}];
 }
 
-/** Suspects parts of having crashed a process; probes it if that is news. */
+/** Returns the loss that is being checked for a process; creates one if need be. */
+function getOrCreateLoss(
+  {uncheckedLosses}: CrashTable,
+  process: string,
+  nowMs: number,
+): ConnectionLoss {
+  const known = uncheckedLosses.get(process);
+  if (known !== undefined && nowMs - known.atMs <= lossMemoryMs) return known;
+  const loss: ConnectionLoss = {
+    atMs: nowMs,
+    parts: new Set(),
+    acceptedProbes: 0,
+    isProbed: false,
+    isSimultaneous: false,
+  };
+  uncheckedLosses.set(process, loss);
+  return loss;
+}
+
+/** Suspects parts of having crashed a process, and probes it if need be. */
 function addSuspects(
   table: CrashTable,
   endpoint: Endpoint,
@@ -43,21 +71,10 @@
 ): Effect[] {
   const suspects = parts.filter(part => !isSound(table, part, nowMs));
   if (suspects.length === 0) return [];
-  const process = getProcess(endpoint);
-  const unchecked = table.uncheckedLosses.get(process);
-  const loss = unchecked ?? {
-    atMs: nowMs,
-    parts: new Set(),
-    acceptedProbes: 0,
-    isSimultaneous: false,
-  };
+  const loss = getOrCreateLoss(table, getProcess(endpoint), nowMs);
   loss.atMs = nowMs;
   for (const part of suspects) loss.parts.add(part);
-  const isChecked = loss.acceptedProbes >= probeDelaysMs.length;
-  if (unchecked !== undefined && !isChecked) return [];
-  loss.acceptedProbes = 0;
-  table.uncheckedLosses.set(process, loss);
-  return probeAgain(endpoint, 0);
+  return loss.isProbed ? [] : probeNext(endpoint, loss, 0);
 }
 
 /**
@@ -142,8 +159,8 @@
   if (hasEnded || parts.length === 0) table.uncheckedLosses.delete(process);
   if (parts.length === 0) return effects;
   if (!hasEnded) {
-    loss.acceptedProbes += 1;
-    return [...effects, ...probeAgain(endpoint, loss.acceptedProbes)];
+    const acceptedProbes = loss.acceptedProbes + 1;
+    return [...effects, ...probeNext(endpoint, loss, acceptedProbes)];
   }
   const next = loss.isSimultaneous
     ? probeReferences(state, endpoint, parts, nowMs)
--- a/packages/ryeworks-dispatch/src/crashes/crashTable.ts
+++ b/packages/ryeworks-dispatch/src/crashes/crashTable.ts
@@ -8,6 +8,12 @@
  */
 export const maxEventsOfBeginning = 3;
 
+/**
+ * Time after a loss within which the end of the process explains it, in ms: a
+ * crashed process is listed again, or is removed, after some seconds.
+ */
+export const lossMemoryMs = 10_000;
+
 /** What is known of a part of prompts under which endpoints have crashed. */
 export interface PartRecord {
   /**
@@ -29,8 +35,10 @@
   atMs: number;
   /** The parts of the prompts that it worked on for this VM. */
   readonly parts: Set<string>;
-  /** Number of probes that were accepted since. */
+  /** Number of probes that were accepted since the first one. */
   acceptedProbes: number;
+  /** Whether a probe is under way. */
+  isProbed: boolean;
   /** Whether several endpoints lost connections at that moment. */
   isSimultaneous: boolean;
 }
--- a/packages/ryeworks-dispatch/src/crashes/processEnds.ts
+++ b/packages/ryeworks-dispatch/src/crashes/processEnds.ts
@@ -11,6 +11,7 @@
   CrashTable,
   getCalledProcess,
   getProcess,
+  lossMemoryMs,
   maxEventsOfBeginning,
 } from './crashTable.js';
 import {
@@ -22,11 +23,6 @@
 import {isSound} from './soundParts.js';
 import {resolveUnframedEnds} from './unframedEnds.js';
 
-/**
- * Time after a loss within which the end of the process explains it, in ms: a
- * crashed process is listed again, or is removed, after some seconds.
- */
-const endedWithinMs = 10_000;
 /** Time between the starts of processes that one cause explains, in ms. */
 const restartToleranceMs = 1000;
 
@@ -57,7 +53,8 @@
   call: ActiveCall,
   nowMs: number,
 ): Effect[] {
-  const {uncheckedLosses} = state.crashes;
+  const {uncheckedLosses, unframedEnds} = state.crashes;
+  if (uncheckedLosses.size + unframedEnds.size === 0) return [];
   const process = getCalledProcess(call);
   const loss = uncheckedLosses.get(process);
   if (loss !== undefined && loss.atMs < call.startedAtMs) {
@@ -75,7 +72,7 @@
   const parts: string[] = [];
   const loss = table.uncheckedLosses.get(process);
   table.uncheckedLosses.delete(process);
-  const isRecent = (atMs: number) => nowMs - atMs <= endedWithinMs;
+  const isRecent = (atMs: number) => nowMs - atMs <= lossMemoryMs;
   if (loss !== undefined && !loss.isSimultaneous && isRecent(loss.atMs)) {
     parts.push(...loss.parts);
   }
--- a/packages/ryeworks-dispatch/src/moves/provenVersions.ts
+++ b/packages/ryeworks-dispatch/src/moves/provenVersions.ts
@@ -114,6 +114,7 @@
   service: string,
   entries: readonly EndpointEntry[],
 ): readonly EndpointEntry[] {
+  if (!state.provenVersions.has(service)) return entries;
   return entries.filter(({endpoint}) =>
     isProven(state, service, endpoint.version),
   );
