--- a/packages/ryeworksd/src/endpoints/endpointConnection.ts
+++ b/packages/ryeworksd/src/endpoints/endpointConnection.ts
@@ -32,7 +32,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       connect: (options, callback) =>
-        connect(options, (...[error, socket]) => {
+        connect(options, (error, socket) => {
           if (error !== null) {
             callback(error, null);
             return;
