--- a/packages/ryeworks-dispatch/src/__tests__/replacedOrders.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/replacedOrders.test.ts
@@ -205,3 +205,30 @@
   readOrders(state, [order], 0);
   t.equal(countByVersion(state, 100).v2, 0);
 });
+
+// Guards against a replaced order that a copy of the store brings back, and against a
+// second order that starts anew when its operator writes it again.
+t.test('an order goes on while the store lists the one before', async t => {
+  const state = createMovingState();
+  const readEra = (era: number, order: MoveOrder, nowMs: number) => {
+    runInput(state, {kind: 'storeEraRead', era}, nowMs);
+    runInput(state, {kind: 'endpointsListed', era, endpoints}, nowMs);
+    runInput(state, {kind: 'movesRead', era, orders: [order]}, nowMs);
+  };
+  readEra(1, createOrder('v2', 10, 'moving', 12), 300);
+  const second = createOrder('v3', 30, 'moving', 32);
+  readOrders(state, [second], 1000);
+  const move = state.moves.get(names.ledger);
+  const restored = {era: 2, revision: 12};
+  const first = createOrder('v2', 10, 'moving');
+  readEra(2, {...first, position: restored}, 2000);
+  t.equal(countByVersion(state, 2100).v2, 0);
+  const written = {era: 2, revision: 15};
+  const again = {position: written, orderedAt: written, phase: undefined};
+  readEra(2, {...second, ...again}, 2500);
+  t.equal(state.moves.get(names.ledger), move, 'the same move');
+  t.equal(move?.startedAtMs, 1000);
+  const effects = runInput(state, {kind: 'timerDue'}, 4000);
+  const [{result}] = listEffects(effects, 'writeMoveResult');
+  t.match(result, {toVersion: 'v3', phase: 'moving', position: written});
+});
