Proofs: four mutations of the new parts; tests of real processes in a copy run it

Cause: the copy that a mutation is applied to has no bundle, which the tests of real processes start now; the new parts had no mutations. Change: the bundle of a copy is the copy's own program; a move named by its entry, an unproven version as an old one, a replaced process that has not crashed, and an answer without a length that shows a prompt to be sound.

--- a/admin/checkProofs.js
+++ b/admin/checkProofs.js
@@ -37,6 +37,12 @@
   for (const entry of ['ryeworks', 'ryeworksd']) {
     symlinkSync(join(copy, 'packages', entry), join(modules, entry));
   }
+  // Tests of real processes start the bundle; that of the copy is the mutated code.
+  mkdirSync(join(copy, 'target'));
+  writeFileSync(
+    join(copy, 'target/ryeworksd.mjs'),
+    "import '../packages/ryeworksd/dist/bin/ryeworksd.js';\n",
+  );
   return copy;
 }
 
--- a/admin/crashMutations.js
+++ b/admin/crashMutations.js
@@ -53,4 +53,18 @@
     to: 'if (true)',
     test: `${lab}/__tests__/crashingPrompts.test.js`,
   },
+  {
+    promise: 'a process that another one replaces has crashed',
+    file: `${dispatch}/crashes/processEnds.js`,
+    from: /listedMs !== startedAtMs/,
+    to: 'false',
+    test: `${dispatch}/__tests__/crashingParts.test.js`,
+  },
+  {
+    promise: 'an answer that ends like a crash shows no prompt to be sound',
+    file: `${dispatch}/requests/handleCallEvents.js`,
+    from: /isUnframed &&/,
+    to: 'false &&',
+    test: `${dispatch}/__tests__/crashingParts.test.js`,
+  },
 ];
--- a/admin/proofMutations.js
+++ b/admin/proofMutations.js
@@ -219,6 +219,21 @@
     to: 'position = {',
     test: 'platform/dist/__tests__/storeClient.test.js',
   },
+  {
+    promise: 'a move takes over nothing from the order that it replaces',
+    file: `${dispatch}/moves/moveProgress.js`,
+    from: /\$\{orderedAt\.era\}\.\$\{orderedAt\.revision\}/,
+    // Both orders of the test have this name, that of their entry.
+    to: '1.10',
+    test: `${dispatch}/__tests__/replacedOrders.test.js`,
+  },
+  {
+    promise: 'an unproven version is no old version of the next order',
+    file: `${dispatch}/moves/provenVersions.js`,
+    from: /versions === undefined \|\|/,
+    to: 'true ||',
+    test: `${dispatch}/__tests__/replacedOrders.test.js`,
+  },
   {
     promise: 'an endpoint that wants a pause gets no calls until its end',
     file: `${dispatch}/endpoints/callObstacles.js`,
