One piece of code for checks that stood twice; tests share their set-up

Cause: a reading of the whole change. In the wrong place: a connector was built for each call, and each failed call looked for the entry that only a lost connection needs. Behavior stays as it is.

--- a/admin/crashMutations.js
+++ b/admin/crashMutations.js
@@ -56,7 +56,7 @@
   {
     promise: 'a process that another one replaces has crashed',
     file: `${dispatch}/crashes/processEnds.js`,
-    from: /listedMs !== startedAtMs/,
+    from: /!isSameStart\(listed, startedAtMs\)/,
     to: 'false',
     test: `${dispatch}/__tests__/crashingParts.test.js`,
   },
--- a/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
+++ b/packages/ryeworks-dispatch/src/__tests__/crashingParts.test.ts
@@ -157,6 +157,17 @@
   t.match(own, {soundParts: ['bad']}, 'own answers are reported');
 });
 
+/** Loses the connection of a call before its answer; returns the effects. */
+function loseConnection(
+  state: DispatchState,
+  call: {readonly requestId: string; readonly callNumber: number},
+  nowMs: number,
+) {
+  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
+  const flags = {hasResponseStarted: false, isConnectionLost: true};
+  return runInput(state, {...failed, ...call, ...flags}, nowMs);
+}
+
 /** How the connection of a call is lost, and what a probe then finds. */
 interface Loss {
   readonly events: number;
@@ -180,9 +191,7 @@
     const call = {requestId, callNumber};
     runInput(state, {kind: 'callSent', ...call}, nowMs);
     runInput(state, {kind: 'callProgressed', ...call, events}, nowMs);
-    const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
-    const flags = {hasResponseStarted: false, isConnectionLost: true};
-    const effects = runInput(state, {...failed, ...call, ...flags}, nowMs);
+    const effects = loseConnection(state, call, nowMs);
     const probes = listEffects(effects, 'probeEndpoint').length;
     t.equal(probes, events > 3 ? 0 : 1, 'one probe');
     const probed = {kind: 'endpointProbed', endpoint, isListening} as const;
@@ -217,12 +226,10 @@
       ]);
       const lost = endpoints.map(() => send(state, ['bad'], 0).call);
       const used = new Set(lost.map(({endpoint}) => endpoint.id));
-      const flags = {hasResponseStarted: false, isConnectionLost: true};
-      const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
       for (const {callNumber, requestId} of lost) {
         const call = {requestId, callNumber};
         runInput(state, {kind: 'callSent', ...call}, atMs);
-        runInput(state, {...failed, ...call, ...flags}, atMs);
+        loseConnection(state, call, atMs);
       }
       const probes = lost.flatMap(({endpoint}) => {
         const probed = {kind: 'endpointProbed', endpoint} as const;
@@ -307,10 +314,7 @@
   const {callNumber, endpoint} = call;
   const event = {requestId, callNumber};
   runInput(state, {kind: 'callSent', ...event}, nowMs);
-  if (!isLost) return endpoint;
-  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
-  const flags = {hasResponseStarted: false, isConnectionLost: true};
-  runInput(state, {...failed, ...event, ...flags}, nowMs + 1);
+  if (isLost) loseConnection(state, event, nowMs + 1);
   return endpoint;
 }
 
@@ -377,9 +381,7 @@
   t.strictSame(listCrashed(state), []);
   replaceProcess(state, endpoints[0], atMs);
   t.strictSame(listCrashed(state), ['m1@1']);
-  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
-  const flags = {hasResponseStarted: false, isConnectionLost: true};
-  runInput(state, {...failed, ...event, ...flags}, atMs + 10);
+  loseConnection(state, event, atMs + 10);
   probe(state, endpoints[0], true, atMs + 60);
   t.strictSame(listCrashed(state), ['m1@1'], 'not for the new one');
 });
@@ -417,10 +419,7 @@
   const {call, requestId} = send(lost, ['other'], 0);
   runInput(lost, {kind: 'callSent', requestId, callNumber: 1}, 0);
   end(lost, atMs);
-  const failed = {kind: 'callFailed', failure: 'cut', detail: ''} as const;
-  const flags = {hasResponseStarted: false, isConnectionLost: true};
-  const event = {requestId, callNumber: call.callNumber};
-  runInput(lost, {...failed, ...event, ...flags}, atMs + 2);
+  loseConnection(lost, {requestId, callNumber: call.callNumber}, atMs + 2);
   probe(lost, endpoint, false, atMs + 52);
   t.strictSame(listCrashed(lost), ['m1@1'], 'beside a lost connection');
   const living = createReadyState([endpoint]);
--- a/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
+++ b/packages/ryeworks-dispatch/src/crashes/checkLostCall.ts
@@ -16,10 +16,11 @@
 import {
   describeParts,
   isSimultaneous,
+  recordConfirmedLoss,
   recordCrash,
   recordMoment,
 } from './recordCrash.js';
-import {isSound} from './soundParts.js';
+import {listSuspects} from './soundParts.js';
 import {consumeEndedParts} from './unframedEnds.js';
 
 /** Time between losses that happen at once, in ms. */
@@ -69,7 +70,7 @@
   parts: readonly string[],
   nowMs: number,
 ): Effect[] {
-  const suspects = parts.filter(part => !isSound(table, part, nowMs));
+  const suspects = listSuspects(table, parts, nowMs);
   if (suspects.length === 0) return [];
   const loss = getOrCreateLoss(table, getProcess(endpoint), nowMs);
   loss.atMs = nowMs;
@@ -107,17 +108,11 @@
   const effects: Effect[] = [];
   const losses = applyReferenceProbe(table, endpoint, isListening);
   for (const {parts, process} of losses) {
-    const suspects = parts.filter(part => !isSound(table, part, nowMs));
+    const suspects = listSuspects(table, parts, nowMs);
+    const evidence = {evidence: 'reference', reference: endpoint.id};
     effects.push(
-      createLog('connection_loss_confirmed', {
-        process,
-        evidence: 'reference',
-        reference: endpoint.id,
-        sharedParts: describeParts(suspects),
-      }),
+      ...recordConfirmedLoss(state, process, suspects, evidence, nowMs),
     );
-    if (suspects.length === 0) continue;
-    effects.push(...recordCrash(state, process, suspects, nowMs));
   }
   return effects;
 }
@@ -144,7 +139,7 @@
     loss.atMs,
     simultaneousMs,
   );
-  const parts = [...loss.parts].filter(part => !isSound(table, part, nowMs));
+  const parts = listSuspects(table, [...loss.parts], nowMs);
   const hasEnded = !isListening || isReplaced(state, endpoint);
   effects.push(
     createLog('connection_loss_checked', {
--- a/packages/ryeworks-dispatch/src/crashes/processEnds.ts
+++ b/packages/ryeworks-dispatch/src/crashes/processEnds.ts
@@ -4,8 +4,9 @@
  * has taken has, whatever accepts connections at its address.
  */
 import {DispatchState} from '../dispatchState.js';
-import {createLog, Effect} from '../effect.js';
+import {Effect} from '../effect.js';
 import {Endpoint} from '../endpoints/endpoint.js';
+import {isSameStart} from '../endpoints/noticeRecord.js';
 import {ActiveCall} from '../requests/activeRequest.js';
 import {
   CrashTable,
@@ -15,12 +16,11 @@
   maxEventsOfBeginning,
 } from './crashTable.js';
 import {
-  describeParts,
   isSimultaneous,
-  recordCrash,
+  recordConfirmedLoss,
   recordMoment,
 } from './recordCrash.js';
-import {isSound} from './soundParts.js';
+import {listSuspects} from './soundParts.js';
 import {resolveUnframedEnds} from './unframedEnds.js';
 
 /** Time between the starts of processes that one cause explains, in ms. */
@@ -42,9 +42,8 @@
   {endpoints}: DispatchState,
   {id, startedAtMs}: Endpoint,
 ): boolean {
-  const listedMs = endpoints.byId.get(id)?.endpoint.startedAtMs ?? 0;
-  if (listedMs === 0 || startedAtMs === 0) return false;
-  return listedMs !== startedAtMs;
+  const listed = endpoints.byId.get(id)?.endpoint;
+  return listed !== undefined && !isSameStart(listed, startedAtMs);
 }
 
 /** Records that the process of a call lives, if it has answered. */
@@ -124,14 +123,7 @@
     if (!isOutage) parts.push(...listCalledParts(state, process));
   }
   if (endpoint.isDraining) return [];
-  const suspects = [...new Set(parts)].filter(
-    part => !isSound(table, part, nowMs),
-  );
+  const suspects = listSuspects(table, [...new Set(parts)], nowMs);
   if (suspects.length === 0) return [];
-  const sharedParts = describeParts(suspects);
-  const fields = {process, evidence, sharedParts};
-  return [
-    createLog('connection_loss_confirmed', fields),
-    ...recordCrash(state, process, suspects, nowMs),
-  ];
+  return recordConfirmedLoss(state, process, suspects, {evidence}, nowMs);
 }
--- a/packages/ryeworks-dispatch/src/crashes/recordCrash.ts
+++ b/packages/ryeworks-dispatch/src/crashes/recordCrash.ts
@@ -1,5 +1,5 @@
 import {DispatchState} from '../dispatchState.js';
-import {createCount, Effect} from '../effect.js';
+import {createCount, createLog, Effect} from '../effect.js';
 import {addCrash} from './partRecords.js';
 import {scheduleQuarantines} from './scheduleQuarantines.js';
 
@@ -63,3 +63,24 @@
   scheduleQuarantines(state, nowMs);
   return [createCount('prompt_crashes')];
 }
+
+/**
+ * Records that later signs show lost connections of a process to be a crash, under
+ * the parts that are left of those of its prompts.
+ *
+ * @param evidence what shows it, for the log
+ */
+export function recordConfirmedLoss(
+  state: DispatchState,
+  process: string,
+  parts: readonly string[],
+  evidence: Readonly<Record<string, string>>,
+  nowMs: number,
+): Effect[] {
+  const sharedParts = describeParts(parts);
+  const fields = {process, ...evidence, sharedParts};
+  return [
+    createLog('connection_loss_confirmed', fields),
+    ...(parts.length > 0 ? recordCrash(state, process, parts, nowMs) : []),
+  ];
+}
--- a/packages/ryeworks-dispatch/src/crashes/soundParts.ts
+++ b/packages/ryeworks-dispatch/src/crashes/soundParts.ts
@@ -38,6 +38,15 @@
   return sound !== undefined && nowMs - getLastMs(sound) <= soundMs;
 }
 
+/** Lists the parts that are not known to be sound. */
+export function listSuspects(
+  table: CrashTable,
+  parts: readonly string[],
+  nowMs: number,
+): string[] {
+  return parts.filter(part => !isSound(table, part, nowMs));
+}
+
 /** Returns when a part was last found to be sound, in ms. */
 function getLastMs({answeredAtMs, reportedAtMs}: SoundPart): number {
   return Math.max(answeredAtMs, reportedAtMs);
--- a/packages/ryeworks-dispatch/src/endpoints/noticeRecord.ts
+++ b/packages/ryeworks-dispatch/src/endpoints/noticeRecord.ts
@@ -69,13 +69,12 @@
 }
 
 /**
- * Returns whether notices belong to a process that started at the given time. A
- * start time that is not known tells no restart.
+ * Returns whether notices, or the entry of an endpoint, belong to a process that
+ * started at the given time. A start time that is not known tells no restart.
  */
 export function isSameStart(
-  notices: NoticeRecord,
+  {startedAtMs: knownMs}: Pick<NoticeRecord, 'startedAtMs'>,
   startedAtMs: number,
 ): boolean {
-  const {startedAtMs: knownMs} = notices;
   return knownMs === startedAtMs || knownMs === 0 || startedAtMs === 0;
 }
--- a/packages/ryeworks-dispatch/src/moves/decideTrial.ts
+++ b/packages/ryeworks-dispatch/src/moves/decideTrial.ts
@@ -1,7 +1,7 @@
 import {DispatchState} from '../dispatchState.js';
 import {EndpointEntry} from '../endpoints/endpointTable.js';
 import {movePhase} from './moveOrder.js';
-import {MoveState} from './moveTable.js';
+import {isCompleted, MoveState} from './moveTable.js';
 import {listProvenEntries} from './provenVersions.js';
 
 /** One step of a move. */
@@ -42,7 +42,7 @@
 /** Returns the share of requests that is now routed to a move's new version. */
 export function getNewVersionShare(move: MoveState, nowMs: number): number {
   if (move.isBad) return 0;
-  if (move.order.phase === 'completed' || move.wasCompleted) return 1;
+  if (isCompleted(move)) return 1;
   const fraction = getElapsedFraction(move, nowMs);
   const hasEvidence = move.newEvidence.total.answered >= minAnswers;
   const [firstStep] = moveSteps;
--- a/packages/ryeworks-dispatch/src/moves/moveTable.ts
+++ b/packages/ryeworks-dispatch/src/moves/moveTable.ts
@@ -1,6 +1,6 @@
 import {SequentialTest} from '@ryeworks/utils';
 import {VersionCounts} from '../peers/peerMessage.js';
-import {MoveOrder} from './moveOrder.js';
+import {MoveOrder, movePhase} from './moveOrder.js';
 
 /** Outcomes of calls to the new version of a move, or to the old ones. */
 export interface VersionEvidence {
@@ -51,6 +51,11 @@
   return new Map();
 }
 
+/** Returns whether a move has made its version that of its service. */
+export function isCompleted({order, wasCompleted}: MoveState): boolean {
+  return wasCompleted || order.phase === movePhase.completed;
+}
+
 /** Counts before the first call outcome. */
 export const noCounts: VersionCounts = {answered: 0, failed: 0, slow: 0};
 
--- a/packages/ryeworks-dispatch/src/moves/provenVersions.ts
+++ b/packages/ryeworks-dispatch/src/moves/provenVersions.ts
@@ -6,17 +6,12 @@
  */
 import {DispatchState} from '../dispatchState.js';
 import {EndpointEntry, listEndpoints} from '../endpoints/endpointTable.js';
-import {MoveOrder, movePhase} from './moveOrder.js';
-import {MoveState} from './moveTable.js';
+import {MoveOrder} from './moveOrder.js';
+import {isCompleted} from './moveTable.js';
 
 /** Proven versions by service; services of which none are known are omitted. */
 export type ProvenVersions = Map<string, readonly string[]>;
 
-/** Returns whether a move has made its version that of its service. */
-function isCompleted({order, wasCompleted}: MoveState): boolean {
-  return wasCompleted || order.phase === movePhase.completed;
-}
-
 /** Lists the proven versions of a service; none if they are not known. */
 export function listProvenVersions(
   {provenVersions}: DispatchState,
--- a/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
+++ b/packages/ryeworks-dispatch/src/requests/handleCallFailed.ts
@@ -127,9 +127,10 @@
   markAvoided(request, call.endpointId, nowMs);
   const effects: Effect[] = [createCount('calls_failed', {failure})];
   // The entry may be that of another process by now.
-  const calledEntry = findCalledEntry(state, call);
-  if (input.isConnectionLost === true && calledEntry !== undefined) {
-    effects.push(...checkLostCall(state, request, call, calledEntry, nowMs));
+  const lostEntry =
+    input.isConnectionLost === true ? findCalledEntry(state, call) : undefined;
+  if (lostEntry !== undefined) {
+    effects.push(...checkLostCall(state, request, call, lostEntry, nowMs));
   }
   const keepEffects = releaseFailedCall(state, request, call, nowMs);
   if (keepEffects !== undefined) {
--- a/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
+++ b/packages/ryeworks-gateway/src/endpoints/endpointCall.ts
@@ -2,6 +2,7 @@
 import {
   checkConnectionEnd,
   ConnectionEnd,
+  isAnswerStatus,
   parseHostPort,
 } from '@ryeworks/utils';
 import {ClientRequest, IncomingMessage, request} from 'node:http';
@@ -40,10 +41,6 @@
 const maxInterimResponses = 16;
 /** Beginning of the codes of errors of Node's HTTP parser. */
 const parseErrorPrefix = 'HPE_';
-/** Lowest HTTP status of an answer; Node sends no lower one to a caller. */
-const minAnswerStatus = 200;
-/** Highest HTTP status; a higher one is none. */
-const maxAnswerStatus = 599;
 /** Lowest HTTP status that reports a failure of the endpoint. */
 const minFailureStatus = 500;
 /** HTTP statuses from which a caller concludes that a request did not run. */
@@ -197,8 +194,7 @@
     // An unverified answer is not forwarded. Neither is a status from which the
     // caller would conclude that the request did not run, because the endpoint
     // did not state that, nor a status that is none.
-    const isStatus = status >= minAnswerStatus && status <= maxAnswerStatus;
-    const isForwardable = isStatus && !notRunStatuses.has(status);
+    const isForwardable = isAnswerStatus(status) && !notRunStatuses.has(status);
     if (!plainCodings.has(getTransferCoding(response))) {
       this.fail('cut', 'transfer_coding');
       return;
--- a/packages/ryeworks-utils/src/index.ts
+++ b/packages/ryeworks-utils/src/index.ts
@@ -6,6 +6,7 @@
 export * from './disposableStore.js';
 export * from './getOrCreate.js';
 export * from './hostPort.js';
+export * from './isAnswerStatus.js';
 export * from './isUnsentError.js';
 export * from './randomSource.js';
 export * from './rankByKey.js';
--- a/packages/ryeworksd/src/__tests__/endpointClient.test.ts
+++ b/packages/ryeworksd/src/__tests__/endpointClient.test.ts
@@ -1,14 +1,7 @@
-import {Input} from '@ryeworks/scheduler';
-import {Endpoint} from '@ryeworks/types';
-import {systemClock} from '@ryeworks/utils';
 import {createServer, Server, ServerResponse} from 'node:http';
-import {AddressInfo} from 'node:net';
 import t from 'tap';
-import {AnswerBuffer} from '../answers/answerBuffer.js';
-import {SchedulerLoop} from '../core/schedulerLoop.js';
-import {EndpointClient} from '../endpoints/endpointClient.js';
+import {listenAsEndpoint, startTestCall} from './testCall.js';
 
-const requestId = 'r1';
 /** Events of the stream; the connection is cut after the first two. */
 const words = ['one', 'two', 'three'];
 const eventsBeforeCut = 2;
@@ -21,10 +14,10 @@
 }
 
 /**
- * Starts an engine that cuts its stream once and answers the first call that
+ * Creates an engine that cuts its stream once and answers the first call that
  * would resume it with 503.
  */
-async function startEngine(): Promise<Server> {
+function createEngine(): Server {
   let resumes = 0;
   const server = createServer((request, response) => {
     if (request.method === 'POST') {
@@ -41,58 +34,33 @@
     writeEvents(response, from, words.length);
     response.end('data: [DONE]\n\n');
   });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   return server;
 }
 
 // Guards against pieces of a stream that the caller receives twice.
 t.test('a stream goes on where it was after a refused resume', async t => {
-  const server = await startEngine();
-  const {port} = server.address() as AddressInfo;
-  const endpoint = {address: `http://127.0.0.1:${port}`} as Endpoint;
-  const answer = new AnswerBuffer(true);
-  const body: string[] = [];
-  answer.addSink({
-    writeHead: () => {},
-    writeBody: chunk => body.push(chunk.toString()),
-    end: () => {},
-    fail: () => {},
+  const server = createEngine();
+  const endpoint = await listenAsEndpoint(server);
+  t.teardown(() => {
+    server.close();
   });
-  const openRequest = {
-    requestId,
+  const request = {
     kind: 'model' as const,
-    method: 'POST',
     path: '/v1/chat/completions',
     contentType: 'application/json',
     body: Buffer.from('{}'),
     isStreamed: true,
     model: 'm',
-    answer,
   };
   const failures: string[] = [];
   let handleDone = () => {};
   const done = new Promise<void>(resolve => (handleDone = resolve));
-  const submit = (input: Input) => {
+  const {body} = startTestCall(t, endpoint, request, (input, call) => {
     if (input.kind === 'endpointDone') handleDone();
     if (input.kind !== 'endpointFailed') return;
     failures.push(input.failure);
-    const streamId = requestId;
-    client.resume({kind: 'resume', requestId, endpoint, streamId});
-  };
-  const client: EndpointClient = new EndpointClient(
-    {submit} as SchedulerLoop,
-    systemClock,
-    new Map([[requestId, openRequest]]),
-  );
-  t.teardown(async () => {
-    await client.close();
-    server.close();
-  });
-  client.dispatch({
-    kind: 'dispatch',
-    requestId,
-    endpoint,
-    deadlineInMs: 5000,
+    const {client, requestId} = call;
+    client.resume({kind: 'resume', requestId, endpoint, streamId: requestId});
   });
   await done;
   t.strictSame(failures, ['cut', 'refused']);
--- a/packages/ryeworksd/src/__tests__/oddAnswers.test.ts
+++ b/packages/ryeworksd/src/__tests__/oddAnswers.test.ts
@@ -1,13 +1,7 @@
-import {Input} from '@ryeworks/scheduler';
-import {Endpoint} from '@ryeworks/types';
-import {systemClock} from '@ryeworks/utils';
-import {AddressInfo, createServer, Socket} from 'node:net';
+import {createServer, Socket} from 'node:net';
 import t, {Test} from 'tap';
-import {AnswerBuffer} from '../answers/answerBuffer.js';
-import {SchedulerLoop} from '../core/schedulerLoop.js';
-import {EndpointClient} from '../endpoints/endpointClient.js';
+import {listenAsEndpoint, startTestCall} from './testCall.js';
 
-const requestId = 'r1';
 /** Size of an upload, in bytes: more than the socket buffers hold. */
 const uploadBytes = 8_000_000;
 
@@ -31,53 +25,27 @@
     socket.on('error', () => {});
     socket.once('data', () => handleRequest(socket));
   });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as AddressInfo;
-  const endpoint = {address: `http://127.0.0.1:${port}`} as Endpoint;
-  const answer = new AnswerBuffer(true);
-  const received: string[] = [];
-  let status: number | undefined;
-  answer.addSink({
-    writeHead: statusCode => (status = statusCode),
-    writeBody: chunk => received.push(chunk.toString()),
-    end: () => {},
-    fail: () => {},
+  const endpoint = await listenAsEndpoint(server);
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
   });
-  const openRequest = {
-    requestId,
+  const request = {
     kind: 'plain' as const,
-    method: 'POST',
     path: '/samples',
     contentType: 'text/plain',
     body,
     isStreamed: false,
     model: '',
-    answer,
   };
-  return new Promise(resolve => {
-    const submit = (input: Input) => {
+  return new Promise(resolve =>
+    startTestCall(t, endpoint, request, (input, call) => {
       const failure =
         input.kind === 'endpointFailed' ? input.failure : undefined;
       if (input.kind !== 'endpointDone' && failure === undefined) return;
-      resolve({failure, status, body: received.join('')});
-    };
-    const client = new EndpointClient(
-      {submit} as SchedulerLoop,
-      systemClock,
-      new Map([[requestId, openRequest]]),
-    );
-    t.teardown(async () => {
-      await client.close();
-      for (const socket of sockets) socket.destroy();
-      server.close();
-    });
-    client.dispatch({
-      kind: 'dispatch',
-      requestId,
-      endpoint,
-      deadlineInMs: 5000,
-    });
-  });
+      resolve({failure, status: call.status, body: call.body.join('')});
+    }),
+  );
 }
 
 // Guards against the part of an answer that its caller takes for all of it, as the
--- a/packages/ryeworksd/src/endpoints/endpointClient.ts
+++ b/packages/ryeworksd/src/endpoints/endpointClient.ts
@@ -1,23 +1,19 @@
 import {CallFailure, Dispatch, Resume} from '@ryeworks/scheduler';
 import {Endpoint} from '@ryeworks/types';
-import {Clock, isUnsentError} from '@ryeworks/utils';
+import {Clock, isAnswerStatus, isUnsentError} from '@ryeworks/utils';
 import {Agent, Dispatcher, request} from 'undici';
 import {OpenRequest, OpenRequests} from '../answers/openRequests.js';
 import {SchedulerLoop} from '../core/schedulerLoop.js';
-import {connectTimeoutMs, EndpointConnection} from './endpointConnection.js';
+import {
+  connectionOptions,
+  connectTimeoutMs,
+  EndpointConnection,
+} from './endpointConnection.js';
 import {ModelAnswer} from './modelAnswer.js';
 
-/** Lowest and highest HTTP status of an answer; others are none. */
-const answerStatuses = {lowest: 200, highest: 599};
 /** Minimum time between two progress reports of one call, in ms. */
 const progressIntervalMs = 250;
 
-/** Returns whether a number is the HTTP status of an answer. */
-function isAnswerStatus(status: number): boolean {
-  const {highest, lowest} = answerStatuses;
-  return status >= lowest && status <= highest;
-}
-
 /** A call to an endpoint that is in progress or may be resumed. */
 interface OpenCall {
   readonly abort: AbortController;
@@ -36,10 +32,8 @@
  */
 export class EndpointClient {
   private readonly agent: Dispatcher = new Agent({
-    pipelining: 0,
+    ...connectionOptions,
     connect: {timeout: connectTimeoutMs},
-    headersTimeout: 0,
-    bodyTimeout: 0,
   });
   private readonly calls = new Map<string, OpenCall>();
 
--- a/packages/ryeworksd/src/endpoints/endpointConnection.ts
+++ b/packages/ryeworksd/src/endpoints/endpointConnection.ts
@@ -5,6 +5,18 @@
 /** Time allowed to open a connection to an endpoint, in ms. */
 export const connectTimeoutMs = 1000;
 
+/** Options of each connection: one request, whose answer may take any time. */
+export const connectionOptions = {
+  pipelining: 0,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+} as const;
+
+const connect = buildConnector({
+  timeout: connectTimeoutMs,
+  allowHalfOpen: true,
+});
+
 /** Returns whether only the end of the connection marks the end of a response. */
 function isUnframed({headers}: Dispatcher.ResponseData): boolean {
   return (
@@ -23,14 +35,8 @@
   private end: Promise<ConnectionEnd> | undefined;
 
   constructor(address: string) {
-    const connect = buildConnector({
-      timeout: connectTimeoutMs,
-      allowHalfOpen: true,
-    });
     this.dispatcher = new Client(new URL(address).origin, {
-      pipelining: 0,
-      headersTimeout: 0,
-      bodyTimeout: 0,
+      ...connectionOptions,
       connect: (options, callback) =>
         connect(options, (error, socket) => {
           if (error !== null) {
