--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -91,15 +91,6 @@
   disk_mb: 0,
 };
 
-/** A large machine of the sheet of Vanua, with its link as played. */
-export const vanuaFastLimits = {
-  ...limaLimits,
-  cpu_cores: 2,
-  memory_mb: 602,
-  max_fds: 8192,
-  link_mbps: 140.0,
-};
-
 /** Reads the command of the deploy file. */
 function readCommand() {
   const text = readFileSync(join(root, 'deploy', 'system.toml'), 'utf8');
